--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# One place for the commands of README.md. The build itself is CMake's.
+BUILD ?= build
+
+.PHONY: all install build demo test thrift format lint
+
+all: build
+
+install:
+	./.ci/install
+
+build:
+	cmake -G Ninja -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	ninja -C $(BUILD)
+
+demo: install build
+	./standins/demo.sh
+
+test: install build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+thrift:
+	cd packages/peers && thrift --gen cpp:no_skeleton -out gen peers.thrift
+
+format:
+	clang-format -i $$(git ls-files '*.cpp' '*.h' ':!packages/peers/gen')
+
+lint:
+	./.ci/lint
--- /dev/null
+++ b/packages/backends/Prober.h
@@ -0,0 +1,40 @@
+// Asks one backend server for its health, again and again, and feeds a ServerWatch.
+//
+// Only whether an answer comes counts; what it says lags or misleads.
+#pragma once
+
+#include "base/Time.h"
+#include "decisions/ServerHealth.h"
+#include "web/HttpClient.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cumindale {
+
+class Prober : public std::enable_shared_from_this<Prober> {
+public:
+    // `changed` is called after each probe that changed the watch's sight. The watch may outlive nothing: call
+    // stop() before it goes.
+    Prober(boost::asio::any_io_executor, const Clock&, std::string address, uint16_t port, WatchOptions, ServerWatch&,
+        std::function<void()> changed);
+    void start();
+    void stop() { m_stopped = true; }
+
+private:
+    boost::asio::awaitable<void> run(std::shared_ptr<Prober> self);
+    boost::asio::awaitable<void> probe();
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    std::string m_address;
+    uint16_t m_port;
+    WatchOptions m_options;
+    ServerWatch& m_watch;
+    std::function<void()> m_changed;
+    std::unique_ptr<HttpClient> m_client;
+    bool m_stopped = false;
+};
+
+}
--- /dev/null
+++ b/packages/backends/ServerPool.h
@@ -0,0 +1,95 @@
+// Connections to one backend server, and one exchange on one of them.
+//
+// One exchange at a time on a connection. A connection that timed out or broke is closed, never used again, so
+// a late or crossed answer can't reach anybody. All on the routing thread.
+#pragma once
+
+#include "base/ErrorKind.h"
+#include "base/Time.h"
+#include "decisions/Admission.h"
+#include "decisions/Resources.h"
+#include "decisions/ServerHealth.h"
+#include "web/Signal.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace cumindale {
+
+using BackendRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using BackendResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+// How an exchange ended.
+struct ExchangeResult {
+    ErrorKind error = ErrorKind::None;
+    bool sent = false; // at least one byte may have reached the server
+    bool ended = false; // without a whole answer
+    BackendResponse response;
+};
+
+class BackendConnection {
+public:
+    explicit BackendConnection(boost::asio::any_io_executor);
+    boost::asio::awaitable<bool> connect(const ServerResource&, Millis timeout);
+    boost::asio::awaitable<ExchangeResult> exchange(BackendRequest&, Millis timeout);
+    bool reusable() const { return m_reusable; }
+    bool closedByPeer(); // a byte or an end is waiting although nothing was asked
+    Instant lastAnswer {};
+
+private:
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    bool m_reusable = false;
+};
+
+using ConnectionPointer = std::unique_ptr<BackendConnection>;
+
+class ServerPool {
+public:
+    ServerPool(boost::asio::any_io_executor, const Clock&, ServerResource, WatchOptions);
+
+    const ServerResource& server() const { return m_server; }
+    void update(const ServerResource&, size_t hosts); // new settings, and how many hosts share the server
+    ServerWatch& watch() { return m_watch; }
+    const ServerWatch& watch() const { return m_watch; }
+
+    // --- Slots. `admit` waits for one in the queue.
+    enum class Admitted : uint8_t { Yes, Refused, TimedOut };
+    boost::asio::awaitable<Admitted> admit(PriorityClass, Instant deadline);
+    void release(Millis took); // after each admit() that said Yes
+    Millis expectedWait() const { return m_admission.expectedWait(); }
+    const Admission& admission() const { return m_admission; }
+
+    // --- Connections. Null: could not connect.
+    boost::asio::awaitable<ConnectionPointer> take(bool idempotent, Millis timeout);
+    void giveBack(ConnectionPointer);
+    void dropIdle(); // the server went silent: its old connections may be dead for good
+
+private:
+    struct Waiting {
+        Signal signal;
+        bool admitted = false;
+    };
+
+    void startWaiting();
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    ServerResource m_server;
+    ServerWatch m_watch;
+    Admission m_admission;
+    std::unordered_map<TicketId, Waiting*> m_waiting;
+    TicketId m_nextTicket = 1;
+    std::deque<ConnectionPointer> m_idle; // newest last
+    size_t m_mostIdle = 1;
+};
+
+}
--- /dev/null
+++ b/packages/base/Hash.h
@@ -0,0 +1,11 @@
+// Where a key lies in its service's space. XXH3, 64 bits (xxhash library).
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace cumindale {
+
+uint64_t pointOfKey(std::string_view key); // the same on every host and in every version: tables depend on it
+
+}
--- /dev/null
+++ b/packages/base/Time.cpp
@@ -0,0 +1,27 @@
+#include "base/Time.h"
+
+#include <ctime>
+
+namespace cumindale {
+
+Instant SystemClock::now() const
+{
+    return instantFromMillis(monotonicMicros() / 1000);
+}
+
+int64_t SystemClock::unixMillis() const
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+int64_t SystemClock::monotonicMicros() const
+{
+    // CLOCK_BOOTTIME also counts time in which the machine was suspended. A lease must not outlive a
+    // suspended host: CLOCK_MONOTONIC would stand still and the host would wake believing it is fresh.
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return static_cast<int64_t>(now.tv_sec) * 1'000'000 + now.tv_nsec / 1000;
+}
+
+}
--- /dev/null
+++ b/packages/base/Time.h
@@ -0,0 +1,43 @@
+// Time in the whole system: whole milliseconds on a monotonic clock.
+//
+// Decisions never read a clock; an Instant is passed to them. Only drivers hold a Clock.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace cumindale {
+
+using Millis = std::chrono::milliseconds;
+
+// Tag that keeps our instants apart from those of the standard clocks.
+struct MonotonicDomain {
+    using rep = Millis::rep;
+    using period = Millis::period;
+    using duration = Millis;
+    using time_point = std::chrono::time_point<MonotonicDomain, Millis>;
+    static constexpr bool is_steady = true;
+};
+
+using Instant = MonotonicDomain::time_point; // a moment on this host's monotonic clock
+
+constexpr Instant instantFromMillis(int64_t ms) { return Instant(Millis(ms)); }
+constexpr int64_t toMillis(Instant instant) { return instant.time_since_epoch().count(); }
+
+// Source of time, injected so that tests can step it.
+class Clock {
+public:
+    virtual ~Clock() = default;
+    virtual Instant now() const = 0; // monotonic, goes on while the process is stopped
+    virtual int64_t unixMillis() const = 0; // wall clock, for absolute deadlines sent to servers
+    virtual int64_t monotonicMicros() const = 0; // for spans and latency only
+};
+
+class SystemClock final : public Clock {
+public:
+    Instant now() const override;
+    int64_t unixMillis() const override;
+    int64_t monotonicMicros() const override;
+};
+
+}
--- /dev/null
+++ b/packages/callers/CallerServer.cpp
@@ -0,0 +1,290 @@
+#include "callers/CallerServer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <list>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto token = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view healthPath = "/cumindale/health";
+constexpr Millis answerTimeout { 60'000 }; // for a caller to take its whole answer
+constexpr uint64_t chunkedReserve = 1'000'000; // set aside for a body of unknown length
+
+using Parser = http::request_parser<http::string_body>;
+
+ErrorKind kindOfReadError(beast::error_code error)
+{
+    if (error == http::error::header_limit)
+        return ErrorKind::HeadersTooLarge;
+    if (error == http::error::body_limit)
+        return ErrorKind::BodyTooLarge;
+    if (error == beast::error::timeout)
+        return ErrorKind::RequestTimeout;
+    return ErrorKind::BadRequest;
+}
+
+// Whether an answer can still be of use: the connection is there and the fault is the request's.
+bool answerable(beast::error_code error)
+{
+    return error == beast::error::timeout || error.category() == make_error_code(http::error::bad_method).category();
+}
+
+// Framing that another parser on the way could read otherwise. Beast itself refuses two lengths and a length
+// together with chunked.
+bool ambiguousFraming(const CallerHeader& header)
+{
+    const auto encodings = header.equal_range(http::field::transfer_encoding);
+    for (auto it = encodings.first; it != encodings.second; ++it) {
+        if (!beast::iequals(it->value(), "chunked"))
+            return true;
+    }
+    return std::distance(encodings.first, encodings.second) > 1;
+}
+
+}
+
+namespace {
+
+// Sets memory aside for one body and gives it back.
+class BodyReservation {
+public:
+    explicit BodyReservation(size_t& used)
+        : m_used(used)
+    {
+    }
+    ~BodyReservation() { m_used -= m_mine; }
+    BodyReservation(const BodyReservation&) = delete;
+    BodyReservation& operator=(const BodyReservation&) = delete;
+
+    bool reserve(size_t bytes, size_t limit)
+    {
+        if (bytes <= m_mine)
+            return true;
+        if (m_used + (bytes - m_mine) > limit)
+            return false;
+        m_used += bytes - m_mine;
+        m_mine = bytes;
+        return true;
+    }
+
+private:
+    size_t& m_used;
+    size_t m_mine = 0;
+};
+
+CallerResponse healthAnswer(bool ready)
+{
+    CallerResponse response { ready ? http::status::ok : http::status::service_unavailable, 11 };
+    response.body() = ready ? "ok\n" : "leaving\n";
+    return response;
+}
+
+}
+
+struct CallerServer::Shared {
+    struct Session {
+        beast::tcp_stream stream;
+        bool busy = false; // a request has begun and its answer is not yet written
+    };
+
+    tcp::acceptor acceptor;
+    CallerLimits limits;
+    RequestHandler& handler;
+    Counter& requests;
+    Counter& refusedConnections;
+    Counter& bodyBytes;
+    std::list<Session> sessions;
+    size_t bodyMemoryUsed = 0;
+    size_t busySessions = 0;
+    bool draining = false;
+    bool stopped = false;
+
+    void setBusy(Session& session, bool busy)
+    {
+        if (session.busy == busy)
+            return;
+        session.busy = busy;
+        busySessions += busy ? 1 : size_t(-1);
+    }
+
+    static asio::awaitable<void> acceptCallers(std::shared_ptr<Shared>);
+    static asio::awaitable<void> serveConnection(std::shared_ptr<Shared>, std::list<Session>::iterator);
+    static asio::awaitable<bool> serveRequest(Shared&, Session&, beast::flat_buffer&); // false: the connection ends
+    static asio::awaitable<ErrorKind> readBody(
+        Shared&, beast::tcp_stream&, beast::flat_buffer&, Parser&, BodyReservation&);
+    static asio::awaitable<bool> writeAnswer(Shared&, beast::tcp_stream&, CallerResponse&, bool keepAlive);
+};
+
+// Reads the body in pieces, so that memory and time are checked as it grows.
+asio::awaitable<ErrorKind> CallerServer::Shared::readBody(Shared& shared, beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    Parser& parser, BodyReservation& reservation)
+{
+    const auto length = parser.content_length();
+    if (!reservation.reserve(length ? *length : 0, shared.limits.bodyMemory))
+        co_return ErrorKind::MemoryBudget;
+    while (!parser.is_done()) {
+        if (!length && !reservation.reserve(parser.get().body().size() + chunkedReserve, shared.limits.bodyMemory))
+            co_return ErrorKind::MemoryBudget;
+        stream.expires_after(shared.limits.bodyIdleTimeout);
+        const auto [error, got] = co_await http::async_read_some(stream, buffer, parser, token);
+        if (error)
+            co_return answerable(error) ? kindOfReadError(error) : ErrorKind::ConnectionLost;
+    }
+    shared.bodyBytes.add(parser.get().body().size());
+    co_return ErrorKind::None;
+}
+
+// Writes an answer; false if the connection ends with it.
+asio::awaitable<bool> CallerServer::Shared::writeAnswer(Shared& shared, beast::tcp_stream& stream, CallerResponse& response, bool keepAlive)
+{
+    response.keep_alive(keepAlive && !shared.draining);
+    response.prepare_payload();
+    stream.expires_after(answerTimeout);
+    const auto [error, sent] = co_await http::async_write(stream, response, token);
+    co_return !error && response.keep_alive();
+}
+
+asio::awaitable<bool> CallerServer::Shared::serveRequest(Shared& shared, Session& session, beast::flat_buffer& buffer)
+{
+    beast::tcp_stream& stream = session.stream;
+    Parser parser;
+    parser.header_limit(static_cast<uint32_t>(shared.limits.headerBytes));
+    if (!buffer.size()) {
+        stream.expires_after(shared.limits.idleTimeout);
+        const auto [waitError, got] = co_await stream.async_read_some(buffer.prepare(4096), token);
+        if (waitError)
+            co_return false;
+        buffer.commit(got);
+    }
+    shared.setBusy(session, true);
+    stream.expires_after(shared.limits.headerTimeout);
+    const auto [headerError, headerBytes] = co_await http::async_read_header(stream, buffer, parser, token);
+    if (headerError) {
+        if (!answerable(headerError))
+            co_return false;
+        auto response = shared.handler.refusal(kindOfReadError(headerError));
+        co_return co_await writeAnswer(shared, stream, response, false);
+    }
+    if (parser.get().target() == healthPath) {
+        auto response = healthAnswer(shared.handler.ready() && !shared.draining);
+        co_return co_await writeAnswer(shared, stream, response, parser.keep_alive() && parser.is_done());
+    }
+    BodyRule rule = shared.handler.bodyRule(parser.get().base());
+    if (rule.error == ErrorKind::None && ambiguousFraming(parser.get().base()))
+        rule.error = ErrorKind::BadRequest;
+    if (rule.error == ErrorKind::None && parser.content_length() && *parser.content_length() > rule.largestBody)
+        rule.error = ErrorKind::BodyTooLarge;
+    if (rule.error != ErrorKind::None) {
+        auto response = shared.handler.refusal(rule.error);
+        co_return co_await writeAnswer(shared, stream, response, parser.keep_alive() && parser.is_done());
+    }
+    parser.body_limit(rule.largestBody);
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> goOn { http::status::continue_, 11 };
+        const auto [error, sent] = co_await http::async_write(stream, goOn, token);
+        if (error)
+            co_return false;
+    }
+    BodyReservation reservation(shared.bodyMemoryUsed);
+    const ErrorKind bodyError = co_await readBody(shared, stream, buffer, parser, reservation);
+    if (bodyError == ErrorKind::ConnectionLost)
+        co_return false;
+    if (bodyError != ErrorKind::None) {
+        auto response = shared.handler.refusal(bodyError);
+        co_return co_await writeAnswer(shared, stream, response, false);
+    }
+    const bool keepAlive = parser.keep_alive();
+    CallerRequest request = parser.release();
+    shared.requests.add();
+    stream.expires_never();
+    auto response = co_await shared.handler.handle(request);
+    co_return co_await writeAnswer(shared, stream, response, keepAlive);
+}
+
+asio::awaitable<void> CallerServer::Shared::serveConnection(std::shared_ptr<Shared> shared, std::list<Session>::iterator session)
+{
+    beast::flat_buffer buffer;
+    while (co_await serveRequest(*shared, *session, buffer))
+        shared->setBusy(*session, false);
+    shared->setBusy(*session, false);
+    beast::error_code ignored;
+    session->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    shared->sessions.erase(session);
+}
+
+asio::awaitable<void> CallerServer::Shared::acceptCallers(std::shared_ptr<Shared> shared)
+{
+    for (;;) {
+        auto [error, socket] = co_await shared->acceptor.async_accept(token);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error)
+            continue;
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        if (shared->sessions.size() >= shared->limits.connections) {
+            shared->refusedConnections.add();
+            continue; // closes it: the balancer tries another host
+        }
+        const auto executor = shared->acceptor.get_executor();
+        shared->sessions.push_back({ beast::tcp_stream(std::move(socket)) });
+        asio::co_spawn(executor, serveConnection(shared, std::prev(shared->sessions.end())), asio::detached);
+    }
+}
+
+CallerServer::CallerServer(asio::any_io_executor executor, std::string address, uint16_t port, CallerLimits limits,
+    RequestHandler& handler, Metrics& metrics)
+    : m_shared(new Shared { tcp::acceptor(executor, { asio::ip::make_address(address), port }), limits, handler,
+        metrics.counter("callers_requests"), metrics.counter("callers_refused_connections"),
+        metrics.counter("callers_body_bytes") })
+{
+    asio::co_spawn(executor, Shared::acceptCallers(m_shared), asio::detached);
+}
+
+CallerServer::~CallerServer()
+{
+    beast::error_code ignored;
+    m_shared->acceptor.close(ignored);
+}
+
+void CallerServer::startDraining()
+{
+    m_shared->draining = true;
+}
+
+void CallerServer::stopAccepting()
+{
+    beast::error_code ignored;
+    m_shared->acceptor.close(ignored);
+    m_shared->stopped = true;
+    for (auto& session : m_shared->sessions) {
+        if (!session.busy)
+            session.stream.cancel();
+    }
+}
+
+size_t CallerServer::requestsInProgress() const
+{
+    return m_shared->busySessions;
+}
+
+size_t CallerServer::connections() const
+{
+    return m_shared->sessions.size();
+}
+
+}
--- /dev/null
+++ b/packages/callers/CallerServer.h
@@ -0,0 +1,65 @@
+// HTTP/1.1 from callers: accepts, parses within limits, hands each whole request to a handler, and writes the
+// answer. All on one thread.
+//
+// A request's body is received whole before the handler sees it, so that a slow upload holds no slot of a
+// backend server. The memory for it is set aside when its headers arrive; without room it is refused then, not
+// in its middle.
+#pragma once
+
+#include "base/ErrorKind.h"
+#include "base/Metrics.h"
+#include "base/Time.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <string>
+
+namespace cumindale {
+
+using CallerHeader = boost::beast::http::request_header<>;
+using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using CallerResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+struct BodyRule {
+    ErrorKind error = ErrorKind::None; // refuse before reading the body
+    uint64_t largestBody = 0; // bytes
+};
+
+// What decides. Called on the server's thread.
+class RequestHandler {
+public:
+    virtual ~RequestHandler() = default;
+    virtual BodyRule bodyRule(const CallerHeader&) = 0;
+    virtual boost::asio::awaitable<CallerResponse> handle(CallerRequest&) = 0;
+    virtual CallerResponse refusal(ErrorKind) = 0; // an answer that the system makes itself
+    virtual bool ready() const = 0; // for the balancer: whether new callers should come
+};
+
+struct CallerLimits {
+    size_t connections = 20'000;
+    size_t bodyMemory = 64'000'000;
+    size_t headerBytes = 16'384;
+    Millis headerTimeout { 10'000 };
+    Millis bodyIdleTimeout { 30'000 };
+    Millis idleTimeout { 60'000 };
+};
+
+class CallerServer {
+public:
+    CallerServer(boost::asio::any_io_executor, std::string address, uint16_t port, CallerLimits, RequestHandler&, Metrics&);
+    ~CallerServer();
+
+    void startDraining(); // health turns; each answer from now on ends its connection
+    void stopAccepting(); // and idle connections are closed
+    size_t requestsInProgress() const; // from a request's first byte to its answer's last
+    size_t connections() const;
+
+private:
+    struct Shared;
+    std::shared_ptr<Shared> m_shared;
+};
+
+}
--- /dev/null
+++ b/packages/control/ClusterView.h
@@ -0,0 +1,93 @@
+// What this host knows of the store's content: resources, roster, tables, leader. Each part only moves forward.
+//
+// It hears of the same write several times and in any order: from its watch, from reading the store, from
+// peers. A resource is replaced only by a later revision, a table or the roster only by a higher version.
+#pragma once
+
+#include "decisions/Freshness.h"
+#include "decisions/Resources.h"
+#include "decisions/Roster.h"
+#include "decisions/SliceTable.h"
+#include "platform/Store.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cumindale {
+
+struct LeaderView {
+    std::string host; // empty: nobody
+    std::string nonce; // of the election that it won
+    int64_t modRevision = 0;
+};
+
+// A resource as its operator wrote it, and the revision of that write.
+struct ResourceEntry {
+    std::string kind;
+    std::string name;
+    int64_t revision = 0;
+    std::string text; // as stored
+};
+
+// Which parts changed.
+struct ViewChange {
+    bool resources = false;
+    bool roster = false;
+    bool leader = false;
+    std::set<std::string> tables; // services
+
+    bool any() const { return resources || roster || leader || !tables.empty(); }
+};
+
+class ClusterView {
+public:
+    // --- Writing
+    ViewChange applyEvents(int64_t revision, const std::vector<WatchEvent>&);
+    ViewChange applySnapshot(const RangeReply&); // of everything under storePrefix; keys not in it are gone
+    ViewChange applyTable(SliceTable, int64_t modRevision); // modRevision 0: from a peer, not known
+    ViewChange applyRoster(Roster, int64_t modRevision);
+    ViewChange applyPeerResources(std::string_view text); // as resourcesForPeers() gives it
+
+    // --- Reading
+    int64_t revision() const { return m_revision; } // highest that the store ever showed
+    const std::shared_ptr<const Resources>& resources() const { return m_resources; }
+    const std::shared_ptr<const Roster>& roster() const { return m_roster; }
+    const LeaderView& leader() const { return m_leader; }
+    std::shared_ptr<const SliceTable> table(std::string_view service) const; // null if unknown
+    const std::map<std::string, std::shared_ptr<const SliceTable>, std::less<>>& tables() const { return m_tables; }
+    int64_t modRevisionOf(const std::string& key) const; // for compares; 0 if absent
+    std::string resourcesForPeers() const;
+    const std::shared_ptr<const std::vector<ResourceEntry>>& entries() const { return m_entries; }
+    size_t refusedValues() const { return m_refused; } // values in the store that make no sense
+
+private:
+    struct Document {
+        int64_t modRevision = 0;
+        bool erased = false; // kept, so that an older write can't bring it back
+        std::string text;
+    };
+
+    void applyValue(const KeyValue&, ViewChange&);
+    void applyErased(const std::string& key, int64_t revision, ViewChange&);
+    void rebuildResources();
+
+    int64_t m_revision = 0;
+    std::map<std::string, Document> m_documents; // resources, by store key
+    std::shared_ptr<const Resources> m_resources = std::make_shared<Resources>();
+    std::shared_ptr<const std::vector<ResourceEntry>> m_entries = std::make_shared<std::vector<ResourceEntry>>();
+    std::shared_ptr<const Roster> m_roster = std::make_shared<Roster>();
+    std::map<std::string, std::shared_ptr<const SliceTable>, std::less<>> m_tables;
+    std::map<std::string, int64_t> m_modRevisions; // of tables, roster and leader
+    LeaderView m_leader;
+    size_t m_refused = 0;
+};
+
+// Versions in a reading of the store, for the freshness decision.
+KnownVersions versionsIn(const RangeReply&);
+
+std::string encodeLeader(std::string_view host, std::string_view nonce);
+
+}
--- /dev/null
+++ b/packages/control/Control.cpp
@@ -0,0 +1,254 @@
+#include "control/Control.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis housekeepingEvery { 100 };
+constexpr Millis staleReadEvery { 500 };
+
+HostLoad hostLoadOf(const wire::LoadReport& report)
+{
+    HostLoad load;
+    load.tableVersion = static_cast<uint64_t>(report.tableVersion);
+    for (const auto& slice : report.slices)
+        load.slices[static_cast<size_t>(slice.slice)] = slice.busyMicrosPerSecond / 1000.0;
+    for (const auto& key : report.hotKeys)
+        load.keys[static_cast<uint64_t>(key.point)] = key.busyMicrosPerSecond / 1000.0;
+    return load;
+}
+
+int32_t perSecond(uint64_t micros, Millis over)
+{
+    const auto rate = micros * 1000 / static_cast<uint64_t>(std::max<int64_t>(1, over.count()));
+    return static_cast<int32_t>(std::min<uint64_t>(rate, INT32_MAX));
+}
+
+wire::LoadReport wireLoadOf(const std::string& host, const std::string& service, const ServiceLoad& load)
+{
+    wire::LoadReport report;
+    report.sender = host;
+    report.serviceName = service;
+    report.tableVersion = static_cast<int64_t>(load.tableVersion);
+    uint64_t total = 0;
+    for (const auto& [slice, micros] : load.busyMicros) {
+        total += micros;
+        wire::SliceLoad entry;
+        entry.slice = static_cast<int32_t>(slice);
+        entry.busyMicrosPerSecond = perSecond(micros, load.over);
+        report.slices.push_back(entry);
+    }
+    for (const auto& key : load.hotKeys) {
+        const uint64_t sure = key.weight - key.error;
+        if (sure * 1000 < total)
+            break; // under a thousandth: never worth a slice of its own
+        wire::KeyLoad entry;
+        entry.point = static_cast<int64_t>(key.point);
+        entry.busyMicrosPerSecond = perSecond(sure, load.over);
+        report.hotKeys.push_back(entry);
+    }
+    return report;
+}
+
+}
+
+Control::Control(asio::any_io_executor executor, const Clock& clock, const Settings& settings, Store& store,
+    HostList& hostList, Metrics& metrics, StatusBoard& board, UpdateSink sink)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_metrics(metrics)
+    , m_board(board)
+    , m_sink(std::move(sink))
+    , m_freshness(settings.host.name, { settings.timing.lease })
+    , m_mesh(executor, clock, settings, m_view, m_freshness, metrics, *this)
+    , m_peerServer(executor, settings.host.peers.address, settings.host.peers.port, m_mesh, metrics.counter("peers_bytes_sent"))
+    , m_follower(clock, settings, store, m_view, m_freshness, metrics, *this)
+    , m_election(executor, clock, settings, store, m_view, metrics)
+    , m_assigner(executor, clock, settings, store, hostList, m_view, m_election, m_mesh, m_loads, metrics,
+          [this](const ViewChange& change) { onViewChange(change); })
+{
+}
+
+void Control::start()
+{
+    asio::co_spawn(m_executor, m_follower.run(), asio::detached);
+    asio::co_spawn(m_executor, m_election.run(), asio::detached);
+    asio::co_spawn(m_executor, m_assigner.run(), asio::detached);
+    asio::co_spawn(m_executor, m_assigner.followHostList(), asio::detached);
+    asio::co_spawn(m_executor, housekeeping(), asio::detached);
+    asio::co_spawn(m_executor, readStoreWhileStale(), asio::detached);
+}
+
+asio::awaitable<void> Control::leave()
+{
+    co_await m_election.resign();
+}
+
+void Control::push(RoutingUpdate update)
+{
+    if (!m_sink(std::move(update)))
+        m_pushFailed = true;
+}
+
+void Control::onViewChange(const ViewChange& change)
+{
+    if (change.leader)
+        m_election.onLeaderChange();
+    if (change.roster) {
+        m_freshness.holdRoster(*m_view.roster());
+        choosePeers();
+        RoutingUpdate update;
+        update.roster = m_view.roster();
+        push(std::move(update));
+    }
+    if (change.resources) {
+        RoutingUpdate update;
+        update.resources = m_view.resources();
+        push(std::move(update));
+    }
+    for (const auto& service : change.tables) {
+        m_freshness.holdTable(service, m_view.table(service)->version);
+        RoutingUpdate update;
+        update.table = m_view.table(service);
+        push(std::move(update));
+    }
+    if (change.any()) {
+        m_mesh.refreshOwnState();
+        publishFreshness();
+    }
+}
+
+void Control::onFreshness()
+{
+    publishFreshness();
+}
+
+void Control::onStoreRead()
+{
+    m_mesh.refreshOwnState();
+    publishFreshness();
+}
+
+void Control::publishFreshness()
+{
+    const Instant now = m_clock.now();
+    RoutingUpdate update;
+    for (const auto& [service, table] : m_view.tables())
+        update.freshness.push_back({ service, table->version, m_freshness.freshUntil(service, now) });
+    push(std::move(update));
+}
+
+void Control::publishAll()
+{
+    m_pushFailed = false;
+    RoutingUpdate update;
+    update.resources = m_view.resources();
+    update.roster = m_view.roster();
+    push(std::move(update));
+    for (const auto& [service, table] : m_view.tables()) {
+        RoutingUpdate one;
+        one.table = table;
+        push(std::move(one));
+    }
+    publishFreshness();
+}
+
+void Control::onRoutingReport(RoutingReport report)
+{
+    HostReport own;
+    own.adoptedTables = std::move(report.adoptedTables);
+    own.resourcesRevision = report.resourcesRevision;
+    own.busy = std::move(report.busy);
+    own.sights = std::move(report.sights);
+    m_mesh.setOwnReport(std::move(own));
+    if (!report.loads.empty())
+        asio::co_spawn(m_executor, sendLoads(std::move(report.loads)), asio::detached);
+}
+
+asio::awaitable<void> Control::sendLoads(std::map<std::string, ServiceLoad> loads)
+{
+    for (const auto& [service, load] : loads) {
+        wire::LoadReport report = wireLoadOf(m_settings.host.name, service, load);
+        const std::string leader = m_view.leader().host;
+        if (leader == m_settings.host.name)
+            onPeerLoad(report);
+        else if (!leader.empty())
+            co_await m_mesh.sendLoad(leader, std::move(report));
+    }
+}
+
+void Control::onPeerLoad(const wire::LoadReport& report)
+{
+    m_loads.report(report.sender, report.serviceName, hostLoadOf(report), m_clock.now());
+}
+
+void Control::choosePeers()
+{
+    std::map<std::string, Member> wanted;
+    for (const auto& [name, member] : m_assigner.candidates())
+        wanted[name] = member;
+    for (const auto& member : m_view.roster()->members) {
+        if (member.state == MemberState::Member)
+            wanted[member.name] = member;
+    }
+    wanted.erase(m_settings.host.name);
+    m_mesh.setPeers(wanted);
+}
+
+asio::awaitable<void> Control::housekeeping()
+{
+    for (;;) {
+        choosePeers();
+        m_mesh.refreshOwnState();
+        publishFreshness();
+        if (m_pushFailed)
+            publishAll();
+        showStatus();
+        co_await sleepFor(housekeepingEvery);
+    }
+}
+
+asio::awaitable<void> Control::readStoreWhileStale()
+{
+    // Second way to freshness: when the peers can't give it, most of the roster being gone, the store can.
+    for (;;) {
+        co_await sleepFor(staleReadEvery / 2);
+        const Instant now = m_clock.now();
+        bool stale = false;
+        for (const auto& [service, table] : m_view.tables())
+            stale = stale || m_freshness.freshUntil(service, now) < now + staleReadEvery / 2;
+        if (!stale || !m_freshness.mayRoute())
+            continue;
+        m_metrics.counter("store_reads_stale").add();
+        co_await m_follower.readAll();
+        co_await sleepFor(staleReadEvery / 2);
+    }
+}
+
+void Control::showStatus()
+{
+    auto snapshot = std::make_shared<StatusSnapshot>();
+    const Instant now = m_clock.now();
+    snapshot->host = m_settings.host.name;
+    snapshot->counts = m_freshness.counts();
+    snapshot->isAssigner = m_election.mayAct();
+    snapshot->storeAnswers = m_follower.storeAnswers();
+    snapshot->storeWentBack = m_follower.storeWentBack();
+    snapshot->leader = m_view.leader();
+    snapshot->resources = m_view.resources();
+    snapshot->entries = m_view.entries();
+    snapshot->roster = m_view.roster();
+    snapshot->tables = m_view.tables();
+    for (const auto& [service, table] : m_view.tables())
+        snapshot->freshForMillis[service] = (m_freshness.freshUntil(service, now) - now).count();
+    snapshot->reports = m_mesh.reports(now);
+    m_board.show(std::move(snapshot));
+}
+
+}
--- /dev/null
+++ b/packages/control/Control.h
@@ -0,0 +1,57 @@
+// The control duty: follows the store, beats with peers, stands for election, runs the assigner, and tells the
+// routing duty what it may do. One thread; everything here is a coroutine on it.
+#pragma once
+
+#include "control/AssignerDriver.h"
+#include "control/PeerMesh.h"
+#include "control/StatusBoard.h"
+#include "control/StoreFollower.h"
+#include "routing/Messages.h"
+
+#include <functional>
+
+namespace cumindale {
+
+class Control final : public MeshEvents, public FollowerEvents {
+public:
+    using UpdateSink = std::function<bool(RoutingUpdate)>; // false: the ring is full
+
+    Control(boost::asio::any_io_executor, const Clock&, const Settings&, Store&, HostList&, Metrics&, StatusBoard&, UpdateSink);
+
+    void start();
+    void onRoutingReport(RoutingReport);
+    boost::asio::awaitable<void> leave(); // gives up the office, if it holds it
+
+private:
+    void onViewChange(const ViewChange&) override;
+    void onFreshness() override;
+    void onStoreRead() override;
+    void onPeerLoad(const wire::LoadReport&) override;
+
+    void publishFreshness();
+    void publishAll();
+    void push(RoutingUpdate);
+    void choosePeers();
+    void showStatus();
+    boost::asio::awaitable<void> housekeeping();
+    boost::asio::awaitable<void> readStoreWhileStale();
+    boost::asio::awaitable<void> sendLoads(std::map<std::string, ServiceLoad>);
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    const Settings& m_settings;
+    Metrics& m_metrics;
+    StatusBoard& m_board;
+    UpdateSink m_sink;
+    ClusterView m_view;
+    Freshness m_freshness;
+    PeerMesh m_mesh;
+    PeerServer m_peerServer;
+    StoreFollower m_follower;
+    Election m_election;
+    LoadBook m_loads;
+    AssignerDriver m_assigner;
+    bool m_pushFailed = false; // the ring was full: everything is sent again
+};
+
+}
--- /dev/null
+++ b/packages/control/Election.cpp
@@ -0,0 +1,131 @@
+#include "control/Election.h"
+
+#include "base/Log.h"
+#include "base/Spans.h"
+#include "resources/ResourceCodec.h"
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis callTimeout { 1500 };
+constexpr Millis lookEvery { 500 };
+constexpr int64_t keepalivesPerLease = 3;
+
+// Built outside the coroutines: g++ 12 mishandles lists of temporaries inside one.
+std::vector<Compare> ifVacant()
+{
+    return { { leaderKey(), 0 } };
+}
+
+std::vector<WriteOperation> leaderWrite(const std::string& value, int64_t lease)
+{
+    return { { leaderKey(), value, false, lease } };
+}
+
+}
+
+Election::Election(asio::any_io_executor executor, const Clock& clock, const Settings& settings, Store& store,
+    ClusterView& view, Metrics& metrics)
+    : m_clock(clock)
+    , m_settings(settings)
+    , m_store(store)
+    , m_view(view)
+    , m_writes(metrics.counter("store_writes_election"))
+    , m_won(metrics.counter("elections_won"))
+    , m_changed(std::move(executor))
+{
+}
+
+bool Election::mayAct() const
+{
+    return m_modRevision && m_clock.now() < m_validUntil;
+}
+
+Compare Election::fence() const
+{
+    return { leaderKey(), m_modRevision };
+}
+
+asio::awaitable<void> Election::run()
+{
+    for (;;) {
+        const bool vacant = m_view.revision() && m_view.leader().host.empty();
+        if (m_standing && vacant && co_await stand())
+            co_await hold();
+        else
+            co_await m_changed.wait(lookEvery);
+    }
+}
+
+asio::awaitable<bool> Election::stand()
+{
+    // Spread, so that not all hosts stand at the same moment.
+    co_await sleepFor(Millis(static_cast<int64_t>(randomId() % 50)));
+    if (!m_view.leader().host.empty())
+        co_return false;
+    m_nonce = std::to_string(randomId());
+    const Instant askedAt = m_clock.now();
+    m_writes.add();
+    const LeaseReply lease = co_await m_store.grantLease(m_settings.timing.leaderLease, callTimeout);
+    if (lease.status != StoreStatus::Ok)
+        co_return false;
+    m_lease = lease.id;
+    const auto vacant = ifVacant();
+    const auto writes = leaderWrite(encodeLeader(m_settings.host.name, m_nonce), m_lease);
+    m_writes.add();
+    const TxnReply reply = co_await m_store.txn(vacant, writes, callTimeout);
+    if (reply.status == StoreStatus::Ok && reply.succeeded) {
+        m_modRevision = reply.revision;
+    } else if (reply.status == StoreStatus::Unavailable) {
+        // The answer was lost, perhaps after the write took effect: the nonce tells.
+        const RangeReply found = co_await m_store.range(leaderKey(), false, callTimeout);
+        const bool mine = !found.values.empty()
+            && found.values.front().value == encodeLeader(m_settings.host.name, m_nonce);
+        m_modRevision = mine ? found.values.front().modRevision : 0;
+    }
+    if (!m_modRevision) {
+        m_writes.add();
+        co_await m_store.revokeLease(m_lease, callTimeout);
+        co_return false;
+    }
+    m_validUntil = askedAt + m_settings.timing.leaderLease;
+    m_won.add();
+    logChange(LogLevel::Info, "assigner-elected", { { "term", m_modRevision } });
+    co_return true;
+}
+
+asio::awaitable<void> Election::hold()
+{
+    const Millis every = m_settings.timing.leaderLease / keepalivesPerLease;
+    while (m_modRevision) {
+        co_await sleepFor(every);
+        const Instant askedAt = m_clock.now();
+        m_writes.add();
+        const LeaseReply kept = co_await m_store.keepLease(m_lease, every * 2);
+        if (kept.status == StoreStatus::Ok && kept.ttl.count() > 0) {
+            m_validUntil = askedAt + m_settings.timing.leaderLease;
+            continue;
+        }
+        const bool lapsed = kept.status == StoreStatus::Ok;
+        const bool replaced = !m_view.leader().host.empty() && m_view.leader().modRevision > m_modRevision;
+        const bool vacated = m_view.leader().host.empty() && m_view.leader().modRevision > m_modRevision;
+        if (!lapsed && !replaced && !vacated)
+            continue; // the store is silent: the office may still be this host's when it is back
+        logChange(LogLevel::Warning, "assigner-deposed", { { "term", m_modRevision } });
+        m_modRevision = 0;
+    }
+}
+
+asio::awaitable<void> Election::resign()
+{
+    m_standing = false;
+    if (!m_modRevision)
+        co_return;
+    m_modRevision = 0;
+    co_await m_store.revokeLease(m_lease, callTimeout);
+}
+
+}
--- /dev/null
+++ b/packages/control/PeerMesh.cpp
@@ -0,0 +1,224 @@
+#include "control/PeerMesh.h"
+
+#include "base/Spans.h"
+#include "decisions/TableCodec.h"
+#include "resources/RosterCodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+PeerMesh::PeerMesh(asio::any_io_executor executor, const Clock& clock, const Settings& settings, ClusterView& view,
+    Freshness& freshness, Metrics& metrics, MeshEvents& events)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_view(view)
+    , m_freshness(freshness)
+    , m_bytesSent(metrics.counter("peers_bytes_sent"))
+    , m_beats(metrics.counter("peers_beats"))
+    , m_missedBeats(metrics.counter("peers_beats_missed"))
+    , m_events(events)
+    // Not from 0: a peer must not take this incarnation's first states for ones it already holds.
+    , m_sequence(clock.unixMillis() << 10)
+    , m_startedAt(clock.now())
+    , m_urgent(executor)
+{
+    m_own.report.incarnation = randomId();
+}
+
+void PeerMesh::setOwnReport(HostReport report)
+{
+    PeerState next = m_own;
+    const uint64_t incarnation = m_own.report.incarnation;
+    next.report = std::move(report);
+    next.report.incarnation = incarnation;
+    next.report.counts = m_freshness.counts();
+    next.report.rosterVersion = m_freshness.known().roster;
+    if (next.sameAs(m_own))
+        return;
+    m_own = std::move(next);
+    ++m_sequence;
+    m_urgent.notifyAll();
+}
+
+void PeerMesh::refreshOwnState()
+{
+    PeerState next = m_own;
+    next.known = m_freshness.known();
+    next.resourcesKnown = m_view.resources()->revision;
+    next.report.counts = m_freshness.counts();
+    next.report.rosterVersion = next.known.roster;
+    if (next.sameAs(m_own))
+        return;
+    m_own = std::move(next);
+    ++m_sequence;
+}
+
+void PeerMesh::setPeers(const std::map<std::string, Member>& wanted)
+{
+    for (auto& [name, peer] : m_peers) {
+        const auto found = wanted.find(name);
+        const bool same = found != wanted.end() && found->second.address == peer.member.address
+            && found->second.peerPort == peer.member.peerPort;
+        if (!same)
+            peer.link.reset(); // its loop sees that and ends
+    }
+    for (const auto& [name, member] : wanted) {
+        Peer& peer = m_peers[name];
+        peer.member = member;
+        if (peer.link)
+            continue;
+        peer.link = std::make_shared<PeerLink>(m_executor, member.address, member.peerPort, m_bytesSent);
+        asio::co_spawn(m_executor, beatLoop(name, peer.link), asio::detached);
+    }
+}
+
+wire::Beat PeerMesh::makeBeat(int64_t theyHold, int64_t sequence) const
+{
+    wire::Beat beat;
+    beat.sender = m_settings.host.name;
+    beat.sequence = m_sequence;
+    beat.holds = sequence;
+    if (theyHold != m_sequence) {
+        PeerState state = m_own;
+        state.report.age = m_clock.now() - m_startedAt;
+        beat.__set_state(toWire(state));
+    }
+    return beat;
+}
+
+void PeerMesh::takeState(Peer& peer, const wire::Beat& beat)
+{
+    const Instant now = m_clock.now();
+    peer.heard = true;
+    peer.heardAt = now;
+    peer.theyHold = beat.holds;
+    if (!beat.__isset.state)
+        return;
+    peer.state = fromWire(beat.state);
+    peer.sequence = beat.sequence;
+    peer.stateAt = now;
+}
+
+asio::awaitable<void> PeerMesh::beatLoop(std::string name, std::shared_ptr<PeerLink> link)
+{
+    while (m_peers[name].link == link) {
+        const Instant askedAt = m_clock.now();
+        const wire::Beat ask = makeBeat(m_peers[name].theyHold, m_peers[name].sequence);
+        const int64_t sent = m_sequence;
+        const auto answer = co_await link->beat(ask, m_settings.timing.lease);
+        if (m_peers[name].link != link)
+            co_return;
+        Peer& peer = m_peers[name];
+        if (answer) {
+            m_beats.add();
+            takeState(peer, *answer);
+            // Without a state the answer speaks of the one that this host holds; of another one it says nothing.
+            if (answer->sequence == peer.sequence) {
+                m_freshness.peerAnswered(name, askedAt, peer.state.known, peer.state.report.counts);
+                refreshOwnState();
+                m_events.onFreshness();
+                co_await fetchNewer(name, link);
+            }
+        } else {
+            m_missedBeats.add();
+            peer.theyHold = 0;
+        }
+        if (sent == m_sequence)
+            co_await m_urgent.wait(m_settings.timing.beat);
+        else
+            co_await sleepFor(Millis(5)); // changed meanwhile: tell at once, but in batches
+    }
+}
+
+asio::awaitable<void> PeerMesh::fetchNewer(std::string name, std::shared_ptr<PeerLink> link)
+{
+    const Millis timeout = m_settings.timing.lease;
+    const PeerState state = m_peers[name].state;
+    if (state.known.roster > m_freshness.known().roster) {
+        const auto text = co_await link->roster(timeout);
+        auto roster = text ? decodeRoster(*text) : std::nullopt;
+        if (roster)
+            m_events.onViewChange(m_view.applyRoster(std::move(*roster), 0));
+    }
+    for (const auto& [service, version] : state.known.tables) {
+        if (version <= m_freshness.known().ofTable(service))
+            continue;
+        const auto bytes = co_await link->table(service, timeout);
+        auto table = bytes ? decodeTable(*bytes) : std::nullopt;
+        if (table)
+            m_events.onViewChange(m_view.applyTable(std::move(*table), 0));
+    }
+    if (state.resourcesKnown > m_view.resources()->revision) {
+        const auto text = co_await link->resources(timeout);
+        if (text)
+            m_events.onViewChange(m_view.applyPeerResources(*text));
+    }
+}
+
+asio::awaitable<bool> PeerMesh::sendLoad(std::string peer, wire::LoadReport report)
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end() || !found->second.link)
+        co_return false;
+    // A link of its own: the beat's connection takes one question at a time.
+    PeerLink link(m_executor, found->second.member.address, found->second.member.peerPort, m_bytesSent);
+    co_return co_await link.load(std::move(report), m_settings.timing.lease);
+}
+
+HostReports PeerMesh::reports(Instant now) const
+{
+    HostReports all;
+    HostReport own = m_own.report;
+    own.age = now - m_startedAt;
+    all.emplace(m_settings.host.name, std::move(own));
+    for (const auto& [name, peer] : m_peers) {
+        if (!peer.heard)
+            continue;
+        HostReport report = peer.state.report;
+        report.age += now - peer.stateAt;
+        all.emplace(name, std::move(report));
+    }
+    return all;
+}
+
+bool PeerMesh::heardSince(std::string_view name, Instant since) const
+{
+    const auto found = m_peers.find(name);
+    return found != m_peers.end() && found->second.heard && found->second.heardAt >= since;
+}
+
+wire::Beat PeerMesh::onBeat(const wire::Beat& ask)
+{
+    Peer& peer = m_peers[ask.sender];
+    takeState(peer, ask);
+    refreshOwnState();
+    return makeBeat(ask.holds, peer.sequence);
+}
+
+void PeerMesh::onLoad(const wire::LoadReport& report)
+{
+    m_events.onPeerLoad(report);
+}
+
+std::string PeerMesh::onTable(const std::string& service)
+{
+    const auto table = m_view.table(service);
+    return table ? encodeTable(*table) : std::string();
+}
+
+std::string PeerMesh::onRoster()
+{
+    return m_view.roster()->version ? encodeRoster(*m_view.roster()) : std::string();
+}
+
+std::string PeerMesh::onResources()
+{
+    return m_view.resourcesForPeers();
+}
+
+}
--- /dev/null
+++ b/packages/control/StoreFollower.cpp
@@ -0,0 +1,100 @@
+#include "control/StoreFollower.h"
+
+#include "base/Log.h"
+#include "base/Spans.h"
+#include "resources/ResourceCodec.h"
+#include "web/Signal.h"
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis callTimeout { 3000 }; // a slow store still answers
+constexpr Millis shortestPause { 200 };
+constexpr Millis longestPause { 2000 };
+
+Millis jittered(Millis base)
+{
+    return base / 2 + Millis(static_cast<int64_t>(randomId() % static_cast<uint64_t>(base.count())));
+}
+
+}
+
+StoreFollower::StoreFollower(const Clock& clock, const Settings& settings, Store& store, ClusterView& view,
+    Freshness& freshness, Metrics& metrics, FollowerEvents& events)
+    : m_clock(clock)
+    , m_settings(settings)
+    , m_store(store)
+    , m_view(view)
+    , m_freshness(freshness)
+    , m_events(events)
+    , m_reads(metrics.counter("store_reads"))
+    , m_watches(metrics.counter("store_watches"))
+    , m_failures(metrics.counter("store_failures"))
+{
+}
+
+asio::awaitable<bool> StoreFollower::readAll()
+{
+    const Instant askedAt = m_clock.now();
+    const int64_t seen = m_view.revision();
+    m_reads.add();
+    const RangeReply reply = co_await m_store.range(std::string(storePrefix), true, callTimeout);
+    const bool answers = reply.status == StoreStatus::Ok;
+    if (answers != m_answers)
+        logChange(answers ? LogLevel::Info : LogLevel::Warning, answers ? "store-answers" : "store-silent");
+    m_answers = answers;
+    if (!answers) {
+        m_failures.add();
+        co_return false;
+    }
+    // Asked after it had shown a higher revision: it was set back, and what it says now would undo accepted
+    // configuration. It is refused until it has caught up.
+    const bool wentBack = reply.revision < seen;
+    if (wentBack != m_wentBack)
+        logChange(wentBack ? LogLevel::Error : LogLevel::Info, wentBack ? "store-went-back" : "store-caught-up",
+            { { "seen", seen }, { "answered", reply.revision } });
+    m_wentBack = wentBack;
+    if (wentBack)
+        co_return false;
+    const ViewChange change = m_view.applySnapshot(reply);
+    if (change.any())
+        m_events.onViewChange(change);
+    m_freshness.storeAnswered(askedAt, versionsIn(reply));
+    m_events.onStoreRead();
+    co_return true;
+}
+
+bool StoreFollower::onEvents(int64_t revision, const std::vector<WatchEvent>& events)
+{
+    if (revision < m_view.revision() && !events.empty())
+        return false; // not the store that this host knew: read it first
+    const ViewChange change = m_view.applyEvents(revision, events);
+    if (change.any())
+        m_events.onViewChange(change);
+    return true;
+}
+
+asio::awaitable<void> StoreFollower::run()
+{
+    Millis pause = shortestPause;
+    for (;;) {
+        if (!co_await readAll()) {
+            co_await sleepFor(jittered(pause));
+            pause = std::min(longestPause, pause * 2);
+            continue;
+        }
+        pause = shortestPause;
+        m_watches.add();
+        const Instant startedAt = m_clock.now();
+        co_await m_store.watch(std::string(storePrefix), m_view.revision() + 1, m_settings.timing.reread,
+            [this](int64_t revision, const std::vector<WatchEvent>& events) { return onEvents(revision, events); });
+        // A watch that ends at once must not turn this into a busy loop of reads.
+        if (m_clock.now() - startedAt < shortestPause)
+            co_await sleepFor(jittered(pause));
+    }
+}
+
+}
--- /dev/null
+++ b/packages/control/StoreFollower.h
@@ -0,0 +1,44 @@
+// Keeps the view up to date from the store: reads everything, then watches; a watch that is silent for the
+// re-read interval is dropped and everything is read again, since a watch can go silent for good.
+#pragma once
+
+#include "base/Metrics.h"
+#include "control/ClusterView.h"
+#include "decisions/Freshness.h"
+#include "platform/Store.h"
+#include "resources/Settings.h"
+
+namespace cumindale {
+
+class FollowerEvents {
+public:
+    virtual ~FollowerEvents() = default;
+    virtual void onViewChange(const ViewChange&) = 0;
+    virtual void onStoreRead() = 0; // the store's word may have renewed the routing lease
+};
+
+class StoreFollower {
+public:
+    StoreFollower(const Clock&, const Settings&, Store&, ClusterView&, Freshness&, Metrics&, FollowerEvents&);
+    boost::asio::awaitable<void> run(); // forever
+    boost::asio::awaitable<bool> readAll(); // false: no answer, or one that must not be believed
+    bool storeAnswers() const { return m_answers; }
+    bool storeWentBack() const { return m_wentBack; }
+
+private:
+    bool onEvents(int64_t revision, const std::vector<WatchEvent>&);
+
+    const Clock& m_clock;
+    const Settings& m_settings;
+    Store& m_store;
+    ClusterView& m_view;
+    Freshness& m_freshness;
+    FollowerEvents& m_events;
+    Counter& m_reads;
+    Counter& m_watches;
+    Counter& m_failures;
+    bool m_answers = false;
+    bool m_wentBack = false;
+};
+
+}
--- /dev/null
+++ b/packages/decisions/Freshness.cpp
@@ -0,0 +1,121 @@
+#include "decisions/Freshness.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace cumindale {
+
+uint64_t KnownVersions::ofTable(std::string_view service) const
+{
+    const auto found = tables.find(service);
+    return found == tables.end() ? 0 : found->second;
+}
+
+Freshness::Freshness(std::string self, FreshnessOptions options)
+    : m_self(std::move(self))
+    , m_options(options)
+{
+}
+
+void Freshness::holdRoster(const Roster& roster)
+{
+    if (roster.version <= m_known.roster)
+        return;
+    m_known.roster = roster.version;
+    m_roster = roster;
+}
+
+void Freshness::holdTable(std::string_view service, uint64_t version)
+{
+    auto found = m_known.tables.find(service);
+    if (found == m_known.tables.end())
+        m_known.tables.emplace(service, version);
+    else
+        found->second = std::max(found->second, version);
+}
+
+void Freshness::peerAnswered(std::string_view peer, Instant askedAt, const KnownVersions& theirs, bool theyCount)
+{
+    auto& answer = m_answers[std::string(peer)];
+    // An answer that comes late or twice must not hide a newer one of the same peer.
+    if (answer.counts && askedAt < answer.askedAt)
+        return;
+    answer = { askedAt, theirs, theyCount };
+    learnWhetherItCounts();
+}
+
+void Freshness::storeAnswered(Instant askedAt, const KnownVersions& inStore)
+{
+    if (m_storeAsked && askedAt < m_store.askedAt)
+        return;
+    m_store = { askedAt, inStore, true };
+    m_storeAsked = true;
+    // It holds at least what the store held after it started: nothing that it ever acknowledged is missing.
+    const bool holdsAll = m_known.roster >= inStore.roster
+        && std::all_of(inStore.tables.begin(), inStore.tables.end(),
+            [this](const auto& table) { return m_known.ofTable(table.first) >= table.second; });
+    if (holdsAll)
+        m_counts = true;
+}
+
+void Freshness::learnWhetherItCounts()
+{
+    if (m_counts || !m_roster.version)
+        return;
+    // A majority that does not count this host: what its former incarnation acknowledged, together with a
+    // majority, at least one of these others acknowledged too.
+    size_t others = 0;
+    for (const auto& member : m_roster.members) {
+        if (member.state != MemberState::Member || member.name == m_self)
+            continue;
+        const auto answer = m_answers.find(member.name);
+        if (answer == m_answers.end() || !answer->second.counts || answer->second.versions.roster > m_known.roster)
+            continue;
+        const auto& tables = answer->second.versions.tables;
+        if (std::all_of(tables.begin(), tables.end(),
+                [this](const auto& table) { return m_known.ofTable(table.first) >= table.second; }))
+            ++others;
+    }
+    m_counts = others >= m_roster.majority();
+}
+
+bool Freshness::mayRoute() const
+{
+    return m_counts && m_roster.counts(m_self);
+}
+
+bool Freshness::knowsNothingNewer(const KnownVersions& theirs, std::string_view service) const
+{
+    return theirs.roster <= m_known.roster && theirs.ofTable(service) <= m_known.ofTable(service);
+}
+
+Instant Freshness::freshUntil(std::string_view service, Instant now) const
+{
+    constexpr Instant never {};
+    if (!mayRoute())
+        return never;
+    Instant until = never;
+    // Equal, not only "nothing newer": a store that went back in time holds less than this host, and can't
+    // vouch for what it has forgotten.
+    const bool storeHoldsTheSame = m_store.versions.roster == m_known.roster
+        && m_store.versions.ofTable(service) == m_known.ofTable(service);
+    if (m_storeAsked && storeHoldsTheSame)
+        until = m_store.askedAt + m_options.lease;
+
+    std::vector<Instant> asked { now }; // this host's own word
+    for (const auto& member : m_roster.members) {
+        if (member.state != MemberState::Member || member.name == m_self)
+            continue;
+        const auto answer = m_answers.find(member.name);
+        if (answer != m_answers.end() && answer->second.counts && knowsNothingNewer(answer->second.versions, service))
+            asked.push_back(answer->second.askedAt);
+    }
+    const size_t majority = m_roster.majority();
+    if (asked.size() < majority)
+        return until;
+    std::nth_element(asked.begin(), asked.begin() + static_cast<ptrdiff_t>(majority) - 1, asked.end(), std::greater<>());
+    return std::max(until, asked[majority - 1] + m_options.lease);
+}
+
+}
--- /dev/null
+++ b/packages/decisions/HotKeys.h
@@ -0,0 +1,45 @@
+// Finds the heaviest keys in a stream with a fixed number of counters: the Space-Saving sketch.
+//
+// Metwally, Agrawal, El Abbadi, "Efficient Computation of Frequent and Top-k Elements in Data Streams" (2005).
+// An unknown key takes over the lightest counter and inherits its weight as its error; any key heavier than
+// total / capacity is surely among the counters.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace cumindale {
+
+struct HeavyKey {
+    uint64_t point = 0;
+    uint64_t weight = 0; // at least its true weight, at most error more
+    uint64_t error = 0;
+};
+
+class HotKeys {
+public:
+    explicit HotKeys(size_t capacity);
+    void add(uint64_t point, uint64_t weight);
+    std::vector<HeavyKey> heaviest(size_t most) const; // surely heavy ones first: by weight - error
+    uint64_t total() const { return m_total; }
+    void halve(); // ages all weights, so that yesterday's hot keys make room
+
+private:
+    struct Entry {
+        uint64_t weight = 0;
+        uint64_t error = 0;
+        std::multimap<uint64_t, uint64_t>::iterator order;
+    };
+
+    void insert(uint64_t point, uint64_t weight, uint64_t error);
+
+    size_t m_capacity;
+    uint64_t m_total = 0;
+    std::unordered_map<uint64_t, Entry> m_entries;
+    std::multimap<uint64_t, uint64_t> m_order; // weight to point
+};
+
+}
--- /dev/null
+++ b/packages/decisions/RetryBudget.cpp
@@ -0,0 +1,24 @@
+#include "decisions/RetryBudget.h"
+
+namespace cumindale {
+
+RetryBudget::RetryBudget(RetryBudgetOptions options)
+    : m_options(options)
+    , m_tokens(options.burst)
+{
+}
+
+void RetryBudget::firstTry()
+{
+    m_tokens = std::min(m_options.burst, m_tokens + m_options.ratio);
+}
+
+bool RetryBudget::spend()
+{
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+}
--- /dev/null
+++ b/packages/decisions/RetryBudget.h
@@ -0,0 +1,24 @@
+// Retries spend from a budget that first tries fill: at most `ratio` of them over time, with a small burst.
+#pragma once
+
+#include <algorithm>
+
+namespace cumindale {
+
+struct RetryBudgetOptions {
+    double ratio = 0.10; // retries for each first try
+    double burst = 10; // most retries saved up
+};
+
+class RetryBudget {
+public:
+    explicit RetryBudget(RetryBudgetOptions);
+    void firstTry(); // call once a request
+    bool spend(); // true if one more retry is allowed; it is then spent
+
+private:
+    RetryBudgetOptions m_options;
+    double m_tokens;
+};
+
+}
--- /dev/null
+++ b/packages/decisions/StopGate.cpp
@@ -0,0 +1,58 @@
+#include "decisions/StopGate.h"
+
+#include <algorithm>
+
+namespace cumindale {
+
+StopGate::StopGate(std::string service, uint64_t begin, uint64_t stopVersion, Millis longestWork, GateOptions options)
+    : m_service(std::move(service))
+    , m_begin(begin)
+    , m_stopVersion(stopVersion)
+    , m_longestWork(longestWork)
+    , m_options(options)
+{
+}
+
+bool StopGate::acknowledged(const HostReport& report) const
+{
+    const auto version = report.adoptedTables.find(m_service);
+    return report.counts && version != report.adoptedTables.end() && version->second >= m_stopVersion;
+}
+
+bool StopGate::nothingInFlight(const HostReport& report) const
+{
+    if (report.age <= m_longestWork + m_options.driftMargin)
+        return false;
+    return std::none_of(report.busy.begin(), report.busy.end(),
+        [this](const BusySlice& busy) { return busy.begin == m_begin && busy.service == m_service; });
+}
+
+void StopGate::observe(const Roster& roster, const HostReports& reports, Instant now)
+{
+    size_t members = 0;
+    bool allIdle = true;
+    for (const auto& member : roster.members) {
+        const auto report = reports.find(member.name);
+        const bool heard = report != reports.end();
+        if (heard && acknowledged(report->second))
+            m_acknowledged.insert(member.name);
+        else if (m_acknowledged.count(member.name) && heard && !report->second.counts)
+            m_acknowledged.erase(member.name); // restarted since, and does not know yet what it acknowledged
+        if (!heard || !acknowledged(report->second) || !nothingInFlight(report->second))
+            allIdle = false;
+        if (member.state == MemberState::Member && m_acknowledged.count(member.name))
+            ++members;
+    }
+    m_allIdle = allIdle;
+    if (!m_majorityAt && members >= roster.majority())
+        m_majorityAt = now;
+}
+
+bool StopGate::mayOwn(Instant now) const
+{
+    if (m_allIdle)
+        return true;
+    return m_majorityAt && now >= *m_majorityAt + m_options.lease + m_options.driftMargin + m_longestWork;
+}
+
+}
--- /dev/null
+++ b/packages/peers/PeerLink.cpp
@@ -0,0 +1,142 @@
+#include "peers/PeerLink.h"
+
+#include "peers/Frame.h"
+#include "peers/gen/Peers.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+using apache::thrift::TException;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+namespace {
+
+constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+}
+
+struct PeerLink::Codec {
+    asio::any_io_executor executor;
+    asio::ip::tcp::endpoint endpoint;
+    Counter& bytesSent;
+    std::shared_ptr<TMemoryBuffer> out = std::make_shared<TMemoryBuffer>();
+    std::shared_ptr<TMemoryBuffer> in = std::make_shared<TMemoryBuffer>();
+    wire::PeersClient client { std::make_shared<TCompactProtocol>(in), std::make_shared<TCompactProtocol>(out) };
+    std::unique_ptr<boost::beast::tcp_stream> stream;
+};
+
+PeerLink::PeerLink(asio::any_io_executor executor, std::string address, uint16_t port, Counter& bytesSent)
+    : m_codec(new Codec { std::move(executor), { asio::ip::make_address(address), port }, bytesSent })
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+asio::awaitable<bool> PeerLink::exchange(Millis timeout)
+{
+    // The connection is put back only after a whole answer.
+    auto stream = std::move(m_codec->stream);
+    const std::string question = m_codec->out->getBufferAsString();
+    m_codec->out->resetBuffer();
+    if (!stream) {
+        stream = std::make_unique<boost::beast::tcp_stream>(m_codec->executor);
+        stream->expires_after(timeout);
+        const auto [error] = co_await stream->async_connect(m_codec->endpoint, token);
+        if (error)
+            co_return false;
+        stream->socket().set_option(asio::ip::tcp::no_delay(true));
+    }
+    stream->expires_after(timeout);
+    m_codec->bytesSent.add(question.size() + sizeof(uint32_t));
+    if (!co_await writeFrame(*stream, question))
+        co_return false;
+    std::string answer;
+    if (!co_await readFrame(*stream, answer))
+        co_return false;
+    m_codec->in->resetBuffer();
+    m_codec->in->write(reinterpret_cast<const uint8_t*>(answer.data()), static_cast<uint32_t>(answer.size()));
+    m_codec->stream = std::move(stream);
+    co_return true;
+}
+
+asio::awaitable<std::optional<wire::Beat>> PeerLink::beat(wire::Beat ask, Millis timeout)
+{
+    m_codec->client.send_beat(ask);
+    if (!co_await exchange(timeout))
+        co_return std::nullopt;
+    try {
+        wire::Beat answer;
+        m_codec->client.recv_beat(answer);
+        co_return answer;
+    } catch (const TException&) {
+        m_codec->stream.reset();
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> PeerLink::load(wire::LoadReport report, Millis timeout)
+{
+    m_codec->client.send_load(report);
+    if (!co_await exchange(timeout))
+        co_return false;
+    try {
+        m_codec->client.recv_load();
+        co_return true;
+    } catch (const TException&) {
+        m_codec->stream.reset();
+    }
+    co_return false;
+}
+
+asio::awaitable<std::optional<std::string>> PeerLink::table(std::string service, Millis timeout)
+{
+    m_codec->client.send_table(service);
+    if (!co_await exchange(timeout))
+        co_return std::nullopt;
+    try {
+        std::string answer;
+        m_codec->client.recv_table(answer);
+        co_return answer;
+    } catch (const TException&) {
+        m_codec->stream.reset();
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<std::string>> PeerLink::roster(Millis timeout)
+{
+    m_codec->client.send_roster();
+    if (!co_await exchange(timeout))
+        co_return std::nullopt;
+    try {
+        std::string answer;
+        m_codec->client.recv_roster(answer);
+        co_return answer;
+    } catch (const TException&) {
+        m_codec->stream.reset();
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<std::string>> PeerLink::resources(Millis timeout)
+{
+    m_codec->client.send_resources();
+    if (!co_await exchange(timeout))
+        co_return std::nullopt;
+    try {
+        std::string answer;
+        m_codec->client.recv_resources(answer);
+        co_return answer;
+    } catch (const TException&) {
+        m_codec->stream.reset();
+    }
+    co_return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/packages/peers/PeerServer.h
@@ -0,0 +1,34 @@
+// Answers peers' questions on this host's peer port.
+#pragma once
+
+#include "base/Metrics.h"
+#include "peers/gen/peers_types.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+#include <string>
+
+namespace cumindale {
+
+// Who answers. Called on the executor's thread; must not block.
+class PeerHandler {
+public:
+    virtual ~PeerHandler() = default;
+    virtual wire::Beat onBeat(const wire::Beat&) = 0;
+    virtual void onLoad(const wire::LoadReport&) = 0;
+    virtual std::string onTable(const std::string& service) = 0;
+    virtual std::string onRoster() = 0;
+    virtual std::string onResources() = 0;
+};
+
+class PeerServer {
+public:
+    PeerServer(boost::asio::any_io_executor, std::string address, uint16_t port, PeerHandler&, Counter& bytesSent);
+    ~PeerServer();
+
+private:
+    struct Shared;
+    std::shared_ptr<Shared> m_shared;
+};
+
+}
--- /dev/null
+++ b/packages/platform/EtcdStore.cpp
@@ -0,0 +1,240 @@
+#include "platform/EtcdStore.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+// Sections: text forms, reading answers, calls.
+
+// --- Text forms
+
+std::string toBase64(std::string_view text)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string out(base64::encoded_size(text.size()), '\0');
+    out.resize(base64::encode(out.data(), text.data(), text.size()));
+    return out;
+}
+
+std::string fromBase64(std::string_view text)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string out(base64::decoded_size(text.size()), '\0');
+    const auto [written, read] = base64::decode(out.data(), text.data(), text.size());
+    out.resize(written);
+    return out;
+}
+
+std::string prefixEnd(std::string_view prefix)
+{
+    std::string end(prefix);
+    while (!end.empty()) {
+        if (static_cast<unsigned char>(end.back()) != 0xff) {
+            ++end.back();
+            return end;
+        }
+        end.pop_back();
+    }
+    return std::string(1, '\0'); // all keys
+}
+
+// --- Reading answers
+
+namespace {
+
+constexpr Millis connectTimeout { 1000 };
+
+std::string text(int64_t number)
+{
+    return std::to_string(number);
+}
+
+// 64-bit numbers come as texts, and 0 is left out.
+int64_t numberIn(const json::object& object, std::string_view name)
+{
+    const auto* value = object.if_contains(name);
+    if (!value)
+        return 0;
+    if (value->is_string())
+        return std::strtoll(value->get_string().c_str(), nullptr, 10);
+    boost::system::error_code error;
+    const auto number = value->to_number<int64_t>(error);
+    return error ? 0 : number;
+}
+
+std::string bytesIn(const json::object& object, std::string_view name)
+{
+    const auto* value = object.if_contains(name);
+    return value && value->is_string() ? fromBase64(value->get_string()) : std::string();
+}
+
+const json::object* objectIn(const json::object& object, std::string_view name)
+{
+    const auto* value = object.if_contains(name);
+    return value ? value->if_object() : nullptr;
+}
+
+int64_t revisionIn(const json::object& answer)
+{
+    const auto* header = objectIn(answer, "header");
+    return header ? numberIn(*header, "revision") : 0;
+}
+
+KeyValue keyValueIn(const json::object& object)
+{
+    return { bytesIn(object, "key"), bytesIn(object, "value"), numberIn(object, "mod_revision"),
+        numberIn(object, "create_revision"), numberIn(object, "lease") };
+}
+
+// Nothing for an error status or a damaged answer: both mean that the store can't be relied on now.
+std::optional<json::object> answerIn(const HttpReply& reply)
+{
+    if (reply.status != 200)
+        return std::nullopt;
+    boost::system::error_code error;
+    auto value = json::parse(reply.body, error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    return std::move(value.get_object());
+}
+
+HttpCall post(std::string target, const json::object& body)
+{
+    HttpCall call;
+    call.verb = boost::beast::http::verb::post;
+    call.target = std::move(target);
+    call.body = json::serialize(body);
+    call.headers = { { "Content-Type", "application/json" } };
+    return call;
+}
+
+LeaseReply leaseIn(const json::object& answer)
+{
+    return { StoreStatus::Ok, numberIn(answer, "ID"), Millis(numberIn(answer, "TTL") * 1000) };
+}
+
+}
+
+// --- Calls
+
+EtcdStore::EtcdStore(asio::any_io_executor executor, std::string address, uint16_t port)
+    : m_client(std::move(executor), std::move(address), port)
+{
+}
+
+asio::awaitable<RangeReply> EtcdStore::range(std::string key, bool prefix, Millis timeout)
+{
+    json::object body;
+    body["key"] = toBase64(key);
+    if (prefix)
+        body["range_end"] = toBase64(prefixEnd(key));
+    const HttpReply reply = co_await m_client.send(post("/v3/kv/range", body), timeout);
+    const auto answer = answerIn(reply);
+    if (!answer)
+        co_return RangeReply {};
+    RangeReply found { StoreStatus::Ok, revisionIn(*answer), {} };
+    const auto* values = answer->if_contains("kvs");
+    if (values && values->is_array()) {
+        for (const auto& value : values->get_array())
+            found.values.push_back(keyValueIn(value.as_object()));
+    }
+    co_return found;
+}
+
+asio::awaitable<TxnReply> EtcdStore::txn(
+    std::vector<Compare> conditions, std::vector<WriteOperation> writes, Millis timeout)
+{
+    json::array compare;
+    for (const auto& condition : conditions) {
+        json::object object;
+        object["key"] = toBase64(condition.key);
+        object["target"] = "MOD";
+        object["result"] = "EQUAL";
+        object["mod_revision"] = text(condition.modRevision);
+        compare.push_back(std::move(object));
+    }
+    json::array success;
+    for (const auto& write : writes) {
+        json::object operation;
+        operation["key"] = toBase64(write.key);
+        if (!write.erase)
+            operation["value"] = toBase64(write.value);
+        if (write.lease)
+            operation["lease"] = text(write.lease);
+        json::object wrapper;
+        wrapper[write.erase ? "request_delete_range" : "request_put"] = std::move(operation);
+        success.push_back(std::move(wrapper));
+    }
+    json::object body;
+    body["compare"] = std::move(compare);
+    body["success"] = std::move(success);
+    const HttpReply reply = co_await m_client.send(post("/v3/kv/txn", body), timeout);
+    const auto answer = answerIn(reply);
+    if (!answer)
+        co_return TxnReply {};
+    const auto* succeeded = answer->if_contains("succeeded");
+    co_return TxnReply { StoreStatus::Ok, revisionIn(*answer), succeeded && succeeded->is_bool() && succeeded->get_bool() };
+}
+
+asio::awaitable<LeaseReply> EtcdStore::grantLease(Millis ttl, Millis timeout)
+{
+    json::object body;
+    body["TTL"] = text((ttl.count() + 999) / 1000);
+    const HttpReply reply = co_await m_client.send(post("/v3/lease/grant", body), timeout);
+    const auto answer = answerIn(reply);
+    co_return answer ? leaseIn(*answer) : LeaseReply {};
+}
+
+asio::awaitable<LeaseReply> EtcdStore::keepLease(int64_t id, Millis timeout)
+{
+    json::object body;
+    body["ID"] = text(id);
+    const HttpReply reply = co_await m_client.send(post("/v3/lease/keepalive", body), timeout);
+    const auto answer = answerIn(reply);
+    const auto* result = answer ? objectIn(*answer, "result") : nullptr;
+    co_return result ? leaseIn(*result) : LeaseReply {};
+}
+
+asio::awaitable<void> EtcdStore::revokeLease(int64_t id, Millis timeout)
+{
+    json::object body;
+    body["ID"] = text(id);
+    co_await m_client.send(post("/v3/lease/revoke", body), timeout);
+}
+
+asio::awaitable<void> EtcdStore::watch(std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle)
+{
+    json::object create;
+    create["key"] = toBase64(prefix);
+    create["range_end"] = toBase64(prefixEnd(prefix));
+    create["start_revision"] = text(fromRevision);
+    create["progress_notify"] = true;
+    json::object body;
+    body["create_request"] = std::move(create);
+    const auto onLine = [handle = std::move(handle)](std::string_view line) {
+        boost::system::error_code error;
+        const auto value = json::parse(line, error);
+        const auto* result = !error && value.is_object() ? objectIn(value.get_object(), "result") : nullptr;
+        if (!result || result->contains("canceled"))
+            return false; // cancelled, also after a compaction: the driver reads everything again
+        std::vector<WatchEvent> events;
+        const auto* list = result->if_contains("events");
+        if (list && list->is_array()) {
+            for (const auto& item : list->get_array()) {
+                const auto& event = item.as_object();
+                const auto* type = event.if_contains("type");
+                const auto* entry = objectIn(event, "kv");
+                if (entry)
+                    events.push_back({ type && *type == "DELETE", keyValueIn(*entry) });
+            }
+        }
+        return handle(revisionIn(*result), events);
+    };
+    co_await m_client.stream(post("/v3/watch", body), connectTimeout, silence, onLine);
+}
+
+}
--- /dev/null
+++ b/packages/platform/EtcdStore.h
@@ -0,0 +1,32 @@
+// Store by etcd v3's published HTTP/JSON mapping (POST /v3/kv/range, /v3/kv/txn, /v3/lease/..., /v3/watch;
+// keys and values in base64, 64-bit numbers as texts).
+#pragma once
+
+#include "platform/Store.h"
+#include "web/HttpClient.h"
+
+namespace cumindale {
+
+class EtcdStore final : public Store {
+public:
+    EtcdStore(boost::asio::any_io_executor, std::string address, uint16_t port);
+
+    boost::asio::awaitable<RangeReply> range(std::string key, bool prefix, Millis timeout) override;
+    boost::asio::awaitable<TxnReply> txn(
+        std::vector<Compare> conditions, std::vector<WriteOperation> writes, Millis timeout) override;
+    boost::asio::awaitable<LeaseReply> grantLease(Millis ttl, Millis timeout) override;
+    boost::asio::awaitable<LeaseReply> keepLease(int64_t id, Millis timeout) override;
+    boost::asio::awaitable<void> revokeLease(int64_t id, Millis timeout) override;
+    boost::asio::awaitable<void> watch(
+        std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle) override;
+
+private:
+    HttpClient m_client;
+};
+
+// Codec of the mapping, shared with the stand-in.
+std::string toBase64(std::string_view);
+std::string fromBase64(std::string_view); // empty if malformed
+std::string prefixEnd(std::string_view prefix); // first key after all keys with the prefix
+
+}
--- /dev/null
+++ b/packages/resources/FieldReader.cpp
@@ -0,0 +1,206 @@
+#include "resources/FieldReader.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/stream_parser.hpp>
+
+namespace cumindale {
+
+namespace json = boost::json;
+
+FieldReader::FieldReader(const json::object& object, std::string path, FieldFault& fault)
+    : m_object(object)
+    , m_path(std::move(path))
+    , m_fault(fault)
+{
+}
+
+std::string FieldReader::pathOf(std::string_view name) const
+{
+    return m_path.empty() ? std::string(name) : m_path + "." + std::string(name);
+}
+
+void FieldReader::fail(std::string_view name, std::string allowed)
+{
+    if (!m_fault.any())
+        m_fault = { pathOf(name), std::move(allowed) };
+}
+
+const json::value* FieldReader::find(std::string_view name)
+{
+    m_known.insert(std::string(name));
+    return m_object.if_contains(name);
+}
+
+std::string FieldReader::text(std::string_view name, bool required, std::string_view otherwise, size_t longest)
+{
+    const json::value* value = find(name);
+    if (!value) {
+        if (required)
+            fail(name, "required, a text");
+        return std::string(otherwise);
+    }
+    const auto* found = value->if_string();
+    if (!found || found->size() > longest || (required && found->empty())) {
+        fail(name, "a text of at most " + std::to_string(longest) + " characters");
+        return std::string(otherwise);
+    }
+    const bool printable = std::all_of(found->begin(), found->end(), [](unsigned char c) { return c >= 0x20 && c != 0x7f; });
+    if (!printable)
+        fail(name, "a text without control characters");
+    return std::string(*found);
+}
+
+std::string FieldReader::oneOf(
+    std::string_view name, const std::vector<std::string_view>& allowed, std::string_view otherwise)
+{
+    std::string found = text(name, otherwise.empty(), otherwise);
+    if (std::find(allowed.begin(), allowed.end(), found) != allowed.end())
+        return found;
+    std::string list;
+    for (const auto choice : allowed)
+        list += (list.empty() ? "one of " : ", ") + std::string(choice);
+    fail(name, list);
+    return std::string(otherwise);
+}
+
+std::string FieldReader::address(std::string_view name, std::string_view otherwise)
+{
+    std::string found = text(name, otherwise.empty(), otherwise);
+    boost::system::error_code error;
+    boost::asio::ip::make_address(found, error);
+    if (error)
+        fail(name, "an IP number, as 10.0.0.1 or ::1");
+    return found;
+}
+
+int64_t FieldReader::number(std::string_view name, int64_t least, int64_t most, int64_t otherwise)
+{
+    const json::value* value = find(name);
+    if (!value)
+        return otherwise;
+    boost::system::error_code error;
+    const bool whole = value->is_int64() || value->is_uint64();
+    const auto found = whole ? value->to_number<int64_t>(error) : 0;
+    if (!whole || error || found < least || found > most) {
+        fail(name, "a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        return otherwise;
+    }
+    return found;
+}
+
+int64_t FieldReader::requiredNumber(std::string_view name, int64_t least, int64_t most)
+{
+    if (!m_object.if_contains(name))
+        fail(name, "required, a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return number(name, least, most, least);
+}
+
+double FieldReader::ratio(std::string_view name, double least, double most, double otherwise)
+{
+    const json::value* value = find(name);
+    if (!value)
+        return otherwise;
+    boost::system::error_code error;
+    const double found = value->is_number() ? value->to_number<double>(error) : least - 1;
+    if (error || !(found >= least && found <= most)) {
+        fail(name, "a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return otherwise;
+    }
+    return found;
+}
+
+bool FieldReader::flag(std::string_view name, bool otherwise)
+{
+    const json::value* value = find(name);
+    if (!value)
+        return otherwise;
+    if (!value->is_bool()) {
+        fail(name, "true or false");
+        return otherwise;
+    }
+    return value->get_bool();
+}
+
+std::vector<std::string> FieldReader::texts(std::string_view name)
+{
+    std::vector<std::string> found;
+    const json::value* value = find(name);
+    if (!value)
+        return found;
+    if (!value->is_array()) {
+        fail(name, "a list of texts");
+        return found;
+    }
+    for (const auto& item : value->get_array()) {
+        if (!item.is_string())
+            fail(std::string(name) + "[" + std::to_string(found.size()) + "]", "a text");
+        found.emplace_back(item.is_string() ? std::string(item.get_string()) : std::string());
+    }
+    return found;
+}
+
+std::vector<const json::object*> FieldReader::objects(std::string_view name)
+{
+    std::vector<const json::object*> found;
+    const json::value* value = find(name);
+    if (!value)
+        return found;
+    if (!value->is_array()) {
+        fail(name, "a list of objects");
+        return found;
+    }
+    size_t index = 0;
+    for (const auto& item : value->get_array()) {
+        if (item.is_object())
+            found.push_back(&item.get_object());
+        else
+            fail(std::string(name) + "[" + std::to_string(index) + "]", "an object");
+        ++index;
+    }
+    return found;
+}
+
+const json::object* FieldReader::object(std::string_view name, bool required)
+{
+    const json::value* value = find(name);
+    if (value && value->is_object())
+        return &value->get_object();
+    if (value || required)
+        fail(name, "an object");
+    return nullptr;
+}
+
+void FieldReader::finish()
+{
+    for (const auto& field : m_object) {
+        if (!m_known.count(std::string_view(field.key())))
+            fail(std::string_view(field.key()), "unknown field; remove it or mend its spelling");
+    }
+}
+
+json::object parseObject(std::string_view text, FieldFault& fault)
+{
+    json::parse_options options;
+    options.allow_comments = true;
+    json::stream_parser parser({}, options);
+    boost::system::error_code error;
+    const size_t used = parser.write_some(text.data(), text.size(), error);
+    if (!error && used == text.size())
+        parser.finish(error);
+    if (error || used != text.size()) {
+        const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<ptrdiff_t>(used), '\n');
+        fault = { {}, "not JSON (comments are allowed): line " + std::to_string(line) + ", "
+                + (error ? error.message() : std::string("text after the end")) };
+        return {};
+    }
+    const json::value value = parser.release();
+    if (!value.is_object()) {
+        fault = { {}, "must be one JSON object" };
+        return {};
+    }
+    return value.get_object();
+}
+
+}
--- /dev/null
+++ b/packages/resources/ResourceCodec.h
@@ -0,0 +1,64 @@
+// The JSON form of resources, its checks, and the keys under which the store holds them.
+//
+//     {"kind": "Service", "name": "tracing", "spec": {...}}
+//
+// Unknown fields, values out of range and dangling references are refused with the field's path. See
+// docs/OPERATIONS.md for every field.
+#pragma once
+
+#include "decisions/Resources.h"
+#include "resources/FieldReader.h"
+
+#include <boost/json/object.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/result.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cumindale {
+
+// One resource as an operator wrote it: checked by itself, not yet against others.
+struct ResourceDocument {
+    std::string kind; // Service, BackendServer or Placement
+    std::string name;
+    boost::json::object spec;
+};
+
+// A resource as the store holds it: the document and the operation that wrote it, which tells a writer whose
+// answer was lost whether its write took effect.
+struct StoredResource {
+    ResourceDocument document;
+    std::string operationId;
+};
+
+constexpr std::string_view storePrefix = "cumindale/";
+std::string resourceKey(std::string_view kind, std::string_view name); // in the store
+std::string tableKey(std::string_view service);
+std::string rosterKey();
+std::string leaderKey();
+
+// Each fails with a FieldFault.
+boost::leaf::result<ResourceDocument> parseDocument(std::string_view text);
+boost::leaf::result<StoredResource> parseStored(std::string_view text);
+boost::leaf::result<void> addToResources(Resources&, const ResourceDocument&); // replaces one of the same name
+boost::leaf::result<void> checkReferences(const Resources&);
+
+std::string storedText(const StoredResource&);
+boost::json::object toJson(const ResourceDocument&);
+std::string_view kindOf(std::string_view key); // of a resource key; empty for other keys
+bool isKind(std::string_view kind);
+
+// Runs a checked step and hands out its fault, if any.
+template <typename Step>
+std::optional<FieldFault> faultIn(Step&& step)
+{
+    std::optional<FieldFault> fault;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> { return step(); },
+        [&](const FieldFault& found) { fault = found; },
+        [&] { fault = FieldFault { {}, "could not be checked" }; });
+    return fault;
+}
+
+}
--- /dev/null
+++ b/packages/resources/Settings.h
@@ -0,0 +1,60 @@
+// Settings of one cumindaled process: a JSON file with comments. Every field is checked before anything starts;
+// a bad one is answered with the file, the field and what is allowed. examples/cumindaled.json shows them all.
+#pragma once
+
+#include "base/Time.h"
+#include "resources/FieldReader.h"
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cumindale {
+
+struct Endpoint {
+    std::string address; // IP number
+    uint16_t port = 0;
+};
+
+struct HostSettings {
+    std::string name; // unique among the entry hosts
+    std::string dataCentre;
+    Endpoint callers; // HTTP from callers
+    Endpoint peers; // Thrift between the system's processes
+    Endpoint operators; // administration API and /metrics
+    std::string operatorToken; // bearer token for writes
+    Endpoint store; // the platform's key-value store
+    Endpoint hostList; // the platform's list of hosts
+};
+
+struct TimingSettings {
+    Millis beat { 200 }; // between two beats to a peer
+    Millis lease { 600 }; // routing lease
+    Millis driftMargin { 100 };
+    Millis leaderLease { 2000 }; // of the assigner's election in the store
+    Millis reread { 5000 }; // slow re-read of the store, against watches that went silent
+    Millis probe { 200 }; // of each backend server
+    Millis probeTimeout { 300 };
+    Millis hostListLag { 5000 }; // the list's stated lag: hosts that it no longer shows count until then
+};
+
+struct LimitSettings {
+    size_t callerConnections = 20'000;
+    size_t bodyMemory = 64'000'000; // bytes of request bodies being received, over all connections
+    size_t headerBytes = 16'384;
+    size_t keyBytes = 1'024;
+    Millis headerTimeout { 10'000 }; // for a request's headers, from its first byte
+    Millis bodyIdleTimeout { 30'000 }; // without a byte of the body
+    Millis idleTimeout { 60'000 }; // between two requests on one connection
+};
+
+struct Settings {
+    HostSettings host;
+    TimingSettings timing;
+    LimitSettings limits;
+};
+
+boost::leaf::result<Settings> parseSettings(std::string_view text); // fails with a FieldFault
+
+}
--- /dev/null
+++ b/packages/routing/Router.cpp
@@ -0,0 +1,533 @@
+#include "routing/Router.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http.hpp>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+// Sections: state, from control, requests, one try, answers, reports.
+
+// --- State
+
+namespace {
+
+constexpr size_t hotKeyCounters = 1'024;
+constexpr size_t hotKeysReported = 64;
+constexpr Millis busyReportEvery { 20 }; // while slices are stopping
+constexpr Millis quietReportEvery { 100 };
+constexpr Millis loadReportEvery { 1'000 };
+constexpr Millis connectTimeout { 500 };
+constexpr Millis unreachablePause { 20 }; // before a server that refused a connection is tried again
+constexpr unsigned mostTries = 4;
+
+constexpr std::string_view ranHeader = "Cumindale-Ran";
+constexpr std::string_view errorHeader = "Cumindale-Error";
+constexpr std::string_view requestIdHeader = "Cumindale-Request-Id";
+constexpr std::string_view fenceHeader = "Cumindale-Fence";
+constexpr std::string_view rangeHeader = "Cumindale-Range";
+constexpr std::string_view deadlineHeader = "Cumindale-Deadline";
+constexpr std::string_view timeoutHeader = "Cumindale-Timeout-Ms";
+constexpr std::string_view traceHeader = "traceparent";
+
+// Ours, or of one connection only: never passed through.
+constexpr std::array<std::string_view, 13> strippedHeaders { "Connection", "Keep-Alive", "Proxy-Connection", "TE",
+    "Trailer", "Upgrade", "Expect", ranHeader, requestIdHeader, fenceHeader, rangeHeader, deadlineHeader, errorHeader };
+
+std::string hex(uint64_t value)
+{
+    char buffer[17];
+    std::snprintf(buffer, sizeof buffer, "%016llx", static_cast<unsigned long long>(value));
+    return buffer;
+}
+
+Millis jitter(Millis base)
+{
+    // Up to as much again, so that callers don't all come back at once.
+    return base + Millis(static_cast<int64_t>(randomId() % static_cast<uint64_t>(base.count() + 1)));
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string_view segmentOf(std::string_view path, unsigned index)
+{
+    while (index--) {
+        const auto slash = path.find('/');
+        if (slash == std::string_view::npos)
+            return {};
+        path.remove_prefix(slash + 1);
+    }
+    return path.substr(0, path.find('/'));
+}
+
+}
+
+struct Router::Server {
+    Server(asio::any_io_executor executor, const Clock& clock, const ServerResource& resource, WatchOptions watch)
+        : pool(executor, clock, resource, watch)
+    {
+    }
+    ~Server()
+    {
+        if (prober)
+            prober->stop();
+    }
+
+    bool reachable() const
+    {
+        const Sight sight = pool.watch().sight();
+        return sight == Sight::Reachable || sight == Sight::Unknown;
+    }
+
+    ServerPool pool;
+    std::shared_ptr<Prober> prober;
+};
+
+struct Router::Route {
+    explicit Route(std::shared_ptr<const SliceTable> adopted)
+        : table(std::move(adopted))
+        , index(*table)
+        , busyMicros(table->slices.size(), 0)
+    {
+        for (const auto& slice : table->slices)
+            stopping = stopping || slice.state == SliceState::Stopping;
+    }
+
+    std::shared_ptr<const SliceTable> table;
+    SliceIndex index;
+    std::vector<std::shared_ptr<Server>> servers; // by the table's server index; null if not declared
+    Instant freshUntil {};
+    bool stopping = false; // has stopping slices
+    std::vector<uint64_t> busyMicros; // by slice, since the last load report
+    HotKeys hotKeys { hotKeyCounters };
+};
+
+struct Router::Job {
+    CallerRequest& request;
+    const std::shared_ptr<const Resources> resources; // keeps `service` alive
+    const ServiceResource* service = nullptr;
+    RouteRule rule;
+    uint64_t point = 0;
+    Instant arrived {};
+    Instant deadline {};
+    int64_t arrivedMicros = 0;
+    int64_t serverMicros = 0; // time spent in exchanges
+    TraceContext trace;
+    uint64_t parentSpan = 0;
+    unsigned tries = 0; // dispatches so far
+    bool maybeRan = false; // an earlier try may have run
+};
+
+Router::Router(asio::any_io_executor executor, const Clock& clock, RouterOptions options, Metrics& metrics,
+    SpanLog& spans, ReportSink report)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_options(std::move(options))
+    , m_metrics(metrics)
+    , m_spans(spans)
+    , m_report(std::move(report))
+    , m_latency(metrics.distribution("request_total"))
+    , m_added(metrics.distribution("request_added"))
+    , m_resources(std::make_shared<Resources>())
+    , m_changed(executor)
+{
+}
+
+Router::~Router() = default;
+
+void Router::start()
+{
+    asio::co_spawn(m_executor, reportLoop(), asio::detached);
+}
+
+// --- From control
+
+void Router::apply(RoutingUpdate update)
+{
+    if (update.roster)
+        m_hosts = std::max<size_t>(1, update.roster->countingMembers());
+    if (update.resources)
+        applyResources(std::move(update.resources));
+    else if (update.roster)
+        applyResources(m_resources);
+    if (update.table)
+        adoptTable(std::move(update.table));
+    for (const auto& fresh : update.freshness) {
+        const auto route = m_routes.find(fresh.service);
+        if (route != m_routes.end() && route->second->table->version == fresh.tableVersion)
+            route->second->freshUntil = fresh.until;
+    }
+    m_changed.notifyAll();
+}
+
+void Router::applyResources(std::shared_ptr<const Resources> resources)
+{
+    m_resources = std::move(resources);
+    std::erase_if(m_servers, [&](const auto& entry) { return !m_resources->servers.count(entry.first); });
+    for (const auto& [name, resource] : m_resources->servers) {
+        auto& server = m_servers[name];
+        const bool moved = server
+            && (server->pool.server().address != resource.address || server->pool.server().port != resource.port);
+        if (!server || moved) {
+            server = std::make_shared<Server>(m_executor, m_clock, resource, m_options.watch);
+            const auto changed = [this, serverName = name] {
+                const auto found = m_servers.find(serverName);
+                if (found == m_servers.end())
+                    return;
+                if (!found->second->reachable())
+                    found->second->pool.dropIdle();
+                if (found->second->pool.watch().sight() == Sight::Refused)
+                    m_inFlight.serverGone(serverName);
+                m_changed.notifyAll();
+                reportNow();
+            };
+            server->prober = std::make_shared<Prober>(m_executor, m_clock, resource.address, resource.port,
+                m_options.watch, server->pool.watch(), changed);
+            server->prober->start();
+        }
+        server->pool.update(resource, m_hosts);
+    }
+    for (auto& [name, route] : m_routes)
+        bindServers(*route);
+    for (const auto& [name, service] : m_resources->services)
+        m_budgets.try_emplace(name, RetryBudgetOptions { service.retryRatio, 10 });
+    reportNow();
+}
+
+void Router::adoptTable(std::shared_ptr<const SliceTable> table)
+{
+    auto& route = m_routes[table->service];
+    // Never a step back, whatever order messages come in.
+    if (route && route->table->version >= table->version)
+        return;
+    route = std::make_unique<Route>(std::move(table));
+    bindServers(*route);
+    reportNow();
+}
+
+void Router::bindServers(Route& route)
+{
+    route.servers.clear();
+    for (const auto& name : route.table->servers) {
+        const auto found = m_servers.find(name);
+        route.servers.push_back(found == m_servers.end() ? nullptr : found->second);
+    }
+}
+
+Router::Located Router::locate(const std::string& service, uint64_t point) const
+{
+    const auto found = m_routes.find(service);
+    if (found == m_routes.end())
+        return { ErrorKind::NoOwner, nullptr };
+    const Route& route = *found->second;
+    if (m_clock.now() >= route.freshUntil)
+        return { ErrorKind::NotFresh, nullptr };
+    const size_t index = route.index.indexOf(point);
+    const Slice& slice = route.table->slices[index];
+    if (slice.state == SliceState::Stopping)
+        return { ErrorKind::Moving, nullptr };
+    if (slice.state == SliceState::Unowned || !route.servers[slice.owner])
+        return { ErrorKind::NoOwner, nullptr };
+    return { ErrorKind::None, route.servers[slice.owner], slice.fence, slice.begin, route.table->lastPointOf(index) };
+}
+
+// --- Requests
+
+BodyRule Router::bodyRule(const CallerHeader& header)
+{
+    const auto* service = m_resources->serviceForPath(pathOf(header.target()));
+    if (!service)
+        return { ErrorKind::UnknownService, 0 };
+    return { ErrorKind::None, service->largestBody };
+}
+
+bool Router::ready() const
+{
+    const Instant now = m_clock.now();
+    return std::all_of(m_routes.begin(), m_routes.end(),
+        [now](const auto& entry) { return now < entry.second->freshUntil; });
+}
+
+CallerResponse Router::refusal(ErrorKind kind)
+{
+    return errorAnswer(kind, jitter(Millis(500)), false);
+}
+
+ErrorKind Router::prepare(CallerRequest& request, Job& job) const
+{
+    const std::string_view target = request.target();
+    job.service = job.resources->serviceForPath(pathOf(target));
+    if (!job.service)
+        return ErrorKind::UnknownService;
+    std::string_view key;
+    if (job.service->keySource == KeySource::Header)
+        key = request[job.service->keyHeader];
+    else
+        key = segmentOf(pathOf(target).substr(job.service->pathPrefix.size()), job.service->keySegment);
+    if (key.empty())
+        return ErrorKind::MissingKey;
+    if (key.size() > m_options.keyBytes)
+        return ErrorKind::KeyTooLong;
+    job.point = pointOfKey(key);
+    job.rule = ruleFor(*job.service, request.method_string(), pathOf(target));
+    job.deadline = job.arrived + job.rule.deadline;
+    const auto parent = parseTraceparent(request[traceHeader]);
+    job.trace = parent ? *parent : TraceContext { randomId(), randomId(), 0 };
+    job.parentSpan = job.trace.span;
+    job.trace.span = randomId();
+    for (const auto name : strippedHeaders)
+        request.erase(name);
+    return ErrorKind::None;
+}
+
+asio::awaitable<CallerResponse> Router::handle(CallerRequest& request)
+{
+    Job job { request, m_resources };
+    job.arrived = m_clock.now();
+    job.arrivedMicros = m_clock.monotonicMicros();
+    const ErrorKind fault = prepare(request, job);
+    if (fault != ErrorKind::None)
+        co_return refusal(fault);
+    m_budgets.at(job.service->name).firstTry();
+    CallerResponse response = co_await run(job);
+    const int64_t total = m_clock.monotonicMicros() - job.arrivedMicros;
+    m_latency.add(static_cast<double>(total));
+    m_added.add(static_cast<double>(total - job.serverMicros));
+    m_spans.add({ job.trace, job.parentSpan, "caller", m_options.host + " " + job.service->name, job.arrivedMicros, total });
+    response.set("Cumindale-Trace-Id", traceId(job.trace));
+    co_return response;
+}
+
+asio::awaitable<CallerResponse> Router::run(Job& job)
+{
+    for (;;) {
+        CallerResponse response;
+        const ErrorKind error = co_await tryOnce(job, response);
+        if (error == ErrorKind::None)
+            co_return response;
+        const bool waited = m_clock.now() < job.deadline;
+        if (!waited || !mayTryAgain(job, error))
+            co_return errorAnswer(error, retryAfter(error, job), job.maybeRan);
+    }
+}
+
+bool Router::mayTryAgain(Job& job, ErrorKind error)
+{
+    const ErrorAnswer& answer = answerFor(error);
+    if (!answer.retryable)
+        return false;
+    const bool surelyNot = answer.ran == Ran::No && !job.maybeRan;
+    if (!surelyNot && !job.rule.idempotent)
+        return false;
+    // Waiting for an owner is no try: only what reached for a server spends the budget.
+    if (error == ErrorKind::NotFresh || error == ErrorKind::Moving || error == ErrorKind::NoOwner
+        || error == ErrorKind::ServerUnreachable)
+        return true;
+    return job.tries < mostTries && m_budgets.at(job.service->name).spend();
+}
+
+// --- One try
+
+asio::awaitable<ErrorKind> Router::tryOnce(Job& job, CallerResponse& response)
+{
+    const std::string& service = job.service->name;
+    Located at = locate(service, job.point);
+    // A server that this host can't reach gets nothing new: what is sent to a frozen server would have to be
+    // waited for before its keys may move.
+    if (at.error == ErrorKind::None && !at.server->reachable())
+        at.error = ErrorKind::ServerUnreachable;
+    if (at.error != ErrorKind::None) {
+        co_await m_changed.wait(job.deadline - m_clock.now());
+        co_return at.error;
+    }
+    const auto server = at.server;
+    const int64_t queuedAt = m_clock.monotonicMicros();
+    const auto admitted = co_await server->pool.admit(job.rule.priority, job.deadline);
+    if (admitted == ServerPool::Admitted::Refused)
+        co_return ErrorKind::Overloaded;
+    if (admitted == ServerPool::Admitted::TimedOut)
+        co_return ErrorKind::DeadlineBeforeSend;
+    const int64_t startedAt = m_clock.monotonicMicros();
+    if (startedAt - queuedAt > 1000)
+        m_spans.add({ { job.trace.traceHigh, job.trace.traceLow, randomId() }, job.trace.span, "queue",
+            server->pool.server().name, queuedAt, startedAt - queuedAt });
+
+    auto connection = co_await server->pool.take(job.rule.idempotent, connectTimeout);
+    if (!connection) {
+        server->pool.release(Millis(0));
+        co_await m_changed.wait(unreachablePause);
+        co_return ErrorKind::ServerUnreachable;
+    }
+    // Last thing before the first byte: waiting for a slot or a connection may have outlived the table or its
+    // freshness.
+    at = locate(service, job.point);
+    if (at.error != ErrorKind::None || at.server != server || m_clock.now() >= job.deadline) {
+        server->pool.release(Millis(0));
+        server->pool.giveBack(std::move(connection));
+        co_return at.error != ErrorKind::None ? at.error : at.server != server ? ErrorKind::Moving : ErrorKind::DeadlineBeforeSend;
+    }
+    ExchangeResult result = co_await dispatch(job, at, *connection);
+    const int64_t took = m_clock.monotonicMicros() - startedAt;
+    server->pool.release(Millis(took / 1000));
+    if (result.error != ErrorKind::None) {
+        job.maybeRan = true;
+        co_return result.error;
+    }
+    server->pool.watch().answered(m_clock.now());
+    server->pool.giveBack(std::move(connection));
+    countLoad(job, took);
+    if (result.response.result() == http::status::service_unavailable && result.response[ranHeader] == "no")
+        co_return ErrorKind::ServerRefused;
+    response = std::move(result.response);
+    for (const auto name : { "Connection", "Keep-Alive", "Proxy-Connection" })
+        response.erase(name);
+    response.set(ranHeader, toString(Ran::Yes));
+    co_return ErrorKind::None;
+}
+
+asio::awaitable<ExchangeResult> Router::dispatch(Job& job, const Located& at, BackendConnection& connection)
+{
+    const Instant now = m_clock.now();
+    const Millis timeout = std::min<Millis>(job.deadline - now, job.service->longestWork);
+    const std::string requestId = hex(job.trace.traceLow) + "-" + hex(job.trace.span) + "-" + std::to_string(job.tries);
+    const TraceContext span { job.trace.traceHigh, job.trace.traceLow, randomId() };
+    CallerRequest& request = job.request;
+    request.set(requestIdHeader, requestId);
+    request.set(fenceHeader, std::to_string(at.fence));
+    request.set(rangeHeader, hex(at.firstPoint) + "-" + hex(at.lastPoint));
+    // Absolute beside remaining: a request that sat in a socket buffer of a cut path or a frozen server must
+    // not start its time anew when it is read at last.
+    request.set(deadlineHeader, std::to_string(m_clock.unixMillis() + timeout.count()));
+    request.set(timeoutHeader, std::to_string(timeout.count()));
+    request.set(traceHeader, formatTraceparent(span));
+    request.keep_alive(true);
+    request.prepare_payload();
+    ++job.tries;
+
+    const ServerResource& server = at.server->pool.server();
+    const DispatchId id = m_inFlight.add(job.service->name, server.name, job.point, now + timeout);
+    const int64_t sentAt = m_clock.monotonicMicros();
+    ExchangeResult result = co_await connection.exchange(request, timeout);
+    const int64_t took = m_clock.monotonicMicros() - sentAt;
+    job.serverMicros += took;
+    if (result.ended)
+        m_inFlight.connectionEnded(id);
+    else
+        m_inFlight.answered(id);
+    // A server that names the request it answers must name this one: otherwise its answer is somebody else's.
+    const std::string_view echoed = result.response[requestIdHeader];
+    if (result.error == ErrorKind::None && !echoed.empty() && echoed != requestId)
+        result.error = ErrorKind::BadAnswer;
+    m_spans.add({ span, job.trace.span, "dispatch", server.name + " " + std::string(answerFor(result.error).name), sentAt, took });
+    co_return result;
+}
+
+void Router::countLoad(const Job& job, int64_t micros)
+{
+    const auto found = m_routes.find(job.service->name);
+    if (found == m_routes.end())
+        return;
+    Route& route = *found->second;
+    route.busyMicros[route.index.indexOf(job.point)] += static_cast<uint64_t>(micros);
+    route.hotKeys.add(job.point, static_cast<uint64_t>(micros));
+}
+
+// --- Answers
+
+Millis Router::retryAfter(ErrorKind kind, const Job& job) const
+{
+    const Located at = locate(job.service->name, job.point);
+    switch (kind) {
+    case ErrorKind::Overloaded:
+    case ErrorKind::DeadlineBeforeSend:
+        return jitter(at.server ? at.server->pool.expectedWait() : Millis(200));
+    case ErrorKind::Moving:
+    case ErrorKind::ServerUnreachable:
+        return jitter(Millis(500));
+    case ErrorKind::NotFresh:
+        return jitter(Millis(300));
+    default:
+        return jitter(Millis(1000));
+    }
+}
+
+CallerResponse Router::errorAnswer(ErrorKind kind, Millis after, bool maybeRan) const
+{
+    const ErrorAnswer& row = answerFor(kind);
+    // The last try may surely not have run while an earlier one may have: the answer speaks for all tries.
+    const std::string ran(toString(maybeRan && row.ran == Ran::No ? Ran::Unknown : row.ran));
+    m_metrics.counter("answers_" + std::string(row.name)).add();
+    CallerResponse response { http::int_to_status(row.status), 11 };
+    response.set(errorHeader, row.name);
+    response.set(ranHeader, ran);
+    response.set(http::field::content_type, "application/json");
+    if (row.retryAfter) {
+        response.set(http::field::retry_after, std::to_string((after.count() + 999) / 1000));
+        response.set("Cumindale-Retry-After-Ms", std::to_string(after.count()));
+    }
+    response.body() = "{\"error\":\"" + std::string(row.name) + "\",\"ran\":\"" + ran + "\"}\n";
+    return response;
+}
+
+// --- Reports
+
+RoutingReport Router::makeReport() const
+{
+    RoutingReport report;
+    report.resourcesRevision = m_resources->revision;
+    for (const auto& [name, route] : m_routes) {
+        report.adoptedTables[name] = route->table->version;
+        if (!route->stopping)
+            continue;
+        for (auto& busy : m_inFlight.busy(*route->table))
+            report.busy.push_back(std::move(busy));
+    }
+    for (const auto& [name, server] : m_servers)
+        report.sights[name] = server->pool.watch().sight();
+    return report;
+}
+
+void Router::reportNow()
+{
+    m_inFlight.forgetExpired(m_clock.now());
+    m_lastReport = makeReport();
+    m_report(m_lastReport);
+}
+
+asio::awaitable<void> Router::reportLoop()
+{
+    for (;;) {
+        const bool stopping = std::any_of(m_routes.begin(), m_routes.end(), [](const auto& entry) { return entry.second->stopping; });
+        co_await sleepFor(stopping ? busyReportEvery : quietReportEvery);
+        const Instant now = m_clock.now();
+        m_inFlight.forgetExpired(now);
+        RoutingReport report = makeReport();
+        if (now - m_lastLoadReport >= loadReportEvery) {
+            for (auto& [name, route] : m_routes) {
+                ServiceLoad load { route->table->version, {}, route->hotKeys.heaviest(hotKeysReported), now - m_lastLoadReport };
+                for (size_t i = 0; i < route->busyMicros.size(); ++i) {
+                    if (route->busyMicros[i])
+                        load.busyMicros[i] = std::exchange(route->busyMicros[i], 0);
+                }
+                route->hotKeys = HotKeys(hotKeyCounters);
+                report.loads[name] = std::move(load);
+            }
+            m_lastLoadReport = now;
+        }
+        m_lastReport = report;
+        m_report(std::move(report));
+    }
+}
+
+}
--- /dev/null
+++ b/packages/routing/Router.h
@@ -0,0 +1,99 @@
+// The routing duty: from a whole request to its answer.
+//
+// Finds the key's owner in the table, checks freshness last thing before the first byte, waits for a slot,
+// dispatches, and decides whether another try is allowed. Everything here runs on one thread.
+#pragma once
+
+#include "backends/Prober.h"
+#include "backends/ServerPool.h"
+#include "base/Metrics.h"
+#include "base/Spans.h"
+#include "callers/CallerServer.h"
+#include "decisions/InFlight.h"
+#include "decisions/RetryBudget.h"
+#include "routing/Messages.h"
+#include "web/Signal.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace cumindale {
+
+struct RouterOptions {
+    std::string host; // this host's name
+    size_t keyBytes = 1'024; // longest key
+    WatchOptions watch;
+};
+
+class Router final : public RequestHandler {
+public:
+    using ReportSink = std::function<void(RoutingReport)>;
+
+    Router(boost::asio::any_io_executor, const Clock&, RouterOptions, Metrics&, SpanLog&, ReportSink);
+    ~Router() override;
+
+    // --- From control
+    void apply(RoutingUpdate);
+    void start(); // begins to report
+
+    // --- From callers
+    BodyRule bodyRule(const CallerHeader&) override;
+    boost::asio::awaitable<CallerResponse> handle(CallerRequest&) override;
+    CallerResponse refusal(ErrorKind) override;
+    bool ready() const override;
+
+private:
+    struct Server; // one backend server: its pool and prober
+    struct Route; // one service: its adopted table and freshness
+    struct Job; // one request on its way
+
+    // Where a key's requests go now, or why they can't.
+    struct Located {
+        ErrorKind error = ErrorKind::None;
+        std::shared_ptr<Server> server;
+        uint64_t fence = 0;
+        uint64_t firstPoint = 0;
+        uint64_t lastPoint = 0;
+    };
+
+    void applyResources(std::shared_ptr<const Resources>);
+    void adoptTable(std::shared_ptr<const SliceTable>);
+    void bindServers(Route&);
+    Located locate(const std::string& service, uint64_t point) const;
+
+    ErrorKind prepare(CallerRequest&, Job&) const;
+    boost::asio::awaitable<CallerResponse> run(Job&);
+    boost::asio::awaitable<ErrorKind> tryOnce(Job&, CallerResponse&); // one dispatch, or why there was none
+    boost::asio::awaitable<ExchangeResult> dispatch(Job&, const Located&, BackendConnection&);
+    bool mayTryAgain(Job&, ErrorKind);
+    CallerResponse errorAnswer(ErrorKind, Millis retryAfter, bool maybeRan) const;
+    Millis retryAfter(ErrorKind, const Job&) const;
+    void countLoad(const Job&, int64_t micros);
+
+    boost::asio::awaitable<void> reportLoop();
+    void reportNow();
+    RoutingReport makeReport() const;
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    RouterOptions m_options;
+    Metrics& m_metrics;
+    SpanLog& m_spans;
+    ReportSink m_report;
+    Distribution& m_latency;
+    Distribution& m_added;
+
+    std::shared_ptr<const Resources> m_resources;
+    size_t m_hosts = 1;
+    std::map<std::string, std::shared_ptr<Server>> m_servers;
+    std::map<std::string, std::unique_ptr<Route>, std::less<>> m_routes;
+    std::map<std::string, RetryBudget> m_budgets;
+    InFlight m_inFlight;
+    Signal m_changed; // a table, freshness, or a server's sight changed
+    RoutingReport m_lastReport;
+    Instant m_lastLoadReport {};
+};
+
+}
--- /dev/null
+++ b/packages/web/HttpClient.cpp
@@ -0,0 +1,143 @@
+#include "web/HttpClient.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto token = asio::as_tuple(asio::use_awaitable);
+constexpr uint64_t largestReply = 64'000'000;
+
+http::request<http::string_body> makeRequest(const HttpCall& call, std::string_view address)
+{
+    http::request<http::string_body> request { call.verb, call.target, 11 };
+    request.set(http::field::host, address);
+    for (const auto& [name, value] : call.headers)
+        request.set(name, value);
+    request.body() = call.body;
+    request.prepare_payload();
+    return request;
+}
+
+// An idle connection with something to read: an end, or an answer to nothing.
+bool hasInput(beast::tcp_stream& stream)
+{
+    char byte = 0;
+    return ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
+}
+
+std::string_view HttpReply::header(std::string_view name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (beast::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
+HttpClient::HttpClient(asio::any_io_executor executor, std::string address, uint16_t port, size_t mostIdle)
+    : m_executor(std::move(executor))
+    , m_address(std::move(address))
+    , m_port(port)
+    , m_mostIdle(mostIdle)
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<HttpClient::Stream> HttpClient::connect(Millis timeout)
+{
+    auto stream = std::make_unique<beast::tcp_stream>(m_executor);
+    stream->expires_after(timeout);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_address), m_port);
+    const auto [error] = co_await stream->async_connect(endpoint, token);
+    if (error)
+        co_return nullptr;
+    stream->socket().set_option(asio::ip::tcp::no_delay(true));
+    co_return stream;
+}
+
+asio::awaitable<HttpReply> HttpClient::send(HttpCall call, Millis timeout)
+{
+    Stream stream;
+    while (!stream && !m_idle.empty()) {
+        stream = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (hasInput(*stream))
+            stream.reset(); // the other side ended it
+    }
+    if (!stream)
+        stream = co_await connect(timeout);
+    if (!stream)
+        co_return HttpReply {};
+
+    const auto request = makeRequest(call, m_address);
+    stream->expires_after(timeout);
+    const auto [writeError, written] = co_await http::async_write(*stream, request, token);
+    if (writeError)
+        co_return HttpReply {};
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largestReply);
+    const auto [readError, got] = co_await http::async_read(*stream, buffer, parser, token);
+    if (readError)
+        co_return HttpReply {};
+
+    auto response = parser.release();
+    HttpReply reply { response.result_int(), std::move(response.body()), {} };
+    for (const auto& field : response)
+        reply.headers.emplace_back(field.name_string(), field.value());
+    if (response.keep_alive() && m_idle.size() < m_mostIdle && !buffer.size())
+        m_idle.push_back(std::move(stream));
+    co_return reply;
+}
+
+asio::awaitable<void> HttpClient::stream(HttpCall call, Millis connectTimeout, Millis silence, LineHandler handle)
+{
+    const Stream stream = co_await connect(connectTimeout);
+    if (!stream)
+        co_return;
+    const auto request = makeRequest(call, m_address);
+    const auto [writeError, written] = co_await http::async_write(*stream, request, token);
+    if (writeError)
+        co_return;
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    stream->expires_after(connectTimeout);
+    const auto [headerError, headerBytes] = co_await http::async_read_header(*stream, buffer, parser, token);
+    if (headerError || parser.get().result() != http::status::ok)
+        co_return;
+
+    std::string pending;
+    std::array<char, 16384> chunk;
+    while (!parser.is_done()) {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        stream->expires_after(silence);
+        const auto [error, bytes] = co_await http::async_read_some(*stream, buffer, parser, token);
+        if (error && error != http::error::need_buffer)
+            co_return;
+        pending.append(chunk.data(), chunk.size() - parser.get().body().size);
+        size_t end = 0;
+        while ((end = pending.find('\n')) != std::string::npos) {
+            if (!handle(std::string_view(pending).substr(0, end)))
+                co_return;
+            pending.erase(0, end + 1);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/packages/web/HttpServer.h
@@ -0,0 +1,46 @@
+// Small HTTP/1.1 server for control traffic: the administration API and the stand-ins.
+//
+// Callers' requests don't go through here; see callers/CallerServer.h.
+#pragma once
+
+#include "web/HttpClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <optional>
+
+namespace cumindale {
+
+using ServedRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using ServedResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+ServedResponse makeResponse(unsigned status, std::string body, std::string_view contentType = "application/json");
+
+// Path and parsed query of a request target.
+struct Target {
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> query;
+
+    std::string parameter(std::string_view name) const; // empty if absent
+};
+Target parseTarget(std::string_view target);
+
+class HttpServer {
+public:
+    // Answers a request. Nothing: the handler wrote to the stream itself, and the connection ends.
+    using Handler = std::function<boost::asio::awaitable<std::optional<ServedResponse>>(
+        const ServedRequest&, boost::beast::tcp_stream&)>;
+
+    HttpServer(boost::asio::any_io_executor, std::string address, uint16_t port, Handler); // throws if it can't bind
+    ~HttpServer();
+    uint16_t port() const;
+    void stop(); // no new connections
+
+private:
+    struct Shared;
+    std::shared_ptr<Shared> m_shared;
+};
+
+}
--- /dev/null
+++ b/packages/web/Signal.cpp
@@ -0,0 +1,36 @@
+#include "web/Signal.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+}
+
+asio::awaitable<void> sleepFor(Millis time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(token);
+}
+
+void Signal::notifyAll()
+{
+    for (auto& timer : m_waiting)
+        timer.cancel();
+}
+
+asio::awaitable<void> Signal::wait(Millis atMost)
+{
+    const auto mine = m_waiting.emplace(m_waiting.end(), m_executor, atMost);
+    co_await mine->async_wait(token);
+    m_waiting.erase(mine);
+}
+
+}
--- /dev/null
+++ b/standins/callers.cpp
@@ -0,0 +1,313 @@
+// Stand-in for callers: an open-loop load of lookups, claims, uploads and archive reads over some keys, sent to
+// the hosts in turn. Checks each answer against its own request, then judges what ran by the servers' records.
+//
+// The last line is JSON. Exit status 1 if an answer was wrong, a claim ran twice, a caller was misled about
+// what ran, or two servers worked on one key at once.
+#include "base/Time.h"
+#include "web/HttpClient.h"
+#include "web/Signal.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <set>
+#include <sstream>
+
+ABSL_FLAG(std::vector<std::string>, hosts, { "127.0.0.1:7101" }, "callers' endpoints");
+ABSL_FLAG(std::vector<std::string>, killed, {}, "endpoints that are killed meanwhile: their lost requests are excused");
+ABSL_FLAG(unsigned, requests, 5000, "how many");
+ABSL_FLAG(double, rate, 500, "a second");
+ABSL_FLAG(unsigned, keys, 500, "distinct keys");
+ABSL_FLAG(std::string, path, "/tracing/", "the service's prefix");
+ABSL_FLAG(std::string, records, "", "folder with the servers' records; empty: no judgement of what ran");
+ABSL_FLAG(unsigned, seed, 1, "of the load");
+ABSL_FLAG(unsigned, upload_bytes, 50000, "size of an upload");
+ABSL_FLAG(bool, lookups_only, false, "no claims, uploads or archive reads, and no work at the servers");
+ABSL_FLAG(int64_t, timeout_ms, 5000, "the caller's patience");
+
+namespace {
+
+using namespace cumindale;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr Millis avoidFailedHost { 500 };
+
+struct Sent {
+    std::string host;
+    std::string nonce;
+    std::string key;
+    bool idempotent = true;
+    unsigned status = 0; // 0: no answer
+    std::string ran; // as the answer said
+    std::string error;
+    bool wrong = false;
+    int64_t startMicros = 0;
+    int64_t micros = 0;
+};
+
+struct HostEnd {
+    std::string name;
+    std::unique_ptr<HttpClient> client;
+    Instant avoidUntil {};
+};
+
+// What a server's record says of one run.
+struct Run {
+    std::string server;
+    std::string key;
+    int64_t begin = 0;
+    int64_t end = 0; // 0: never ended
+};
+
+class Load {
+public:
+    explicit Load(asio::any_io_executor executor)
+        : m_executor(std::move(executor))
+        , m_random(absl::GetFlag(FLAGS_seed))
+    {
+        for (const auto& endpoint : absl::GetFlag(FLAGS_hosts)) {
+            const auto colon = endpoint.rfind(':');
+            const auto port = static_cast<uint16_t>(std::stoi(endpoint.substr(colon + 1)));
+            m_hosts.push_back({ endpoint, std::make_unique<HttpClient>(m_executor, endpoint.substr(0, colon), port, 1000) });
+        }
+    }
+
+    asio::awaitable<void> run()
+    {
+        const unsigned requests = absl::GetFlag(FLAGS_requests);
+        const double rate = absl::GetFlag(FLAGS_rate);
+        m_sent.resize(requests);
+        const int64_t start = m_clock.monotonicMicros();
+        for (unsigned i = 0; i < requests; ++i) {
+            const int64_t due = start + static_cast<int64_t>(i * 1e6 / rate);
+            const int64_t early = due - m_clock.monotonicMicros();
+            if (early > 1000)
+                co_await sleepFor(Millis(early / 1000));
+            asio::co_spawn(m_executor, sendOne(i), asio::detached);
+        }
+        while (m_open)
+            co_await sleepFor(Millis(10));
+    }
+
+    const std::vector<Sent>& sent() const { return m_sent; }
+
+private:
+    HostEnd& pickHost()
+    {
+        for (size_t tried = 0; tried < m_hosts.size(); ++tried) {
+            HostEnd& host = m_hosts[m_nextHost++ % m_hosts.size()];
+            if (m_clock.now() >= host.avoidUntil)
+                return host;
+        }
+        return m_hosts[m_nextHost++ % m_hosts.size()];
+    }
+
+    HttpCall makeCall(Sent& sent, unsigned index)
+    {
+        HttpCall call;
+        // A few keys are much hotter than the rest.
+        std::uniform_real_distribution<double> unit(0, 1);
+        const double skewed = std::pow(unit(m_random), 2);
+        sent.key = "case-" + std::to_string(static_cast<unsigned>(skewed * absl::GetFlag(FLAGS_keys)));
+        sent.nonce = std::to_string(absl::GetFlag(FLAGS_seed)) + "-" + std::to_string(index);
+        const double kind = unit(m_random);
+        int work = 2;
+        call.target = absl::GetFlag(FLAGS_path) + "lookup";
+        if (absl::GetFlag(FLAGS_lookups_only)) {
+            work = 0;
+        } else if (kind < 0.15) {
+            call.verb = http::verb::post;
+            call.target = absl::GetFlag(FLAGS_path) + "claim";
+            call.body = "claim " + sent.nonce;
+            sent.idempotent = false;
+            work = 5;
+        } else if (kind < 0.18) {
+            call.verb = http::verb::post;
+            call.target = absl::GetFlag(FLAGS_path) + "upload";
+            call.body.assign(absl::GetFlag(FLAGS_upload_bytes), 'u');
+            sent.idempotent = false;
+            work = 5;
+        } else if (kind < 0.25) {
+            call.target = absl::GetFlag(FLAGS_path) + "archive";
+            work = 20;
+        }
+        call.headers = { { "Case-Key", sent.key }, { "X-Nonce", sent.nonce }, { "X-Work-Ms", std::to_string(work) } };
+        return call;
+    }
+
+    asio::awaitable<void> sendOne(unsigned index)
+    {
+        ++m_open;
+        Sent& sent = m_sent[index];
+        const HttpCall call = makeCall(sent, index);
+        HostEnd& host = pickHost();
+        sent.host = host.name;
+        sent.startMicros = m_clock.monotonicMicros();
+        const HttpReply reply = co_await host.client->send(call, Millis(absl::GetFlag(FLAGS_timeout_ms)));
+        sent.micros = m_clock.monotonicMicros() - sent.startMicros;
+        sent.status = reply.status;
+        sent.ran = reply.header("Cumindale-Ran");
+        sent.error = reply.header("Cumindale-Error");
+        if (!reply.arrived())
+            host.avoidUntil = m_clock.now() + avoidFailedHost;
+        if (reply.status == 200)
+            sent.wrong = !matches(reply.body, sent, call.body.size());
+        --m_open;
+    }
+
+    static bool matches(const std::string& body, const Sent& sent, size_t bodySize)
+    {
+        boost::system::error_code error;
+        const auto value = json::parse(body, error);
+        if (error || !value.is_object())
+            return false;
+        return value.at("nonce").as_string() == sent.nonce && value.at("key").as_string() == sent.key
+            && value.at("received").to_number<size_t>() == bodySize;
+    }
+
+    asio::any_io_executor m_executor;
+    SystemClock m_clock;
+    std::mt19937_64 m_random;
+    std::vector<HostEnd> m_hosts;
+    size_t m_nextHost = 0;
+    std::vector<Sent> m_sent;
+    size_t m_open = 0;
+};
+
+std::map<std::string, std::vector<Run>> readRecords(const std::string& folder)
+{
+    std::map<std::string, std::vector<Run>> runs; // by nonce
+    for (const auto& file : std::filesystem::directory_iterator(folder)) {
+        if (file.path().extension() != ".record")
+            continue;
+        std::ifstream in(file.path());
+        std::string line;
+        while (std::getline(in, line)) {
+            std::istringstream words(line);
+            std::string what;
+            std::string nonce;
+            words >> what >> nonce;
+            if (what == "B") {
+                Run run;
+                std::string method;
+                std::string fence;
+                run.server = file.path().stem();
+                words >> run.key >> method >> fence >> run.begin;
+                runs[nonce].push_back(run);
+            } else if (!runs[nonce].empty()) {
+                words >> runs[nonce].back().end;
+            }
+        }
+    }
+    return runs;
+}
+
+// Pairs of runs for one key that overlap at different servers.
+size_t overlaps(const std::map<std::string, std::vector<Run>>& runs)
+{
+    std::map<std::string, std::vector<Run>> byKey;
+    for (const auto& [nonce, list] : runs) {
+        for (const auto& run : list) {
+            if (run.end)
+                byKey[run.key].push_back(run);
+        }
+    }
+    size_t found = 0;
+    for (auto& [key, list] : byKey) {
+        std::sort(list.begin(), list.end(), [](const Run& a, const Run& b) { return a.begin < b.begin; });
+        for (size_t i = 0; i < list.size(); ++i) {
+            for (size_t j = i + 1; j < list.size() && list[j].begin < list[i].end; ++j)
+                found += list[j].server != list[i].server;
+        }
+    }
+    return found;
+}
+
+int64_t percentile(std::vector<int64_t>& values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[std::min(values.size() - 1, static_cast<size_t>(share * static_cast<double>(values.size())))];
+}
+
+json::object judge(const std::vector<Sent>& all)
+{
+    const auto killedList = absl::GetFlag(FLAGS_killed);
+    const std::set<std::string> killed(killedList.begin(), killedList.end());
+    const std::string folder = absl::GetFlag(FLAGS_records);
+    const auto runs = folder.empty() ? std::map<std::string, std::vector<Run>>() : readRecords(folder);
+    size_t answered = 0, ok = 0, wrong = 0, lost = 0, ranTwice = 0, misled = 0;
+    std::map<std::string, size_t> errors;
+    std::vector<int64_t> times;
+    std::map<std::string, int64_t> failedSince; // by key: when its requests began to fail
+    int64_t longestGap = 0;
+    for (const auto& sent : all) {
+        answered += sent.status != 0;
+        wrong += sent.wrong;
+        lost += !sent.status && !killed.count(sent.host);
+        if (sent.status == 200) {
+            ++ok;
+            times.push_back(sent.micros);
+        } else {
+            ++errors[sent.status ? (sent.error.empty() ? std::to_string(sent.status) : sent.error) : "no-answer"];
+        }
+        if (sent.status == 200 && failedSince.count(sent.key)) {
+            longestGap = std::max(longestGap, sent.startMicros + sent.micros - failedSince[sent.key]);
+            failedSince.erase(sent.key);
+        } else if (sent.status != 200 && sent.status) {
+            failedSince.try_emplace(sent.key, sent.startMicros);
+        }
+        if (folder.empty())
+            continue;
+        const auto found = runs.find(sent.nonce);
+        const size_t times_ = found == runs.end() ? 0 : found->second.size();
+        ranTwice += !sent.idempotent && times_ > 1;
+        misled += (sent.ran == "no" && times_ > 0) || (sent.status == 200 && times_ == 0);
+    }
+    json::object byError;
+    for (const auto& [error, count] : errors)
+        byError[error] = count;
+    json::object result;
+    result["requests"] = all.size();
+    result["answered"] = answered;
+    result["ok"] = ok;
+    result["wrong"] = wrong;
+    result["lost"] = lost;
+    result["ranTwice"] = ranTwice;
+    result["misled"] = misled;
+    result["twoOwners"] = folder.empty() ? 0 : overlaps(runs);
+    result["p50ms"] = static_cast<double>(percentile(times, 0.50)) / 1000.0;
+    result["p99ms"] = static_cast<double>(percentile(times, 0.99)) / 1000.0;
+    result["longestGapMs"] = longestGap / 1000;
+    result["errors"] = std::move(byError);
+    return result;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    asio::io_context context { 1 };
+    Load load(context.get_executor());
+    asio::co_spawn(context, load.run(), [](std::exception_ptr error) {
+        if (error)
+            std::rethrow_exception(error);
+    });
+    context.run();
+    const json::object verdict = judge(load.sent());
+    std::cout << json::serialize(verdict) << '\n';
+    const auto count = [&](std::string_view name) { return verdict.at(name).to_number<int64_t>(); };
+    return count("wrong") || count("ranTwice") || count("misled") || count("twoOwners") ? 1 : 0;
+}
--- /dev/null
+++ b/standins/lib.sh
@@ -0,0 +1,114 @@
+# Starts and stops the processes of a demo or a trial on loopback. Sourced by the scripts beside it.
+#
+# Ports: store 7000; host N: callers 71N1, peers 71N2, operators 71N3; server N: 7200 + N.
+set -u
+bin=${BIN:-build/bin}
+token=demo-operator-token
+work=$(mktemp -d)
+declare -A pid
+
+start() { # NAME COMMAND...
+    local name=$1
+    shift
+    "$@" >>"$work/$name.log" 2>&1 &
+    pid[$name]=$!
+}
+
+stop_all() {
+    local name
+    for name in "${!pid[@]}"; do
+        kill -CONT "${pid[$name]}" 2>/dev/null
+        kill -KILL "${pid[$name]}" 2>/dev/null
+    done
+    wait 2>/dev/null
+    if [ -n "${KEEP:-}" ]; then echo "logs and records are in $work" >&2; else rm -rf "$work"; fi
+}
+trap stop_all EXIT
+
+host_settings() { # N DATA-CENTRE
+    cat <<SETTINGS
+{ "host": { "name": "host-$1", "dataCentre": "$2",
+    "callers": { "address": "127.0.0.1", "port": 71${1}1 },
+    "peers": { "address": "127.0.0.1", "port": 71${1}2 },
+    "operators": { "address": "127.0.0.1", "port": 71${1}3 },
+    "operatorToken": "$token",
+    "store": { "address": "127.0.0.1", "port": 7000 },
+    "hostList": { "address": "127.0.0.1", "port": 7000 } } }
+SETTINGS
+}
+
+host_entry() { # N DATA-CENTRE
+    echo "{\"name\":\"host-$1\",\"dataCentre\":\"$2\",\"address\":\"127.0.0.1\",\"peerPort\":71${1}2,\"callerPort\":71${1}1,\"operatorPort\":71${1}3}"
+}
+
+put_hosts() { # ENTRY...
+    local list
+    list=$(IFS=,; echo "$*")
+    curl -s -o /dev/null -X PUT -d "{\"hosts\":[$list]}" http://127.0.0.1:7000/hosts
+}
+
+start_store() { start store "$bin/standin-store" --port 7000; }
+
+start_host() { # N DATA-CENTRE
+    host_settings "$1" "$2" >"$work/host-$1.json"
+    start "host-$1" "$bin/cumindaled" --settings "$work/host-$1.json"
+}
+
+start_server() { # N [OPTION...]
+    local n=$1
+    shift
+    start "server-$n" "$bin/standin-backend" --port $((7200 + n)) --name "server-$n" --record "$work/server-$n.record" "$@"
+}
+
+server_resource() { # N DATA-CENTRE [EXTRA-FIELDS]
+    echo "{\"kind\":\"BackendServer\",\"name\":\"server-$1\",\"spec\":{\"service\":\"tracing\",\"address\":\"127.0.0.1\",\"port\":$((7200 + $1)),\"dataCentre\":\"$2\",\"slots\":4,\"connections\":120${3:-}}}"
+}
+
+service_resource() { # [LONGEST-WORK-MS]
+    cat <<SERVICE
+{"kind":"Service","name":"tracing","spec":{"pathPrefix":"/tracing/","key":{"header":"Case-Key"},
+ "routes":[{"method":"GET","pathPrefix":"archive","idempotent":true,"class":"background","deadlineMs":4000},
+           {"method":"GET","idempotent":true,"deadlineMs":4000},
+           {"method":"POST","pathPrefix":"upload","class":"upload","deadlineMs":4000},
+           {"method":"POST","class":"submission","deadlineMs":4000}],
+ "longestWorkMs":${1:-1000}}}
+SERVICE
+}
+
+ctl() { "$bin/cumindalectl" --host "127.0.0.1:${CTL_PORT:-7113}" --token "$token" "$@"; }
+
+wait_until() { # SECONDS COMMAND...: until it succeeds
+    local end=$((SECONDS + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ $SECONDS -lt $end ] || { echo "gave up waiting for: $*" >&2; return 1; }
+        sleep 0.05
+    done
+}
+
+host_ready() { curl -sf "http://127.0.0.1:71${1}1/cumindale/health" >/dev/null; }
+host_routes() { [ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Case-Key: ready' -H 'X-Nonce: ready' "http://127.0.0.1:71${1}1/tracing/lookup")" = 200 ]; }
+
+start_system() { # HOSTS SERVERS: with three data centres
+    local n entries=()
+    start_store
+    wait_until 5 curl -sf http://127.0.0.1:7000/hosts || return 1
+    for n in $(seq 1 "$1"); do entries+=("$(host_entry "$n" "dc-$((n % 3 + 1))")"); done
+    put_hosts "${entries[@]}"
+    for n in $(seq 1 "$2"); do start_server "$n" ${SERVER_OPTIONS:-}; done
+    for n in $(seq 1 "$1"); do start_host "$n" "dc-$((n % 3 + 1))"; done
+    wait_until 5 ctl status || return 1
+    service_resource "${LONGEST_WORK:-1000}" | ctl apply --file=- >/dev/null || return 1
+    for n in $(seq 1 "$2"); do server_resource "$n" "dc-$((n % 3 + 1))" "${SERVER_FIELDS:-}" | ctl apply --file=- >/dev/null || return 1; done
+    for n in $(seq 1 "$1"); do wait_until 10 host_routes "$n" || return 1; done
+}
+
+host_list() { # HOSTS: callers' endpoints, comma-separated
+    local n list=()
+    for n in $(seq 1 "$1"); do list+=("127.0.0.1:71${n}1"); done
+    (IFS=,; echo "${list[*]}")
+}
+
+owners_given() { # how often a slice was given an owner, ever
+    ctl --output table status | awk '/ownersGiven/ { sum += $2 } END { print sum + 0 }'
+}
