--- /dev/null
+++ b/bench/prove.sh
@@ -0,0 +1,274 @@
+#!/usr/bin/env bash
+# Proves the promises with real processes on loopback, under kills, freezes and outages. The servers' own
+# records judge. One line a promise: name, runs, violations, figure. Exit status 1 on a violation.
+#
+#     bench/prove.sh [PROMISE...]     all if none is named;  LOSSES=n server losses for crash and freeze
+cd "$(dirname "$0")/.." || exit 1
+. standins/lib.sh
+LOSSES=${LOSSES:-10}
+failed=0
+
+field() { sed -n "s/.*\"$1\":\([-0-9.E+]*\).*/\1/p" "$2" | awk '{ printf "%d", $1 }'; }
+
+# Wrong, run twice, misled or two owners; and lost, since nobody may be left without an answer.
+violations() { # VERDICT...
+    local file sum=0 name
+    for file in "$@"; do
+        for name in wrong lost ranTwice misled twoOwners; do sum=$((sum + $(field $name "$file"))); done
+    done
+    echo $sum
+}
+
+failures() { echo $(($(field requests "$1") - $(field ok "$1"))); }
+
+line() { # NAME RUNS VIOLATIONS FIGURE
+    printf '%s\t%s\t%s\t%s\n' "$1" "$2" "$3" "$4"
+    [ "$3" = 0 ] || failed=1
+}
+
+load() { # NAME REQUESTS RATE [OPTION...]
+    local name=$1 requests=$2 rate=$3
+    shift 3
+    "$bin/standin-callers" --hosts "$(host_list "$hosts")" --requests "$requests" --rate "$rate" --keys 300 \
+        --records "$work" --seed $((RANDOM * 32768 + RANDOM)) "$@" >"$work/$name.verdict"
+}
+
+system() { # HOSTS SERVERS
+    hosts=$1
+    start_system "$1" "$2" || { cat "$work"/*.log >&2; exit 1; }
+}
+
+end_system() {
+    local name
+    for name in "${!pid[@]}"; do
+        kill -CONT "${pid[$name]}" 2>/dev/null
+        kill -KILL "${pid[$name]}" 2>/dev/null
+    done
+    wait 2>/dev/null
+    pid=()
+    rm -f "$work"/*.record "$work"/*.log
+}
+
+faults() { curl -s -o /dev/null -X POST -d "$1" "$(store_url)/standin/faults"; }
+assigner() { ctl --output=table status | awk '$1 == "assigner" { print $2 }'; }
+percentile_99() { sort -n | awk '{ v[NR] = $1 } END { i = int(NR * 0.99 + 0.999999); print v[i] }'; }
+server_moved() { ! ctl --output=table status | grep -q "slicesOfServer.server-$1[^0-9]"; }
+server_back() { ctl --output=table status | grep -q "slicesOfServer.server-$1[^0-9]"; }
+
+leaves() { # a server leaves under load: no request fails
+    system 3 6
+    load leaves 3000 500 & local job=$!
+    sleep 1
+    ctl drain server-2 --wait >/dev/null 2>&1
+    sleep 2
+    ctl drain server-5 --wait >/dev/null 2>&1
+    wait $job
+    local bad=$(($(violations "$work/leaves.verdict") + $(failures "$work/leaves.verdict")))
+    server_moved 2 || bad=$((bad + 1))
+    line server-leaves 2 "$bad" "failed $(failures "$work/leaves.verdict"), longest $(field longestGapMs "$work/leaves.verdict") ms"
+    end_system
+}
+
+losses() { # NAME: kill or freeze, then bring back; the next answer for every key, at the 99th percentile
+    local how=$1 limit=$2 i n bad=0
+    system 3 6
+    : >"$work/$how.gaps"
+    for i in $(seq 1 "$LOSSES"); do
+        n=$((i % 6 + 1))
+        load "$how" 900 300 & local job=$!
+        sleep 0.5
+        if [ "$how" = crash ]; then kill -KILL "${pid[server-$n]}"; else kill -STOP "${pid[server-$n]}"; fi
+        wait $job
+        field longestGapMs "$work/$how.verdict" >>"$work/$how.gaps"
+        echo >>"$work/$how.gaps"
+        # A claim that was at the server when it was lost has no answer but "unknown": that is the truth.
+        bad=$((bad + $(violations "$work/$how.verdict")))
+        if [ "$how" = crash ]; then start_server $n; else kill -CONT "${pid[server-$n]}"; fi
+        wait_until 10 server_back "$n"
+        sleep 0.3
+    done 2>/dev/null
+    local p99
+    p99=$(percentile_99 <"$work/$how.gaps")
+    [ "${p99:-99999}" -le "$limit" ] || bad=$((bad + 1))
+    line "server-$how" "$LOSSES" "$bad" "next answer p99 $p99 ms (limit $limit), all: $(sort -n "$work/$how.gaps" | paste -sd' ')"
+    end_system
+}
+
+crash() { losses crash 1000; }
+freeze() { losses freeze 2000; }
+
+short_freeze() { # a freeze shorter than detection moves nothing
+    system 3 6
+    local before after
+    sleep 3
+    before=$(owners_given)
+    load short 600 200 & local job=$!
+    sleep 1
+    kill -STOP "${pid[server-3]}"
+    sleep 0.25
+    kill -CONT "${pid[server-3]}"
+    wait $job
+    after=$(owners_given)
+    line short-freeze 1 "$(($(violations "$work/short.verdict") + $(failures "$work/short.verdict")))" "owners given $((after - before)), failed $(failures "$work/short.verdict")"
+    end_system
+}
+
+host_killed() { # one host, then the assigner, are killed: the other hosts' keys stay available
+    system 4 6
+    load host 3000 500 --killed "127.0.0.1:$(host_port 4 1)" & local job=$!
+    sleep 2
+    kill -KILL "${pid[host-4]}"
+    wait $job
+    line host-killed 1 "$(violations "$work/host.verdict")" "errors $(sed 's/.*"errors"://' "$work/host.verdict"), longest $(field longestGapMs "$work/host.verdict") ms"
+    end_system
+}
+
+assigner_killed() { # in the middle of a move
+    local leader n i bad=0 longest=0
+    for i in 1 2; do
+        system 4 6
+        leader=$(assigner)
+        n=${leader#host-}
+        load assigner 3000 500 --killed "127.0.0.1:$(host_port "$n" 1)" & local job=$!
+        sleep 1
+        CTL_HOST=$((n % 4 + 1)) ctl drain server-2 >/dev/null 2>&1
+        sleep 0.0$((RANDOM % 9))
+        kill -KILL "${pid[$leader]}"
+        wait $job
+        bad=$((bad + $(violations "$work/assigner.verdict")))
+        CTL_HOST=$((n % 4 + 1)) wait_until 8 server_moved 2 || bad=$((bad + 1))
+        longest=$(($(field longestGapMs "$work/assigner.verdict") > longest ? $(field longestGapMs "$work/assigner.verdict") : longest))
+        end_system
+    done 2>/dev/null
+    line assigner-killed 2 "$bad" "longest $longest ms"
+}
+
+host_frozen() { # past its lease, and woken with requests queued, while keys move
+    system 3 6
+    load frozen 3000 500 --killed "127.0.0.1:$(host_port 3 1)" & local job=$!
+    sleep 1
+    kill -STOP "${pid[host-3]}"
+    ctl drain server-2 --wait >/dev/null 2>&1
+    sleep 2.5
+    kill -CONT "${pid[host-3]}"
+    wait $job
+    line host-frozen 1 "$(violations "$work/frozen.verdict")" "errors $(sed 's/.*"errors"://' "$work/frozen.verdict")"
+    end_system
+}
+
+store_down() { # 30 s: no request fails for it; a server lost meanwhile gets honest answers
+    local seconds=${STORE_DOWN:-30}
+    system 3 6
+    load down $((seconds * 200)) 200 & local job=$!
+    sleep 1
+    faults '{"down":true}'
+    sleep $((seconds - 3))
+    faults '{}'
+    wait $job
+    line store-down 1 "$(($(violations "$work/down.verdict") + $(failures "$work/down.verdict")))" "failed $(failures "$work/down.verdict") in $seconds s, longest $(field longestGapMs "$work/down.verdict") ms"
+    faults '{"down":true}'
+    load lost 1600 200 & job=$!
+    sleep 1
+    kill -KILL "${pid[server-4]}"
+    wait $job
+    local bad
+    bad=$(violations "$work/lost.verdict")
+    faults '{}'
+    wait_until 15 server_moved 4 || bad=$((bad + 1))
+    line store-down-server-lost 1 "$bad" "errors $(sed 's/.*"errors"://' "$work/lost.verdict")"
+    end_system
+}
+
+store_faults() { # slow by 2 s, then answers lost after the write took effect, with moves under way
+    system 3 6
+    load slow 3000 300 & local job=$!
+    faults '{"delayMs":2000}'
+    ctl drain server-2 >/dev/null 2>&1
+    wait $job
+    local bad
+    bad=$(($(violations "$work/slow.verdict") + $(failures "$work/slow.verdict")))
+    faults '{"loseAnswers":3}'
+    load lose 1500 300 & job=$!
+    ctl drain server-3 >/dev/null 2>&1
+    wait $job
+    faults '{}'
+    wait_until 10 server_moved 3 || bad=$((bad + 1))
+    bad=$((bad + $(violations "$work/lose.verdict") + $(failures "$work/lose.verdict")))
+    line store-slow-and-answers-lost 2 "$bad" "longest $(field longestGapMs "$work/slow.verdict") and $(field longestGapMs "$work/lose.verdict") ms"
+    end_system
+}
+
+operators_race() { # 200 changes by two operators: each is committed or refused, and in force everywhere
+    system 3 6
+    local i who winners=0 losers=0
+    racer() { # WHO HOST
+        local k revision status
+        for k in $(seq 1 100); do
+            revision=$(CTL_HOST=$2 ctl get BackendServer server-1 | sed 's/.*"revision":\([0-9]*\).*/\1/')
+            server_resource 1 dc-2 ",\"coldStartMs\":$k" | CTL_HOST=$2 ctl apply --file=- --expected_revision="$revision" >/dev/null 2>&1
+            status=$?
+            echo $status
+        done >"$work/racer-$1"
+    }
+    racer a 1 & local a=$!
+    racer b 2 & local b=$!
+    wait $a $b
+    winners=$(grep -c '^0$' "$work/racer-a" "$work/racer-b" | awk -F: '{ s += $2 } END { print s }')
+    losers=$(grep -c '^3$' "$work/racer-a" "$work/racer-b" | awk -F: '{ s += $2 } END { print s }')
+    local revision bad=0 began ended
+    began=$(date +%s%N)
+    server_resource 1 dc-2 ',"coldStartMs":7' | ctl apply --file=- --wait >"$work/last" 2>&1 || bad=1
+    ended=$(date +%s%N)
+    [ $((winners + losers)) = 200 ] || bad=$((bad + 1))
+    for i in 1 2 3; do
+        CTL_HOST=$i ctl get BackendServer server-1 | grep -q '"coldStartMs":7' || bad=$((bad + 1))
+    done
+    line operators-race 200 "$bad" "committed $winners, conflicts $losers, in force everywhere after $(((ended - began) / 1000000)) ms"
+    end_system
+}
+
+hosts_replaced() { # all hosts one by one under load: SIGTERM cuts nothing
+    system 3 6
+    load replaced 6000 300 & local job=$!
+    local n bad=0
+    for n in 1 2 3; do
+        sleep 0.5
+        local from=${pid[host-$n]}
+        kill -TERM "$from"
+        sleep 0.2
+        kill -TERM "$from"
+        wait "$from" || bad=$((bad + 1))
+        start_host $n "dc-$((n % 3 + 1))"
+        wait_until 10 host_routes $n || bad=$((bad + 1))
+    done
+    wait $job
+    bad=$((bad + $(violations "$work/replaced.verdict")))
+    line hosts-replaced 3 "$bad" "errors $(sed 's/.*"errors"://' "$work/replaced.verdict")"
+    end_system
+}
+
+budget() { # ten hosts at rest: store calls and beats
+    system 10 6
+    sleep 6
+    local before after bytes_before bytes_after ticks_before ticks_after
+    calls() { curl -s "$(store_url)/standin/calls" | sed 's/[^0-9,]//g' | tr , ' '; }
+    bytes() { local n s=0; for n in $(seq 1 10); do s=$((s + $(curl -s "http://127.0.0.1:$(host_port $n 3)/metrics" | awk '$1 == "peers_bytes_sent" { print $2 }'))); done; echo $s; }
+    ticks() { local n s=0; for n in $(seq 1 10); do s=$((s + $(awk '{ print $14 + $15 }' "/proc/${pid[host-$n]}/stat"))); done; echo $s; }
+    read -r -a before <<<"$(calls)"
+    bytes_before=$(bytes); ticks_before=$(ticks)
+    sleep 10
+    read -r -a after <<<"$(calls)"
+    bytes_after=$(bytes); ticks_after=$(ticks)
+    local reads=$(((after[0] - before[0] + after[2] - before[2]))) writes=$((after[1] - before[1]))
+    local each=$(((bytes_after - bytes_before) / 100)) cpu=$(((ticks_after - ticks_before) ))
+    local bad=0
+    [ $reads -le 400 ] || bad=$((bad + 1))
+    [ $writes -le 100 ] || bad=$((bad + 1))
+    [ $each -le 2000 ] || bad=$((bad + 1))
+    line store-and-beats-at-rest 1 $bad "10 s: reads and watches $reads, writes $writes; beats $each bytes/s a host; processor $((cpu / 10)).$((cpu % 10 )) ms/s a host, probes and all"
+    end_system
+}
+
+all="leaves crash freeze short_freeze host_killed assigner_killed host_frozen store_down store_faults operators_race hosts_replaced budget"
+for promise in ${*:-$all}; do $promise; done
+exit $failed
--- a/packages/control/Control.cpp
+++ b/packages/control/Control.cpp
@@ -174,7 +174,7 @@
         if (leader == m_settings.host.name)
             onPeerLoad(report);
         else if (!leader.empty())
-            co_await m_mesh.sendLoad(leader, std::move(report));
+            co_await m_mesh.sendLoad(leader, report);
     }
 }
 
--- a/packages/control/PeerMesh.cpp
+++ b/packages/control/PeerMesh.cpp
@@ -167,7 +167,7 @@
         co_return false;
     // A link of its own: the beat's connection takes one question at a time.
     PeerLink link(m_executor, found->second.member.address, found->second.member.peerPort, m_bytesSent);
-    co_return co_await link.load(std::move(report), m_settings.timing.lease);
+    co_return co_await link.load(report, m_settings.timing.lease);
 }
 
 HostReports PeerMesh::reports(Instant now) const
--- a/packages/decisions/Placement.cpp
+++ b/packages/decisions/Placement.cpp
@@ -297,9 +297,8 @@
         {
             std::vector<size_t> homeless;
             for (size_t i = 0; i < m_owners.size(); ++i) {
-                if (!settled(i))
-                    homeless.push_back(i);
-                else if (!welcome(i) && m_table.slices[i].state == SliceState::Serving)
+                const bool atHome = settled(i) && (welcome(i) || m_table.slices[i].state != SliceState::Serving);
+                if (!atHome)
                     homeless.push_back(i);
             }
             std::stable_sort(
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -253,7 +253,7 @@
     std::map<std::string, size_t> errors;
     std::vector<int64_t> times;
     std::map<std::string, int64_t> failedSince; // by key: when its requests began to fail
-    int64_t longestGap = 0;
+    int64_t longestGap = 0; // from a request to the next answer for its key
     for (const auto& sent : all) {
         answered += sent.status != 0;
         wrong += sent.wrong;
@@ -264,8 +264,10 @@
         } else {
             ++errors[sent.status ? (sent.error.empty() ? std::to_string(sent.status) : sent.error) : "no-answer"];
         }
-        if (sent.status == 200 && failedSince.count(sent.key)) {
-            longestGap = std::max(longestGap, sent.startMicros + sent.micros - failedSince[sent.key]);
+        if (sent.status == 200) {
+            const auto since = failedSince.find(sent.key);
+            const int64_t from = since == failedSince.end() ? sent.startMicros : since->second;
+            longestGap = std::max(longestGap, sent.startMicros + sent.micros - from);
             failedSince.erase(sent.key);
         } else if (sent.status != 200 && sent.status) {
             failedSince.try_emplace(sent.key, sent.startMicros);
@@ -273,9 +275,9 @@
         if (folder.empty())
             continue;
         const auto found = runs.find(sent.nonce);
-        const size_t times_ = found == runs.end() ? 0 : found->second.size();
-        ranTwice += !sent.idempotent && times_ > 1;
-        misled += (sent.ran == "no" && times_ > 0) || (sent.status == 200 && times_ == 0);
+        const size_t timesRun = found == runs.end() ? 0 : found->second.size();
+        ranTwice += !sent.idempotent && timesRun > 1;
+        misled += (sent.ran == "no" && timesRun > 0) || (sent.status == 200 && timesRun == 0);
     }
     json::object byError;
     for (const auto& [error, count] : errors)
--- a/standins/demo.sh
+++ b/standins/demo.sh
@@ -6,7 +6,7 @@
 
 start_system 3 6 || { cat "$work"/*.log >&2; exit 1; }
 before=$(owners_given)
-"$bin/standin-callers" --hosts "$(host_list 3)" --killed 127.0.0.1:7131 --requests 6000 --rate 600 \
+"$bin/standin-callers" --hosts "$(host_list 3)" --killed "127.0.0.1:$(host_port 3 1)" --requests 6000 --rate 600 \
     --records "$work" >"$work/verdict.json" &
 load=$!
 sleep 2
--- a/standins/lib.sh
+++ b/standins/lib.sh
@@ -1,7 +1,9 @@
 # Starts and stops the processes of a demo or a trial on loopback. Sourced by the scripts beside it.
 #
-# Ports: store 7000; host N: callers 71N1, peers 71N2, operators 71N3; server N: 7200 + N.
+# Ports from BASE (7000): store BASE; host N: callers BASE+10N+101, peers +102, operators +103; server N:
+# BASE+300+N. Two systems with other bases run side by side.
 set -u
+BASE=${BASE:-7000}
 bin=${BIN:-build/bin}
 token=demo-operator-token
 work=$(mktemp -d)
@@ -25,29 +27,33 @@
 }
 trap stop_all EXIT
 
+host_port() { echo $((BASE + 100 + 10 * $1 + $2)); } # N 1: callers, 2: peers, 3: operators
+server_port() { echo $((BASE + 300 + $1)); }
+store_url() { echo "http://127.0.0.1:$BASE"; }
+
 host_settings() { # N DATA-CENTRE
     cat <<SETTINGS
 { "host": { "name": "host-$1", "dataCentre": "$2",
-    "callers": { "address": "127.0.0.1", "port": 71${1}1 },
-    "peers": { "address": "127.0.0.1", "port": 71${1}2 },
-    "operators": { "address": "127.0.0.1", "port": 71${1}3 },
+    "callers": { "address": "127.0.0.1", "port": $(host_port $1 1) },
+    "peers": { "address": "127.0.0.1", "port": $(host_port $1 2) },
+    "operators": { "address": "127.0.0.1", "port": $(host_port $1 3) },
     "operatorToken": "$token",
-    "store": { "address": "127.0.0.1", "port": 7000 },
-    "hostList": { "address": "127.0.0.1", "port": 7000 } } }
+    "store": { "address": "127.0.0.1", "port": $BASE },
+    "hostList": { "address": "127.0.0.1", "port": $BASE } } }
 SETTINGS
 }
 
 host_entry() { # N DATA-CENTRE
-    echo "{\"name\":\"host-$1\",\"dataCentre\":\"$2\",\"address\":\"127.0.0.1\",\"peerPort\":71${1}2,\"callerPort\":71${1}1,\"operatorPort\":71${1}3}"
+    echo "{\"name\":\"host-$1\",\"dataCentre\":\"$2\",\"address\":\"127.0.0.1\",\"peerPort\":$(host_port $1 2),\"callerPort\":$(host_port $1 1),\"operatorPort\":$(host_port $1 3)}"
 }
 
 put_hosts() { # ENTRY...
     local list
     list=$(IFS=,; echo "$*")
-    curl -s -o /dev/null -X PUT -d "{\"hosts\":[$list]}" http://127.0.0.1:7000/hosts
+    curl -s -o /dev/null -X PUT -d "{\"hosts\":[$list]}" $(store_url)/hosts
 }
 
-start_store() { start store "$bin/standin-store" --port 7000; }
+start_store() { start store "$bin/standin-store" --port "$BASE"; }
 
 start_host() { # N DATA-CENTRE
     host_settings "$1" "$2" >"$work/host-$1.json"
@@ -57,11 +63,11 @@
 start_server() { # N [OPTION...]
     local n=$1
     shift
-    start "server-$n" "$bin/standin-backend" --port $((7200 + n)) --name "server-$n" --record "$work/server-$n.record" "$@"
+    start "server-$n" "$bin/standin-backend" --port "$(server_port "$n")" --name "server-$n" --record "$work/server-$n.record" "$@"
 }
 
 server_resource() { # N DATA-CENTRE [EXTRA-FIELDS]
-    echo "{\"kind\":\"BackendServer\",\"name\":\"server-$1\",\"spec\":{\"service\":\"tracing\",\"address\":\"127.0.0.1\",\"port\":$((7200 + $1)),\"dataCentre\":\"$2\",\"slots\":4,\"connections\":120${3:-}}}"
+    echo "{\"kind\":\"BackendServer\",\"name\":\"server-$1\",\"spec\":{\"service\":\"tracing\",\"address\":\"127.0.0.1\",\"port\":$(server_port "$1"),\"dataCentre\":\"$2\",\"slots\":4,\"connections\":120${3:-}}}"
 }
 
 service_resource() { # [LONGEST-WORK-MS]
@@ -75,7 +81,7 @@
 SERVICE
 }
 
-ctl() { "$bin/cumindalectl" --host "127.0.0.1:${CTL_PORT:-7113}" --token "$token" "$@"; }
+ctl() { "$bin/cumindalectl" --host "127.0.0.1:$(host_port "${CTL_HOST:-1}" 3)" --token "$token" "$@"; }
 
 wait_until() { # SECONDS COMMAND...: until it succeeds
     local end=$((SECONDS + $1))
@@ -86,13 +92,13 @@
     done
 }
 
-host_ready() { curl -sf "http://127.0.0.1:71${1}1/cumindale/health" >/dev/null; }
-host_routes() { [ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Case-Key: ready' -H 'X-Nonce: ready' "http://127.0.0.1:71${1}1/tracing/lookup")" = 200 ]; }
+host_ready() { curl -sf "http://127.0.0.1:$(host_port $1 1)/cumindale/health" >/dev/null; }
+host_routes() { [ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Case-Key: ready' -H 'X-Nonce: ready' "http://127.0.0.1:$(host_port $1 1)/tracing/lookup")" = 200 ]; }
 
 start_system() { # HOSTS SERVERS: with three data centres
     local n entries=()
     start_store
-    wait_until 5 curl -sf http://127.0.0.1:7000/hosts || return 1
+    wait_until 5 curl -sf $(store_url)/hosts || return 1
     for n in $(seq 1 "$1"); do entries+=("$(host_entry "$n" "dc-$((n % 3 + 1))")"); done
     put_hosts "${entries[@]}"
     for n in $(seq 1 "$2"); do start_server "$n" ${SERVER_OPTIONS:-}; done
@@ -105,7 +111,7 @@
 
 host_list() { # HOSTS: callers' endpoints, comma-separated
     local n list=()
-    for n in $(seq 1 "$1"); do list+=("127.0.0.1:71${n}1"); done
+    for n in $(seq 1 "$1"); do list+=("127.0.0.1:$(host_port $n 1)"); done
     (IFS=,; echo "${list[*]}")
 }
 
