--- a/bench/prove.sh
+++ b/bench/prove.sh
@@ -15,6 +15,7 @@
     local file sum=0 name
     for file in "$@"; do
         for name in wrong lost ranTwice misled twoOwners; do sum=$((sum + $(field $name "$file"))); done
+        [ "$sum" = 0 ] || cat "$file" >>"$work/violations.txt"
     done
     echo $sum
 }
@@ -271,4 +272,5 @@
 
 all="leaves crash freeze short_freeze host_killed assigner_killed host_frozen store_down store_faults operators_race hosts_replaced budget"
 for promise in ${*:-$all}; do $promise; done
+[ -f "$work/violations.txt" ] && cat "$work/violations.txt" >&2
 exit $failed
--- a/packages/backends/Prober.cpp
+++ b/packages/backends/Prober.cpp
@@ -57,6 +57,7 @@
     if (m_stopped)
         co_return;
     const Sight before = m_watch.sight();
+    const bool tookWork = m_watch.takesWork();
     Millis pause = m_options.probeEvery;
     if (reply.arrived()) {
         m_watch.answered(m_clock.now());
@@ -72,7 +73,7 @@
             m_watch.refused(m_clock.now());
         pause = afterRefusal;
     }
-    if (m_watch.sight() != before)
+    if (m_watch.sight() != before || m_watch.takesWork() != tookWork)
         m_changed();
     co_await sleepFor(pause);
 }
--- a/packages/backends/Prober.h
+++ b/packages/backends/Prober.h
@@ -15,7 +15,7 @@
 
 class Prober : public std::enable_shared_from_this<Prober> {
 public:
-    // `changed` is called after each probe that changed the watch's sight. The watch may outlive nothing: call
+    // `changed` is called after each probe that changed what the watch says. The watch may outlive nothing: call
     // stop() before it goes.
     Prober(boost::asio::any_io_executor, const Clock&, std::string address, uint16_t port, WatchOptions, ServerWatch&,
         std::function<void()> changed);
--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -109,11 +109,11 @@
     startWaiting();
 }
 
-asio::awaitable<ServerPool::Admitted> ServerPool::admit(PriorityClass priority, Instant deadline)
+asio::awaitable<ServerPool::Admitted> ServerPool::admit(PriorityClass priority, Instant arrived, Instant deadline)
 {
     const TicketId ticket = m_nextTicket++;
     const Instant now = m_clock.now();
-    switch (m_admission.ask(ticket, priority, now, deadline)) {
+    switch (m_admission.ask(ticket, priority, arrived, now, deadline)) {
     case Admission::Verdict::Started:
         co_return Admitted::Yes;
     case Admission::Verdict::Refused:
@@ -128,7 +128,15 @@
     if (waiting.admitted)
         co_return Admitted::Yes;
     m_admission.withdraw(ticket);
-    co_return Admitted::TimedOut;
+    co_return waiting.evicted ? Admitted::Evicted : Admitted::TimedOut;
+}
+
+void ServerPool::evictQueue()
+{
+    for (auto& [ticket, waiting] : m_waiting) {
+        waiting->evicted = true;
+        waiting->signal.notifyAll();
+    }
 }
 
 void ServerPool::release(Millis took)
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -62,8 +62,9 @@
     const ServerWatch& watch() const { return m_watch; }
 
     // --- Slots. `admit` waits for one in the queue.
-    enum class Admitted : uint8_t { Yes, Refused, TimedOut };
-    boost::asio::awaitable<Admitted> admit(PriorityClass, Instant deadline);
+    enum class Admitted : uint8_t { Yes, Refused, TimedOut, Evicted };
+    boost::asio::awaitable<Admitted> admit(PriorityClass, Instant arrived, Instant deadline);
+    void evictQueue(); // what waits here looks anew for its owner, and keeps its age
     void release(Millis took); // after each admit() that said Yes
     Millis expectedWait() const { return m_admission.expectedWait(); }
     const Admission& admission() const { return m_admission; }
@@ -77,6 +78,7 @@
     struct Waiting {
         Signal signal;
         bool admitted = false;
+        bool evicted = false;
     };
 
     void startWaiting();
--- a/packages/decisions/Admission.cpp
+++ b/packages/decisions/Admission.cpp
@@ -15,7 +15,8 @@
 {
 }
 
-Admission::Verdict Admission::ask(TicketId ticket, PriorityClass priority, Instant now, Instant deadline)
+Admission::Verdict Admission::ask(
+    TicketId ticket, PriorityClass priority, Instant arrived, Instant now, Instant deadline)
 {
     if (m_inFlight < m_limit && m_queue.empty()) {
         ++m_inFlight;
@@ -24,7 +25,7 @@
     if (m_queue.size() >= m_options.longestQueue || now + expectedWait() >= deadline)
         return Verdict::Refused;
     const Millis penalty = m_options.penalty[static_cast<size_t>(priority)];
-    const Place place { toMillis(now + penalty), ticket };
+    const Place place { toMillis(arrived + penalty), ticket };
     m_queue.emplace(place, ticket);
     m_places.emplace(ticket, place);
     return Verdict::Queued;
--- a/packages/decisions/Admission.h
+++ b/packages/decisions/Admission.h
@@ -36,7 +36,7 @@
 
     // --- Asking for a slot
     enum class Verdict : uint8_t { Started, Queued, Refused };
-    Verdict ask(TicketId, PriorityClass, Instant now, Instant deadline);
+    Verdict ask(TicketId, PriorityClass, Instant arrived, Instant now, Instant deadline); // arrived: its age counts
     bool withdraw(TicketId); // leaves the queue: the caller went away or the deadline passed; false if not in it
 
     // --- Giving a slot back
--- a/packages/decisions/ServerHealth.cpp
+++ b/packages/decisions/ServerHealth.cpp
@@ -31,6 +31,14 @@
         m_sight = Sight::Refused;
 }
 
+bool ServerWatch::takesWork() const
+{
+    // Not after the first missed probe already: what is sent to a server that turns out to be frozen must be
+    // waited for until its deadline before the keys may move.
+    const bool reachable = m_sight == Sight::Reachable || m_sight == Sight::Unknown;
+    return reachable && !m_misses && !m_refusals;
+}
+
 bool isLost(const Roster& roster, const std::vector<Observation>& observations)
 {
     size_t opinions = 0;
--- a/packages/decisions/ServerHealth.h
+++ b/packages/decisions/ServerHealth.h
@@ -38,6 +38,7 @@
     void probeMissed(Instant);
     void refused(Instant);
     Sight sight() const { return m_sight; }
+    bool takesWork() const; // whether this host should send it new work
     Instant lastAnswer() const { return m_lastAnswer; }
 
 private:
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -82,12 +82,6 @@
             prober->stop();
     }
 
-    bool reachable() const
-    {
-        const Sight sight = pool.watch().sight();
-        return sight == Sight::Reachable || sight == Sight::Unknown;
-    }
-
     ServerPool pool;
     std::shared_ptr<Prober> prober;
 };
@@ -180,8 +174,10 @@
                 const auto found = m_servers.find(serverName);
                 if (found == m_servers.end())
                     return;
-                if (!found->second->reachable())
+                if (!found->second->pool.watch().takesWork()) {
                     found->second->pool.dropIdle();
+                    found->second->pool.evictQueue();
+                }
                 if (found->second->pool.watch().sight() == Sight::Refused)
                     m_inFlight.serverGone(serverName);
                 m_changed.notifyAll();
@@ -206,6 +202,13 @@
     // Never a step back, whatever order messages come in.
     if (route && route->table->version >= table->version)
         return;
+    // Queues stand at servers, and the keys that wait in them may have other owners now.
+    if (route) {
+        for (const auto& server : route->servers) {
+            if (server)
+                server->pool.evictQueue();
+        }
+    }
     route = std::make_unique<Route>(std::move(table));
     bindServers(*route);
     reportNow();
@@ -234,7 +237,10 @@
         return { ErrorKind::Moving, nullptr };
     if (slice.state == SliceState::Unowned || !route.servers[slice.owner])
         return { ErrorKind::NoOwner, nullptr };
-    return { ErrorKind::None, route.servers[slice.owner], slice.fence, slice.begin, route.table->lastPointOf(index) };
+    const auto& owner = route.servers[slice.owner];
+    if (!owner->pool.watch().takesWork())
+        return { ErrorKind::ServerUnreachable, owner };
+    return { ErrorKind::None, owner, slice.fence, slice.begin, route.table->lastPointOf(index) };
 }
 
 // --- Requests
@@ -336,21 +342,19 @@
 {
     const std::string& service = job.service->name;
     Located at = locate(service, job.point);
-    // A server that this host can't reach gets nothing new: what is sent to a frozen server would have to be
-    // waited for before its keys may move.
-    if (at.error == ErrorKind::None && !at.server->reachable())
-        at.error = ErrorKind::ServerUnreachable;
     if (at.error != ErrorKind::None) {
         co_await m_changed.wait(job.deadline - m_clock.now());
         co_return at.error;
     }
     const auto server = at.server;
     const int64_t queuedAt = m_clock.monotonicMicros();
-    const auto admitted = co_await server->pool.admit(job.rule.priority, job.deadline);
+    const auto admitted = co_await server->pool.admit(job.rule.priority, job.arrived, job.deadline);
     if (admitted == ServerPool::Admitted::Refused)
         co_return ErrorKind::Overloaded;
     if (admitted == ServerPool::Admitted::TimedOut)
         co_return ErrorKind::DeadlineBeforeSend;
+    if (admitted == ServerPool::Admitted::Evicted)
+        co_return ErrorKind::Moving;
     const int64_t startedAt = m_clock.monotonicMicros();
     if (startedAt - queuedAt > 1000)
         m_spans.add({ { job.trace.traceHigh, job.trace.traceLow, randomId() }, job.trace.span, "queue",
@@ -379,7 +383,10 @@
         job.maybeRan = true;
         co_return result.error;
     }
+    const bool heldBack = !server->pool.watch().takesWork();
     server->pool.watch().answered(m_clock.now());
+    if (heldBack)
+        m_changed.notifyAll();
     server->pool.giveBack(std::move(connection));
     countLoad(job, took);
     if (result.response.result() == http::status::service_unavailable && result.response[ranHeader] == "no")
--- a/standins/backend.cpp
+++ b/standins/backend.cpp
@@ -2,7 +2,8 @@
 // of what ran, for which key, between when and when, which judges the system.
 //
 // A request carries X-Nonce (its identity) and X-Work-Ms. The record has a line when work begins and one when
-// it ends: "B NONCE KEY METHOD FENCE MICROS" and "E NONCE MICROS", on the machine's monotonic clock.
+// it ends: "B NONCE KEY METHOD FENCE MICROS" and "E NONCE MICROS", or "A NONCE MICROS" when it was stopped in the
+// work and gave it up past its deadline; on the machine's monotonic clock.
 //
 //     POST /standin/faults {"shed": 0..1, "delayMs": n, "answer": "whole|cut|late|wrong"}
 #include "base/Time.h"
@@ -73,9 +74,13 @@
         const auto work = std::strtoll(std::string(request["X-Work-Ms"]).c_str(), nullptr, 10);
         if (work || m_delay.count())
             co_await sleepFor(Millis(work) + m_delay);
-        end(nonce);
+        // Stopped in its work past the deadline: it honours that when it wakes, and leaves the work undone.
+        const bool aborted = pastDeadline(request);
+        end(nonce, aborted);
         --m_busy;
         m_freed.notifyAll();
+        if (aborted)
+            co_return makeResponse(504, R"({"aborted":"deadline"})");
         co_return finish(request, nonce, key);
     }
 
@@ -99,8 +104,7 @@
 
     std::string reasonToRefuse(const ServedRequest& request, boost::beast::tcp_stream& stream)
     {
-        const std::string deadline(request["Cumindale-Deadline"]);
-        if (!deadline.empty() && m_clock.unixMillis() >= std::strtoll(deadline.c_str(), nullptr, 10))
+        if (pastDeadline(request))
             return "deadline";
         char byte = 0;
         if (::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
@@ -115,6 +119,12 @@
         return {};
     }
 
+    bool pastDeadline(const ServedRequest& request) const
+    {
+        const std::string deadline(request["Cumindale-Deadline"]);
+        return !deadline.empty() && m_clock.unixMillis() >= std::strtoll(deadline.c_str(), nullptr, 10);
+    }
+
     ServedResponse refuse(const std::string& why)
     {
         auto response = makeResponse(503, "{\"refused\":\"" + why + "\"}");
@@ -141,9 +151,9 @@
             + std::to_string(m_clock.monotonicMicros()) + "\n");
     }
 
-    void end(const std::string& nonce)
+    void end(const std::string& nonce, bool aborted)
     {
-        writeRecord("E " + nonce + " " + std::to_string(m_clock.monotonicMicros()) + "\n");
+        writeRecord((aborted ? "A " : "E ") + nonce + " " + std::to_string(m_clock.monotonicMicros()) + "\n");
     }
 
     void writeRecord(const std::string& line)
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -206,7 +206,7 @@
                 run.server = file.path().stem();
                 words >> run.key >> method >> fence >> run.begin;
                 runs[nonce].push_back(run);
-            } else if (!runs[nonce].empty()) {
+            } else if (what == "E" && !runs[nonce].empty()) {
                 words >> runs[nonce].back().end;
             }
         }
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -16,21 +16,21 @@
 {
     Admission admission({});
     admission.setLimit(1);
-    CHECK(admission.ask(1, PriorityClass::Interactive, now, farAway) == Admission::Verdict::Started);
+    CHECK(admission.ask(1, PriorityClass::Interactive, now, now, farAway) == Admission::Verdict::Started);
     for (TicketId i = 2; i < 12; ++i)
-        CHECK(admission.ask(i, PriorityClass::Interactive, now, farAway) == Admission::Verdict::Queued);
+        CHECK(admission.ask(i, PriorityClass::Interactive, now, now, farAway) == Admission::Verdict::Queued);
     CHECK(admission.expectedWait() >= Millis(50)); // ten ahead of it, 5 ms each
-    CHECK(admission.ask(99, PriorityClass::Interactive, now, now + Millis(20)) == Admission::Verdict::Refused);
+    CHECK(admission.ask(99, PriorityClass::Interactive, now, now, now + Millis(20)) == Admission::Verdict::Refused);
 }
 
 TEST_CASE("lookups pass archive reads, and an old archive read passes new lookups")
 {
     Admission admission({});
     admission.setLimit(1);
-    admission.ask(1, PriorityClass::Interactive, now, farAway);
-    admission.ask(2, PriorityClass::Background, now, farAway);
-    admission.ask(3, PriorityClass::Interactive, now + Millis(10), farAway);
-    admission.ask(4, PriorityClass::Interactive, now + Millis(2500), farAway);
+    admission.ask(1, PriorityClass::Interactive, now, now, farAway);
+    admission.ask(2, PriorityClass::Background, now, now, farAway);
+    admission.ask(3, PriorityClass::Interactive, now + Millis(10), now, farAway);
+    admission.ask(4, PriorityClass::Interactive, now + Millis(2500), now, farAway);
     std::vector<TicketId> order;
     for (int i = 0; i < 3; ++i) {
         admission.finished(Millis(5));
@@ -44,7 +44,7 @@
     Admission admission({});
     admission.setLimit(2);
     for (TicketId i = 1; i <= 4; ++i)
-        admission.ask(i, PriorityClass::Submission, now, farAway);
+        admission.ask(i, PriorityClass::Submission, now, now, farAway);
     CHECK(admission.inFlight() == 2);
     CHECK(admission.withdraw(3));
     CHECK_FALSE(admission.withdraw(3));
