--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -40,6 +40,7 @@
     explicit BackendConnection(boost::asio::any_io_executor);
     boost::asio::awaitable<bool> connect(const ServerResource&, Millis timeout);
     boost::asio::awaitable<ExchangeResult> exchange(BackendRequest&, Millis timeout);
+    void abandon() { m_stream.cancel(); } // ends a running exchange as if the connection were lost
     bool reusable() const { return m_reusable; }
     bool closedByPeer(); // a byte or an end is waiting although nothing was asked
     Instant lastAnswer {};
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http.hpp>
+#include <set>
 
 namespace cumindale {
 
@@ -84,6 +85,7 @@
 
     ServerPool pool;
     std::shared_ptr<Prober> prober;
+    std::set<BackendConnection*> abandonable; // with idempotent requests under way
 };
 
 struct Router::Route {
@@ -178,6 +180,11 @@
                     found->second->pool.dropIdle();
                     found->second->pool.evictQueue();
                 }
+                // Their answers may never come; another owner will give them. Non-idempotent ones wait on.
+                if (found->second->pool.watch().sight() == Sight::Silent) {
+                    for (auto* connection : found->second->abandonable)
+                        connection->abandon();
+                }
                 if (found->second->pool.watch().sight() == Sight::Refused)
                     m_inFlight.serverGone(serverName);
                 m_changed.notifyAll();
@@ -420,7 +427,10 @@
     const ServerResource& server = at.server->pool.server();
     const DispatchId id = m_inFlight.add(job.service->name, server.name, job.point, now + timeout);
     const int64_t sentAt = m_clock.monotonicMicros();
+    if (job.rule.idempotent)
+        at.server->abandonable.insert(&connection);
     ExchangeResult result = co_await connection.exchange(request, timeout);
+    at.server->abandonable.erase(&connection);
     const int64_t took = m_clock.monotonicMicros() - sentAt;
     job.serverMicros += took;
     if (result.ended) {
