--- /dev/null
+++ b/bench/check_bounds.cpp
@@ -0,0 +1,60 @@
+// Checks a run of bench-slopes against bounds.json. Bounds are ratios of two figures of the same run, or counts;
+// never absolute times, so that every machine gives the same verdict.
+//
+//     bench-check-bounds RESULT.json BOUNDS.json      exit status 1 if a bound is broken
+#include <boost/json.hpp>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+namespace {
+
+namespace json = boost::json;
+
+json::value readFile(const char* path)
+{
+    std::ifstream in(path);
+    std::ostringstream text;
+    text << in.rdbuf();
+    json::parse_options options;
+    options.allow_comments = true;
+    return json::parse(text.str(), {}, options);
+}
+
+// Figure of one benchmark: its time, or a counter's value as NAME:COUNTER.
+double figure(const json::array& results, const std::string& name)
+{
+    const auto colon = name.find(':');
+    for (const auto& result : results) {
+        if (result.at("name").as_string() == name.substr(0, colon))
+            return result.at(colon == std::string::npos ? "cpu_time" : name.substr(colon + 1)).to_number<double>();
+    }
+    throw std::runtime_error("no benchmark " + name);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    if (argc != 3) {
+        std::cerr << "bench-check-bounds RESULT.json BOUNDS.json\n";
+        return 2;
+    }
+    const json::value results = readFile(argv[1]);
+    const json::value bounds = readFile(argv[2]);
+    int broken = 0;
+    for (const auto& bound : bounds.at("bounds").as_array()) {
+        const auto& list = results.at("benchmarks").as_array();
+        const std::string name(bound.at("figure").as_string());
+        const auto* over = bound.as_object().if_contains("over");
+        const double value = figure(list, name) / (over ? figure(list, std::string(over->as_string())) : 1);
+        const double most = bound.at("most").to_number<double>();
+        const bool kept = value <= most;
+        broken += !kept;
+        std::cout << (kept ? "kept   " : "BROKEN ") << name << (over ? " / " + std::string(over->as_string()) : "")
+                  << " = " << value << ", at most " << most << (kept ? "" : ", over by " + std::to_string(value - most))
+                  << '\n';
+    }
+    return broken ? 1 : 0;
+}
--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -277,6 +277,11 @@
     }
 }
 
+uint16_t CallerServer::port() const
+{
+    return m_shared->acceptor.local_endpoint().port();
+}
+
 size_t CallerServer::requestsInProgress() const { return m_shared->busySessions; }
 
 size_t CallerServer::connections() const { return m_shared->sessions.size(); }
--- a/packages/callers/CallerServer.h
+++ b/packages/callers/CallerServer.h
@@ -55,6 +55,7 @@
 
     void startDraining(); // health turns; each answer from now on ends its connection
     void stopAccepting(); // and idle connections are closed
+    uint16_t port() const;
     size_t requestsInProgress() const; // from a request's first byte to its answer's last
     size_t connections() const;
 
--- /dev/null
+++ b/tests/callers_test.cpp
@@ -0,0 +1,101 @@
+// Bad input at the callers' side: a clear error each, the process keeps serving, memory stays bounded.
+#include "routing_fixture.h"
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+using namespace cumindale;
+using namespace cumindale::fixture;
+
+namespace {
+
+CallerLimits smallLimits()
+{
+    CallerLimits limits;
+    limits.headerBytes = 2'000;
+    limits.bodyMemory = 1'500'000;
+    limits.headerTimeout = Millis(300);
+    limits.bodyIdleTimeout = Millis(300);
+    limits.idleTimeout = Millis(300);
+    return limits;
+}
+
+// The error and what it says of the run; then the next good request must still be served.
+void expectRefused(RoutingFixture& fixture, const std::string& bytes, int status, const std::string& error)
+{
+    CAPTURE(error);
+    const size_t runs = fixture.runs();
+    const Answer answer = fixture.send(bytes);
+    CHECK(answer.status == status);
+    CHECK(answer.header("Cumindale-Error") == error);
+    CHECK(answer.header("Cumindale-Ran") == "no");
+    CHECK(fixture.runs() == runs);
+    CHECK(fixture.get().status == 200);
+}
+
+}
+
+TEST_CASE("faulty requests get a clear error each, and the next one is served")
+{
+    RoutingFixture fixture(smallLimits(), 1'000'000);
+    expectRefused(fixture, "GET /tracing/x HTTP/1.1\r\nHost: h\r\n\r\n", 400, "missing-key");
+    expectRefused(fixture, "GET /tracing/x HTTP/1.1\r\nHost: h\r\nCase-Key: " + std::string(65, 'k') + "\r\n\r\n", 400,
+        "key-too-long");
+    expectRefused(fixture, "GET /other/x HTTP/1.1\r\nHost: h\r\nCase-Key: k\r\n\r\n", 404, "unknown-service");
+    expectRefused(fixture, RoutingFixture::request("GET", "x", "X: " + std::string(3'000, 'x') + "\r\n"), 431,
+        "headers-too-large");
+    expectRefused(fixture, RoutingFixture::request("POST", "x", "Content-Length: 2000000\r\n"), 413, "body-too-large");
+    expectRefused(fixture, "nonsense\r\n\r\n", 400, "bad-request");
+}
+
+TEST_CASE("requests that two parsers could read differently are refused")
+{
+    RoutingFixture fixture(smallLimits());
+    const std::string twoLengths = "Content-Length: 5\r\nContent-Length: 6\r\n";
+    expectRefused(fixture, RoutingFixture::request("POST", "x", twoLengths) + "hello", 400, "bad-request");
+    const std::string lengthAndChunked = "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n";
+    expectRefused(fixture, RoutingFixture::request("POST", "x", lengthAndChunked) + "0\r\n\r\n", 400, "bad-request");
+    const std::string chunkedAndLength = "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n";
+    expectRefused(fixture, RoutingFixture::request("POST", "x", chunkedAndLength) + "0\r\n\r\n", 400, "bad-request");
+    const std::string twoEncodings = "Transfer-Encoding: gzip, chunked\r\n";
+    expectRefused(fixture, RoutingFixture::request("POST", "x", twoEncodings) + "0\r\n\r\n", 400, "bad-request");
+}
+
+TEST_CASE("trickled headers and bodies end with a clear time-out, silent connections are closed")
+{
+    RoutingFixture fixture(smallLimits());
+    expectRefused(fixture, "GET /tracing/x HTT", 408, "request-timeout");
+    expectRefused(
+        fixture, RoutingFixture::request("POST", "x", "Content-Length: 10\r\n") + "12345", 408, "request-timeout");
+    CHECK(fixture.send("").status == 0); // closed without an answer: nothing was asked
+}
+
+TEST_CASE("an upload without room for it is refused at its start, with when to come back")
+{
+    // A user would see a village upload cut after minutes: many uploads were taken in, and memory ran out in
+    // their middle. The room is set aside when the headers arrive.
+    RoutingFixture fixture(smallLimits(), 1'000'000);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket first(context);
+    first.connect({ boost::asio::ip::make_address("127.0.0.1"), fixture.port() });
+    boost::asio::write(first, boost::asio::buffer(RoutingFixture::request("POST", "x", "Content-Length: 1000000\r\n")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    const Answer second = fixture.send(RoutingFixture::request("POST", "x", "Content-Length: 1000000\r\n"));
+    CHECK(second.status == 503);
+    CHECK(second.header("Cumindale-Error") == "memory-budget");
+    CHECK_FALSE(second.header("Retry-After").empty());
+    first.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    CHECK(fixture.post(std::string(900'000, 'u')).status == 200); // the room came back
+}
+
+TEST_CASE("a caller can't speak in the system's name")
+{
+    RoutingFixture fixture;
+    const Answer answer = fixture.get("Cumindale-Fence: 999\r\nCumindale-Ran: no\r\nCumindale-Deadline: 1\r\n");
+    CHECK(answer.status == 200);
+    CHECK(answer.header("Cumindale-Ran") == "yes");
+    CHECK(fixture.receivedHeader("Cumindale-Fence") == "1");
+    CHECK(fixture.receivedHeader("Cumindale-Deadline") != "1");
+    CHECK(fixture.receivedHeader("Cumindale-Ran").empty());
+}
--- /dev/null
+++ b/tests/truth_test.cpp
@@ -0,0 +1,165 @@
+// Every request told the truth: what ran, ran at most once, and the answer is the caller's own and whole.
+#include "routing_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace cumindale;
+using namespace cumindale::fixture;
+
+namespace {
+
+constexpr auto untilTrusted = std::chrono::milliseconds(1'100); // idle for longer than a claim trusts
+
+int64_t millisSince(std::chrono::steady_clock::time_point start)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start).count();
+}
+
+}
+
+TEST_CASE("a claim whose connection ends without an answer is never sent again, and is told so")
+{
+    // A user would see a claim filed twice and the case frozen: the server ran it and died before its answer,
+    // and the router tried another time.
+    RoutingFixture fixture;
+    fixture.script({ Act::CloseBeforeAnswer });
+    const Answer answer = fixture.post("claim");
+    CHECK(answer.status == 502);
+    CHECK(answer.header("Cumindale-Ran") == "unknown");
+    CHECK(fixture.runs() == 1);
+}
+
+TEST_CASE("a lookup whose connection ends is tried again, and the caller sees one whole answer")
+{
+    for (const Act act : { Act::CloseBeforeAnswer, Act::CloseInAnswer, Act::LongerThanSaid }) {
+        RoutingFixture fixture;
+        fixture.script({ act });
+        const Answer answer = fixture.get();
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "for n");
+        CHECK(fixture.runs() == 2);
+    }
+}
+
+TEST_CASE("half an answer to a claim is none")
+{
+    RoutingFixture fixture;
+    fixture.script({ Act::CloseInAnswer });
+    const Answer answer = fixture.post("claim");
+    CHECK(answer.status == 502);
+    CHECK(answer.header("Cumindale-Ran") == "unknown");
+    CHECK(fixture.runs() == 1);
+}
+
+TEST_CASE("an answer that names another request reaches nobody")
+{
+    // A user would see another worker's pension history: two answers crossed inside a server.
+    RoutingFixture fixture;
+    fixture.script({ Act::WrongRequestId });
+    const Answer answer = fixture.post("claim");
+    CHECK(answer.status == 502);
+    CHECK(answer.header("Cumindale-Error") == "bad-answer");
+    CHECK(answer.header("Cumindale-Ran") == "unknown");
+}
+
+TEST_CASE("a late answer is not taken for that of the next request")
+{
+    RoutingFixture fixture;
+    fixture.script({ Act::Late });
+    const Answer late = fixture.post("claim");
+    CHECK(late.status == 504);
+    CHECK(late.header("Cumindale-Ran") == "unknown");
+    std::this_thread::sleep_for(std::chrono::milliseconds(500)); // the late answer has arrived by now
+    CHECK(fixture.get().body == "for n");
+    CHECK(fixture.serverConnections() >= 2); // a fresh one
+}
+
+TEST_CASE("bytes after an answer make its connection unfit for the next request")
+{
+    RoutingFixture fixture;
+    fixture.script({ Act::ExtraBytes });
+    CHECK(fixture.get().body == "for n");
+    CHECK(fixture.get().body == "for n");
+}
+
+TEST_CASE("a claim that the server refused is tried again; it ran once")
+{
+    RoutingFixture fixture;
+    fixture.script({ Act::Refuse, Act::Refuse });
+    const Answer answer = fixture.post("claim");
+    CHECK(answer.status == 200);
+    CHECK(fixture.runs() == 1);
+}
+
+TEST_CASE("refused by the server until the budget is spent: surely not run, and when to come back")
+{
+    RoutingFixture fixture;
+    fixture.script(std::deque<Act>(100, Act::Refuse));
+    const Answer answer = fixture.post("claim");
+    CHECK(answer.status == 503);
+    CHECK(answer.header("Cumindale-Error") == "server-refused");
+    CHECK(answer.header("Cumindale-Ran") == "no");
+    CHECK_FALSE(answer.header("Retry-After").empty());
+    CHECK(fixture.runs() == 0);
+}
+
+TEST_CASE("a first try that may have run is not denied by a second that surely did not")
+{
+    // A user would be told "not run" of a lookup that ran: the first try lost its connection, the second was
+    // refused, and only the second was reported.
+    RoutingFixture fixture;
+    std::deque<Act> acts(100, Act::Refuse);
+    acts.front() = Act::CloseBeforeAnswer;
+    fixture.script(acts);
+    const Answer answer = fixture.get();
+    CHECK(answer.header("Cumindale-Error") == "server-refused");
+    CHECK(answer.header("Cumindale-Ran") == "unknown");
+}
+
+TEST_CASE("with nothing listening the answer is a sure no, before the deadline is over by much")
+{
+    RoutingFixture fixture;
+    fixture.stopServer();
+    const auto start = std::chrono::steady_clock::now();
+    const Answer answer = fixture.post("claim");
+    CHECK(answer.status == 503);
+    CHECK(answer.header("Cumindale-Ran") == "no");
+    CHECK(millisSince(start) < 600); // deadline 300 ms
+}
+
+TEST_CASE("nothing is dispatched for a stopping slice, nor without a fresh lease")
+{
+    RoutingFixture fixture;
+    fixture.setTable(2, SliceState::Stopping);
+    CHECK(fixture.post("claim").header("Cumindale-Error") == "moving");
+    fixture.setTable(3, SliceState::Serving, false);
+    CHECK(fixture.post("claim").header("Cumindale-Error") == "not-fresh");
+    CHECK(fixture.runs() == 0);
+    fixture.setTable(4, SliceState::Serving);
+    CHECK(fixture.post("claim").status == 200);
+    fixture.setTable(3, SliceState::Stopping); // an older table comes late
+    CHECK(fixture.post("claim").status == 200);
+}
+
+TEST_CASE("a request that waits for its owner is served as soon as there is one")
+{
+    RoutingFixture fixture;
+    fixture.setTable(2, SliceState::Stopping);
+    auto waiting = std::async(std::launch::async, [&] { return fixture.get(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    fixture.setTable(3, SliceState::Serving);
+    CHECK(waiting.get().status == 200);
+}
+
+TEST_CASE("a claim goes over no connection that has been idle for more than a second")
+{
+    // A user would see "unknown" for a claim that went nowhere: something between the two ends had forgotten
+    // the idle connection, and its bytes vanished.
+    RoutingFixture fixture;
+    CHECK(fixture.post("claim").status == 200);
+    CHECK(fixture.post("claim").status == 200);
+    CHECK(fixture.serverConnections() == 1);
+    std::this_thread::sleep_for(untilTrusted);
+    CHECK(fixture.post("claim").status == 200);
+    CHECK(fixture.serverConnections() == 2);
+}
