Time-outs answer 408, draining cuts nothing, fewer beats

Cause: Beast's own time-out closes the socket, so a trickled request got no answer; a draining host closed idle connections at once, and 3 of 6,000 requests on their way to them were cut; each host asked all peers. Ruled out for the cut requests: requests in progress, which were all finished (records of the servers).

--- a/apps/cumindaled/Host.cpp
+++ b/apps/cumindaled/Host.cpp
@@ -25,6 +25,7 @@
     constexpr size_t ringCapacity = 4096;
     constexpr size_t spansKept = 65'536;
     constexpr Millis balancerNotices { 2'000 }; // after health has turned, callers may still come for this long
+    constexpr Millis quietBeforeClose { 1'000 }; // a connection unused for so long is closed
     constexpr Millis drainLook { 50 };
     constexpr int singleThread = 1; // hint for each duty's context
 
@@ -53,7 +54,7 @@
             , m_hostList(m_control.get_executor(), settings.host.hostList.address, settings.host.hostList.port)
             , m_router(m_routing.get_executor(), m_clock, routerOptions(settings), m_metrics, m_spans,
                   [this](RoutingReport report) { m_toControl.push(std::move(report)); })
-            , m_callers(m_routing.get_executor(), settings.host.callers.address, settings.host.callers.port,
+            , m_callers(m_routing.get_executor(), m_clock, settings.host.callers.address, settings.host.callers.port,
                   callerLimits(settings.limits), m_router, m_metrics)
             , m_controlDuty(m_control.get_executor(), m_clock, settings, m_store, m_hostList, m_metrics, m_board,
                   [this](RoutingUpdate update) { return m_toRouting.push(std::move(update)); })
@@ -117,8 +118,11 @@
             asio::co_spawn(m_control, m_controlDuty.leave(), asio::detached);
             co_await sleepFor(balancerNotices);
             m_callers.stopAccepting();
-            while (m_callers.requestsInProgress())
+            // No cap: a slow upload is waited for, however long it takes.
+            while (m_callers.connections()) {
+                m_callers.closeIdle(quietBeforeClose);
                 co_await sleepFor(drainLook);
+            }
             logChange(LogLevel::Info, "host-stopped");
             m_routing.stop();
         }
--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -1,5 +1,7 @@
 #include "callers/CallerServer.h"
 
+#include "web/Signal.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,6 +23,8 @@
 
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
     constexpr std::string_view healthPath = "/cumindale/health";
+    constexpr Instant noDeadline = Instant::max();
+    constexpr Millis overdueLook { 50 };
     constexpr Millis answerTimeout { 60'000 }; // for a caller to take its whole answer
     constexpr uint64_t chunkedReserve = 1'000'000; // set aside for a body of unknown length
 
@@ -32,16 +36,13 @@
             return ErrorKind::HeadersTooLarge;
         if (error == http::error::body_limit)
             return ErrorKind::BodyTooLarge;
-        if (error == beast::error::timeout)
-            return ErrorKind::RequestTimeout;
         return ErrorKind::BadRequest;
     }
 
     // Whether an answer can still be of use: the connection is there and the fault is the request's.
     bool answerable(beast::error_code error)
     {
-        return error == beast::error::timeout
-            || error.category() == make_error_code(http::error::bad_method).category();
+        return error.category() == make_error_code(http::error::bad_method).category();
     }
 
     // Framing that another parser on the way could read otherwise. Beast itself refuses two lengths and a length
@@ -99,10 +100,14 @@
 struct CallerServer::Shared {
     struct Session {
         beast::tcp_stream stream;
+        Instant lastUsed {}; // opened, or its last answer written
+        Instant deadline = noDeadline; // of what it waits for now
+        bool timedOut = false;
         bool busy = false; // a request has begun and its answer is not yet written
     };
 
     tcp::acceptor acceptor;
+    const Clock& clock;
     CallerLimits limits;
     RequestHandler& handler;
     Counter& requests;
@@ -112,27 +117,33 @@
     size_t bodyMemoryUsed = 0;
     size_t busySessions = 0;
     bool draining = false;
-    bool stopped = false;
+
+    void allow(Session& session, Millis time)
+    {
+        session.deadline = clock.now() + time;
+        session.timedOut = false;
+    }
 
     void setBusy(Session& session, bool busy)
     {
         if (session.busy == busy)
             return;
         session.busy = busy;
+        session.lastUsed = clock.now();
         busySessions += busy ? 1 : size_t(-1);
     }
 
     static asio::awaitable<void> acceptCallers(std::shared_ptr<Shared>);
+    static asio::awaitable<void> endOverdue(std::shared_ptr<Shared>);
     static asio::awaitable<void> serveConnection(std::shared_ptr<Shared>, std::list<Session>::iterator);
     static asio::awaitable<bool> serveRequest(Shared&, Session&, beast::flat_buffer&); // false: the connection ends
-    static asio::awaitable<ErrorKind> readBody(
-        Shared&, beast::tcp_stream&, beast::flat_buffer&, Parser&, BodyReservation&);
-    static asio::awaitable<bool> writeAnswer(Shared&, beast::tcp_stream&, CallerResponse&, bool keepAlive);
+    static asio::awaitable<ErrorKind> readBody(Shared&, Session&, beast::flat_buffer&, Parser&, BodyReservation&);
+    static asio::awaitable<bool> writeAnswer(Shared&, Session&, CallerResponse&, bool keepAlive);
 };
 
 // Reads the body in pieces, so that memory and time are checked as it grows.
 asio::awaitable<ErrorKind> CallerServer::Shared::readBody(
-    Shared& shared, beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, BodyReservation& reservation)
+    Shared& shared, Session& session, beast::flat_buffer& buffer, Parser& parser, BodyReservation& reservation)
 {
     const auto length = parser.content_length();
     if (!reservation.reserve(length ? *length : 0, shared.limits.bodyMemory))
@@ -140,10 +151,12 @@
     while (!parser.is_done()) {
         if (!length && !reservation.reserve(parser.get().body().size() + chunkedReserve, shared.limits.bodyMemory))
             co_return ErrorKind::MemoryBudget;
-        stream.expires_after(shared.limits.bodyIdleTimeout);
-        const auto [error, got] = co_await http::async_read_some(stream, buffer, parser, token);
+        shared.allow(session, shared.limits.bodyIdleTimeout);
+        const auto [error, got] = co_await http::async_read_some(session.stream, buffer, parser, token);
         if (error)
-            co_return answerable(error) ? kindOfReadError(error) : ErrorKind::ConnectionLost;
+            co_return session.timedOut ? ErrorKind::RequestTimeout
+                : answerable(error)    ? kindOfReadError(error)
+                                       : ErrorKind::ConnectionLost;
     }
     shared.bodyBytes.add(parser.get().body().size());
     co_return ErrorKind::None;
@@ -151,12 +164,12 @@
 
 // Writes an answer; false if the connection ends with it.
 asio::awaitable<bool> CallerServer::Shared::writeAnswer(
-    Shared& shared, beast::tcp_stream& stream, CallerResponse& response, bool keepAlive)
+    Shared& shared, Session& session, CallerResponse& response, bool keepAlive)
 {
     response.keep_alive(keepAlive && !shared.draining);
     response.prepare_payload();
-    stream.expires_after(answerTimeout);
-    const auto [error, sent] = co_await http::async_write(stream, response, token);
+    shared.allow(session, answerTimeout);
+    const auto [error, sent] = co_await http::async_write(session.stream, response, token);
     co_return !error && response.keep_alive();
 }
 
@@ -166,24 +179,25 @@
     Parser parser;
     parser.header_limit(static_cast<uint32_t>(shared.limits.headerBytes));
     if (!buffer.size()) {
-        stream.expires_after(shared.limits.idleTimeout);
+        shared.allow(session, shared.limits.idleTimeout);
         const auto [waitError, got] = co_await stream.async_read_some(buffer.prepare(4096), token);
         if (waitError)
             co_return false;
         buffer.commit(got);
     }
     shared.setBusy(session, true);
-    stream.expires_after(shared.limits.headerTimeout);
+    shared.allow(session, shared.limits.headerTimeout);
     const auto [headerError, headerBytes] = co_await http::async_read_header(stream, buffer, parser, token);
     if (headerError) {
-        if (!answerable(headerError))
+        if (!answerable(headerError) && !session.timedOut)
             co_return false;
-        auto response = shared.handler.refusal(kindOfReadError(headerError));
-        co_return co_await writeAnswer(shared, stream, response, false);
+        const ErrorKind kind = session.timedOut ? ErrorKind::RequestTimeout : kindOfReadError(headerError);
+        auto response = shared.handler.refusal(kind);
+        co_return co_await writeAnswer(shared, session, response, false);
     }
     if (parser.get().target() == healthPath) {
         auto response = healthAnswer(shared.handler.ready() && !shared.draining);
-        co_return co_await writeAnswer(shared, stream, response, parser.keep_alive() && parser.is_done());
+        co_return co_await writeAnswer(shared, session, response, parser.keep_alive() && parser.is_done());
     }
     BodyRule rule = shared.handler.bodyRule(parser.get().base());
     if (rule.error == ErrorKind::None && ambiguousFraming(parser.get().base()))
@@ -192,7 +206,7 @@
         rule.error = ErrorKind::BodyTooLarge;
     if (rule.error != ErrorKind::None) {
         auto response = shared.handler.refusal(rule.error);
-        co_return co_await writeAnswer(shared, stream, response, parser.keep_alive() && parser.is_done());
+        co_return co_await writeAnswer(shared, session, response, parser.keep_alive() && parser.is_done());
     }
     parser.body_limit(rule.largestBody);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -202,19 +216,19 @@
             co_return false;
     }
     BodyReservation reservation(shared.bodyMemoryUsed);
-    const ErrorKind bodyError = co_await readBody(shared, stream, buffer, parser, reservation);
+    const ErrorKind bodyError = co_await readBody(shared, session, buffer, parser, reservation);
     if (bodyError == ErrorKind::ConnectionLost)
         co_return false;
     if (bodyError != ErrorKind::None) {
         auto response = shared.handler.refusal(bodyError);
-        co_return co_await writeAnswer(shared, stream, response, false);
+        co_return co_await writeAnswer(shared, session, response, false);
     }
     const bool keepAlive = parser.keep_alive();
     CallerRequest request = parser.release();
     shared.requests.add();
-    stream.expires_never();
+    session.deadline = noDeadline;
     auto response = co_await shared.handler.handle(request);
-    co_return co_await writeAnswer(shared, stream, response, keepAlive);
+    co_return co_await writeAnswer(shared, session, response, keepAlive);
 }
 
 asio::awaitable<void> CallerServer::Shared::serveConnection(
@@ -229,6 +243,23 @@
     shared->sessions.erase(session);
 }
 
+// One look over all sessions instead of a timer for each: a cancelled read leaves the connection open, so that
+// its caller still gets a 408.
+asio::awaitable<void> CallerServer::Shared::endOverdue(std::shared_ptr<Shared> shared)
+{
+    while (shared->acceptor.is_open() || !shared->sessions.empty()) {
+        co_await sleepFor(overdueLook);
+        const Instant now = shared->clock.now();
+        for (auto& session : shared->sessions) {
+            if (now < session.deadline)
+                continue;
+            session.timedOut = true;
+            session.deadline = noDeadline;
+            session.stream.cancel();
+        }
+    }
+}
+
 asio::awaitable<void> CallerServer::Shared::acceptCallers(std::shared_ptr<Shared> shared)
 {
     for (;;) {
@@ -244,18 +275,19 @@
             continue; // closes it: the balancer tries another host
         }
         const auto executor = shared->acceptor.get_executor();
-        shared->sessions.push_back({ beast::tcp_stream(std::move(socket)) });
+        shared->sessions.push_back({ beast::tcp_stream(std::move(socket)), shared->clock.now() });
         asio::co_spawn(executor, serveConnection(shared, std::prev(shared->sessions.end())), asio::detached);
     }
 }
 
-CallerServer::CallerServer(asio::any_io_executor executor, std::string address, uint16_t port, CallerLimits limits,
-    RequestHandler& handler, Metrics& metrics)
-    : m_shared(new Shared { tcp::acceptor(executor, { asio::ip::make_address(address), port }), limits, handler,
+CallerServer::CallerServer(asio::any_io_executor executor, const Clock& clock, std::string address, uint16_t port,
+    CallerLimits limits, RequestHandler& handler, Metrics& metrics)
+    : m_shared(new Shared { tcp::acceptor(executor, { asio::ip::make_address(address), port }), clock, limits, handler,
         metrics.counter("callers_requests"), metrics.counter("callers_refused_connections"),
         metrics.counter("callers_body_bytes") })
 {
     asio::co_spawn(executor, Shared::acceptCallers(m_shared), asio::detached);
+    asio::co_spawn(executor, Shared::endOverdue(m_shared), asio::detached);
 }
 
 CallerServer::~CallerServer()
@@ -270,17 +302,20 @@
 {
     beast::error_code ignored;
     m_shared->acceptor.close(ignored);
-    m_shared->stopped = true;
+}
+
+void CallerServer::closeIdle(Millis unusedFor)
+{
+    // A request on its way to a connection that is being closed would be cut, and its caller could not say
+    // whether it ran. So only what the balancer has left alone for a while is closed.
+    const Instant now = m_shared->clock.now();
     for (auto& session : m_shared->sessions) {
-        if (!session.busy)
+        if (!session.busy && now - session.lastUsed >= unusedFor)
             session.stream.cancel();
     }
 }
 
-uint16_t CallerServer::port() const
-{
-    return m_shared->acceptor.local_endpoint().port();
-}
+uint16_t CallerServer::port() const { return m_shared->acceptor.local_endpoint().port(); }
 
 size_t CallerServer::requestsInProgress() const { return m_shared->busySessions; }
 
--- a/packages/callers/CallerServer.h
+++ b/packages/callers/CallerServer.h
@@ -49,12 +49,13 @@
 
 class CallerServer {
 public:
-    CallerServer(
-        boost::asio::any_io_executor, std::string address, uint16_t port, CallerLimits, RequestHandler&, Metrics&);
+    CallerServer(boost::asio::any_io_executor, const Clock&, std::string address, uint16_t port, CallerLimits,
+        RequestHandler&, Metrics&);
     ~CallerServer();
 
     void startDraining(); // health turns; each answer from now on ends its connection
-    void stopAccepting(); // and idle connections are closed
+    void stopAccepting(); // no new connections
+    void closeIdle(Millis unusedFor); // connections without a request since so long
     uint16_t port() const;
     size_t requestsInProgress() const; // from a request's first byte to its answer's last
     size_t connections() const;
--- a/packages/control/Control.cpp
+++ b/packages/control/Control.cpp
@@ -119,6 +119,7 @@
     if (change.any()) {
         m_mesh.refreshOwnState();
         publishFreshness();
+        showStatus(); // an operator who writes and then reads sees the write
     }
 }
 
@@ -183,14 +184,32 @@
     m_loads.report(report.sender, report.serviceName, hostLoadOf(report), m_clock.now());
 }
 
+// Asks no more peers than a majority needs, one to spare: the assigner first, which must hear from every host,
+// then those that follow this host in the roster. Each that does not answer is made up for by another.
 void Control::choosePeers()
 {
+    const auto& roster = *m_view.roster();
     std::map<std::string, Member> wanted;
-    for (const auto& [name, member] : m_assigner.candidates())
-        wanted[name] = member;
-    for (const auto& member : m_view.roster()->members) {
-        if (member.state == MemberState::Member)
-            wanted[member.name] = member;
+    for (const auto& [name, member] : m_assigner.candidates()) {
+        if (!roster.counts(name))
+            wanted[name] = member;
+    }
+    const Member* assigner = roster.find(m_view.leader().host);
+    if (assigner)
+        wanted[assigner->name] = *assigner;
+
+    const Instant recently = m_clock.now() - m_settings.timing.beat * 3 / 2;
+    const size_t count = roster.members.size();
+    const auto self = std::find_if(roster.members.begin(), roster.members.end(),
+        [this](const Member& member) { return member.name == m_settings.host.name; });
+    const size_t start = static_cast<size_t>(self - roster.members.begin());
+    size_t answering = 0;
+    for (size_t step = 1; step <= count && answering < roster.majority(); ++step) {
+        const Member& member = roster.members[(start + step) % count];
+        if (member.state != MemberState::Member || member.name == m_settings.host.name)
+            continue;
+        wanted[member.name] = member;
+        answering += m_mesh.answeredSince(member.name, recently);
     }
     wanted.erase(m_settings.host.name);
     m_mesh.setPeers(wanted);
--- a/packages/control/PeerMesh.cpp
+++ b/packages/control/PeerMesh.cpp
@@ -11,6 +11,12 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+    constexpr uint64_t firstSequences = 1 << 26;
+
+}
+
 PeerMesh::PeerMesh(asio::any_io_executor executor, const Clock& clock, const Settings& settings, ClusterView& view,
     Freshness& freshness, Metrics& metrics, MeshEvents& events)
     : m_executor(executor)
@@ -22,8 +28,9 @@
     , m_beats(metrics.counter("peers_beats"))
     , m_missedBeats(metrics.counter("peers_beats_missed"))
     , m_events(events)
-    // Not from 0: a peer must not take this incarnation's first states for ones it already holds.
-    , m_sequence(clock.unixMillis() << 10)
+    // Not from 0: a peer must not take this incarnation's first states for ones it already holds. Short, since it
+    // travels with every beat.
+    , m_sequence(1 + static_cast<int64_t>(randomId() % firstSequences))
     , m_startedAt(clock.now())
     , m_urgent(executor)
 {
@@ -116,6 +123,7 @@
         Peer& peer = m_peers[name];
         if (answer) {
             m_beats.add();
+            peer.answeredAt = m_clock.now();
             takeState(peer, *answer);
             // Without a state the answer speaks of the one that this host holds; of another one it says nothing.
             if (answer->sequence == peer.sequence) {
@@ -186,6 +194,12 @@
     return all;
 }
 
+bool PeerMesh::answeredSince(std::string_view name, Instant since) const
+{
+    const auto found = m_peers.find(name);
+    return found != m_peers.end() && found->second.answeredAt >= since;
+}
+
 bool PeerMesh::heardSince(std::string_view name, Instant since) const
 {
     const auto found = m_peers.find(name);
--- a/packages/control/PeerMesh.h
+++ b/packages/control/PeerMesh.h
@@ -41,6 +41,7 @@
     // --- For the assigner
     HostReports reports(Instant now) const; // all hosts ever heard, this one included; ages brought up to now
     bool heardSince(std::string_view peer, Instant) const; // answered or asked since
+    bool answeredSince(std::string_view peer, Instant) const; // answered this host since
 
     // --- From peers
     wire::Beat onBeat(const wire::Beat&) override;
@@ -58,6 +59,7 @@
         PeerState state;
         Instant stateAt {};
         Instant heardAt {};
+        Instant answeredAt {}; // a question of this host
         bool heard = false;
     };
 
--- a/packages/decisions/Placement.cpp
+++ b/packages/decisions/Placement.cpp
@@ -284,14 +284,22 @@
 
         void moveTo(size_t slice, ServerIndex to)
         {
-            if (m_owners[slice] != noServer)
-                m_fill.add(m_owners[slice], -m_weight[slice]);
-            if (to != noServer)
-                m_fill.add(to, m_weight[slice]);
+            addTo(m_owners[slice], -m_weight[slice]);
+            addTo(to, m_weight[slice]);
             m_owners[slice] = to;
             m_moves.push_back({ slice, to });
         }
 
+        void addTo(ServerIndex server, double weight)
+        {
+            if (server == noServer)
+                return;
+            const bool open = m_fill.capacity(server) > 0 && m_open.erase({ m_fill.of(server), server });
+            m_fill.add(server, weight);
+            if (open)
+                m_open.insert({ m_fill.of(server), server });
+        }
+
         // Heaviest first, so that the light ones level what the heavy ones left uneven.
         void placeHomeless()
         {
@@ -323,14 +331,14 @@
             const double total = std::accumulate(m_weight.begin(), m_weight.end(), 0.0);
             const double mean = total / m_fill.totalCapacity();
             double budget = m_options.churnBudget * total;
-            std::set<ServerIndex> stuck;
-            while (budget > 0) {
-                const ServerIndex from = fullest(mean, stuck);
-                if (from == noServer)
+            m_open = m_fill.order();
+            while (budget > 0 && !m_open.empty()) {
+                const auto [level, from] = *m_open.rbegin();
+                if (level <= mean * (1 + m_options.tolerance))
                     return;
                 const Relief relief = reliefFor(from, mean, budget, slicesOf[from]);
                 if (relief.slice == SIZE_MAX) {
-                    stuck.insert(from);
+                    m_open.erase({ level, from });
                     continue;
                 }
                 auto& left = slicesOf[from];
@@ -340,17 +348,6 @@
             }
         }
 
-        ServerIndex fullest(double mean, const std::set<ServerIndex>& stuck) const
-        {
-            for (auto it = m_fill.order().rbegin(); it != m_fill.order().rend(); ++it) {
-                if (it->first <= mean * (1 + m_options.tolerance))
-                    return noServer;
-                if (!stuck.count(it->second))
-                    return it->second;
-            }
-            return noServer;
-        }
-
         Relief reliefFor(ServerIndex from, double mean, double budget, const std::vector<size_t>& slices) const
         {
             Relief best;
@@ -383,6 +380,7 @@
         std::vector<double> m_weight;
         std::vector<ServerIndex> m_owners;
         Fill m_fill;
+        std::set<std::pair<double, ServerIndex>> m_open; // servers that may still give something away, emptiest first
         std::vector<Move> m_moves;
     };
 
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -29,7 +29,7 @@
 };
 
 struct TimingSettings {
-    Millis beat { 200 }; // between two beats to a peer
+    Millis beat { 250 }; // between two beats to a peer
     Millis lease { 600 }; // routing lease
     Millis driftMargin { 100 };
     Millis leaderLease { 2000 }; // of the assigner's election in the store
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -43,6 +43,7 @@
 namespace json = boost::json;
 
 constexpr Millis avoidFailedHost { 500 };
+constexpr Millis healthEvery { 200 };
 
 struct Sent {
     std::string host;
@@ -85,8 +86,23 @@
         }
     }
 
+    // As a platform's balancer does: asks each host for its health, and leaves out those that say no.
+    asio::awaitable<void> followHealth(HostEnd& host)
+    {
+        HttpCall call;
+        call.target = "/cumindale/health";
+        while (!m_done) {
+            const HttpReply reply = co_await host.client->send(call, Millis(1000));
+            if (reply.status != 200)
+                host.avoidUntil = m_clock.now() + avoidFailedHost;
+            co_await sleepFor(healthEvery);
+        }
+    }
+
     asio::awaitable<void> run()
     {
+        for (auto& host : m_hosts)
+            asio::co_spawn(m_executor, followHealth(host), asio::detached);
         const unsigned requests = absl::GetFlag(FLAGS_requests);
         const double rate = absl::GetFlag(FLAGS_rate);
         m_sent.resize(requests);
@@ -100,6 +116,7 @@
         }
         while (m_open)
             co_await sleepFor(Millis(10));
+        m_done = true;
     }
 
     const std::vector<Sent>& sent() const { return m_sent; }
@@ -185,6 +202,7 @@
     size_t m_nextHost = 0;
     std::vector<Sent> m_sent;
     size_t m_open = 0;
+    bool m_done = false;
 };
 
 std::map<std::string, std::vector<Run>> readRecords(const std::string& folder)
