Moves for evenness wait until every host answers, and are fewer

Ruled out: the roster and the routing lease (other keys were served all the time). Change: no such move unless every host was heard within two beats; load averaged over twenty reports instead of three; a look every 5 s instead of 2 s, for 2% of the load instead of 5%.

--- a/packages/control/AssignerDriver.cpp
+++ b/packages/control/AssignerDriver.cpp
@@ -236,6 +236,11 @@
         if (placement.service == service.name)
             view.placement.wishes.push_back(resolve(placement));
     }
+    // A move for evenness alone must not leave keys waiting for a host that has just died.
+    for (const auto& member : m_view.roster()->members)
+        view.calm = view.calm
+            && (member.name == m_settings.host.name
+                || m_mesh.heardSince(member.name, now - m_settings.timing.beat * 2));
     if (table.version) {
         view.placement.sliceLoad = m_loads.sliceLoad(table, now);
         view.placement.hotKeys = m_loads.hotKeys(table);
--- a/packages/control/LoadBook.cpp
+++ b/packages/control/LoadBook.cpp
@@ -9,7 +9,7 @@
 
     constexpr Millis reportLives { 5'000 }; // a host silent for longer is left out
     constexpr Millis averageEvery { 1'000 };
-    constexpr double newestWeight = 0.3;
+    constexpr double newestWeight = 0.1; // about the last twenty averages
     constexpr double hotShare = 0.002; // of the service's load: heavier keys get a slice of their own
 
 }
@@ -35,12 +35,16 @@
                 sum[slice] += load;
         }
     }
+    // The first ones weigh alike, so that a young average is not ruled by its first report.
+    if (due && any)
+        ++book.averages;
+    const double weight = std::max(newestWeight, 1.0 / static_cast<double>(std::max<uint64_t>(1, book.averages)));
     std::map<uint64_t, double> average;
     for (size_t i = 0; i < sum.size(); ++i) {
         const auto before = book.average.find(table.slices[i].begin);
         const double old = before == book.average.end() ? 0 : before->second;
         const bool known = before != book.average.end();
-        average[table.slices[i].begin] = !any || !due ? old : known ? old + newestWeight * (sum[i] - old) : sum[i];
+        average[table.slices[i].begin] = !any || !due ? old : known ? old + weight * (sum[i] - old) : sum[i];
     }
     if (due && any)
         book.averagedAt = now;
--- a/packages/control/LoadBook.h
+++ b/packages/control/LoadBook.h
@@ -30,7 +30,7 @@
     struct Book {
         std::map<std::string, std::pair<HostLoad, Instant>> hosts;
         std::map<uint64_t, double> average; // by slice begin
-        uint64_t averageVersion = 0;
+        uint64_t averages = 0; // how many reports the average holds
         Instant averagedAt {};
     };
 
--- a/packages/decisions/Assigner.cpp
+++ b/packages/decisions/Assigner.cpp
@@ -23,7 +23,7 @@
 
     observeGates(current, view, roster, reports, now);
     bool changed = splitForPlan(draft, view.placement, m_options.placement) > 0;
-    const bool even = !m_lastEven || now >= *m_lastEven + m_options.evenEvery;
+    const bool even = view.calm && (!m_lastEven || now >= *m_lastEven + m_options.evenEvery);
     if (even)
         m_lastEven = now;
     if (applyMoves(draft, view, even))
--- a/packages/decisions/Assigner.h
+++ b/packages/decisions/Assigner.h
@@ -18,13 +18,14 @@
 struct AssignerOptions {
     GateOptions gate;
     PlacementOptions placement;
-    Millis evenEvery { 2000 }; // between two looks at evenness; losses and drains are acted on at once
+    Millis evenEvery { 5000 }; // between two looks at evenness; losses and drains are acted on at once
 };
 
 // What it decides from.
 struct ServiceView {
     const ServiceResource* service = nullptr;
     PlacementInput placement;
+    bool calm = true; // every host answers: a move started now won't have to wait one out
 };
 
 class ServiceAssigner {
--- a/packages/decisions/Placement.h
+++ b/packages/decisions/Placement.h
@@ -46,7 +46,7 @@
 struct PlacementOptions {
     unsigned slicesPerServer = 16; // at the start, and the least kept by merging
     double tolerance = 0.10; // servers within mean * (1 + tolerance) are left alone
-    double churnBudget = 0.05; // most share of all load that one plan moves to make it even
+    double churnBudget = 0.02; // most share of all load that one plan moves to make it even
     size_t mostSlices = 40'000; // no splits beyond
 };
 
