--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,18 @@
 
 lint:
 	./.ci/lint
+
+.PHONY: prove prove-quick bench slopes
+
+prove: build
+	LOSSES=50 ./bench/prove.sh
+
+prove-quick: build
+	LOSSES=3 ./bench/prove.sh leaves crash freeze short_freeze
+
+bench: build
+	RESULT=$(BUILD)/slopes.json ./bench/bounds.sh
+	./bench/http.sh
+
+slopes: build
+	./bench/slopes.sh
--- a/packages/control/ClusterView.cpp
+++ b/packages/control/ClusterView.cpp
@@ -88,6 +88,21 @@
     return change;
 }
 
+bool ClusterView::coveredBy(const RangeReply& reply) const
+{
+    std::map<std::string_view, const KeyValue*> inReply;
+    for (const auto& value : reply.values)
+        inReply.emplace(value.key, &value);
+    return std::all_of(m_documents.begin(), m_documents.end(), [&](const auto& entry) {
+        const Document& document = entry.second;
+        const auto found = inReply.find(entry.first);
+        if (document.erased)
+            return true;
+        return found != inReply.end()
+            && (found->second->modRevision >= document.modRevision || found->second->value == document.text);
+    });
+}
+
 void ClusterView::applyValue(const KeyValue& value, ViewChange& change)
 {
     if (value.key == leaderKey()) {
--- a/packages/control/ClusterView.h
+++ b/packages/control/ClusterView.h
@@ -52,6 +52,7 @@
     ViewChange applyPeerResources(std::string_view text); // as resourcesForPeers() gives it
 
     // --- Reading
+    bool coveredBy(const RangeReply&) const; // every resource held is in it, as it is here or written later
     int64_t revision() const { return m_revision; } // highest that the store ever showed
     const std::shared_ptr<const Resources>& resources() const { return m_resources; }
     const std::shared_ptr<const Roster>& roster() const { return m_roster; }
--- a/packages/control/Control.cpp
+++ b/packages/control/Control.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr Millis housekeepingEvery { 100 };
+constexpr Millis worthTelling { 80 }; // a routing lease longer by less is not passed on
     constexpr Millis staleReadEvery { 500 };
 
     HostLoad hostLoadOf(const wire::LoadReport& report)
@@ -135,14 +136,24 @@
 {
     const Instant now = m_clock.now();
     RoutingUpdate update;
-    for (const auto& [service, table] : m_view.tables())
-        update.freshness.push_back({ service, table->version, m_freshness.freshUntil(service, now) });
-    push(std::move(update));
+    for (const auto& [service, table] : m_view.tables()) {
+        const FreshUntil fresh { service, table->version, m_freshness.freshUntil(service, now) };
+        FreshUntil& told = m_toldFresh[service];
+        // Every answer moves the lease by a little; waking the routing thread for each would cost more than all
+        // the beats.
+        if (fresh.tableVersion == told.tableVersion && fresh.until < told.until + worthTelling)
+            continue;
+        told = fresh;
+        update.freshness.push_back(fresh);
+    }
+    if (!update.freshness.empty())
+        push(std::move(update));
 }
 
 void Control::publishAll()
 {
     m_pushFailed = false;
+    m_toldFresh.clear();
     RoutingUpdate update;
     update.resources = m_view.resources();
     update.roster = m_view.roster();
--- a/packages/control/Control.h
+++ b/packages/control/Control.h
@@ -52,6 +52,7 @@
     Election m_election;
     LoadBook m_loads;
     AssignerDriver m_assigner;
+    std::map<std::string, FreshUntil> m_toldFresh; // newest that the routing duty was told, by service
     bool m_pushFailed = false; // the ring was full: everything is sent again
 };
 
--- a/packages/control/StoreFollower.cpp
+++ b/packages/control/StoreFollower.cpp
@@ -51,8 +51,9 @@
         co_return false;
     }
     // Asked after it had shown a higher revision: it was set back, and what it says now would undo accepted
-    // configuration. It is refused until it has caught up.
-    const bool wentBack = reply.revision < seen;
+    // configuration. It is refused until it has caught up, and then still until everything that was accepted is
+    // there again: a resource that the set-back lost must not be taken for one that an operator deleted.
+    const bool wentBack = reply.revision < seen || (m_wentBack && !m_view.coveredBy(reply));
     if (wentBack != m_wentBack)
         logChange(wentBack ? LogLevel::Error : LogLevel::Info, wentBack ? "store-went-back" : "store-caught-up",
             { { "seen", seen }, { "answered", reply.revision } });
--- /dev/null
+++ b/tests/fake_store.h
@@ -0,0 +1,102 @@
+// The store as a map in memory, for one thread. Faults are scripted call by call.
+#pragma once
+
+#include "platform/Store.h"
+
+#include <deque>
+#include <map>
+
+namespace cumindale::fixture {
+
+class FakeStore final : public Store {
+public:
+    enum class Fault { None, Down, AnswerLost }; // AnswerLost: the write took effect
+
+    std::deque<Fault> txnFaults; // for the next transactions; then None
+    std::deque<Fault> rangeFaults;
+    std::function<void()> beforeTxn; // somebody else acts between reading and writing
+    std::map<std::string, KeyValue> values;
+    int64_t revision = 1;
+    size_t writes = 0;
+
+    void put(const std::string& key, const std::string& value)
+    {
+        KeyValue& entry = values[key];
+        entry.key = key;
+        entry.value = value;
+        entry.modRevision = ++revision;
+    }
+
+    boost::asio::awaitable<RangeReply> range(std::string key, bool prefix, Millis) override
+    {
+        if (take(rangeFaults) != Fault::None)
+            co_return RangeReply {};
+        RangeReply reply;
+        reply.status = StoreStatus::Ok;
+        reply.revision = revision;
+        for (const auto& [name, value] : values) {
+            if (prefix ? name.starts_with(key) : name == key)
+                reply.values.push_back(value);
+        }
+        co_return reply;
+    }
+
+    boost::asio::awaitable<TxnReply> txn(
+        std::vector<Compare> conditions, std::vector<WriteOperation> operations, Millis) override
+    {
+        if (beforeTxn)
+            std::exchange(beforeTxn, nullptr)();
+        const Fault fault = take(txnFaults);
+        TxnReply reply;
+        if (fault == Fault::Down)
+            co_return reply;
+        reply.status = StoreStatus::Ok;
+        reply.succeeded = true;
+        for (const auto& condition : conditions) {
+            const auto found = values.find(condition.key);
+            reply.succeeded
+                = reply.succeeded && condition.modRevision == (found == values.end() ? 0 : found->second.modRevision);
+        }
+        if (reply.succeeded)
+            apply(operations);
+        reply.revision = revision;
+        if (fault == Fault::AnswerLost)
+            reply = TxnReply {};
+        co_return reply;
+    }
+
+    boost::asio::awaitable<LeaseReply> grantLease(Millis ttl, Millis) override
+    {
+        co_return LeaseReply { StoreStatus::Ok, 7, ttl };
+    }
+    boost::asio::awaitable<LeaseReply> keepLease(int64_t id, Millis) override
+    {
+        co_return LeaseReply { StoreStatus::Ok, id, Millis(2000) };
+    }
+    boost::asio::awaitable<void> revokeLease(int64_t, Millis) override { co_return; }
+    boost::asio::awaitable<void> watch(std::string, int64_t, Millis, WatchHandler) override { co_return; }
+
+private:
+    static Fault take(std::deque<Fault>& script)
+    {
+        if (script.empty())
+            return Fault::None;
+        const Fault fault = script.front();
+        script.pop_front();
+        return fault;
+    }
+
+    void apply(const std::vector<WriteOperation>& operations)
+    {
+        ++revision;
+        ++writes;
+        for (const auto& operation : operations) {
+            if (operation.erase)
+                values.erase(operation.key);
+            else
+                values[operation.key] = { operation.key, operation.value, revision, revision, operation.lease };
+        }
+    }
+};
+
+}
