--- a/packages/control/Control.cpp
+++ b/packages/control/Control.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     constexpr Millis housekeepingEvery { 100 };
-constexpr Millis worthTelling { 80 }; // a routing lease longer by less is not passed on
+    constexpr Millis worthTelling { 80 }; // a routing lease longer by less is not passed on
     constexpr Millis staleReadEvery { 500 };
 
     HostLoad hostLoadOf(const wire::LoadReport& report)
