Requests for a server that one host can't reach go through another; short queues; callers that go away

Cause: a host cut off from a server kept that server's requests until their deadline; a queue took in all that its length allowed, whatever the wait; work for callers that had gone held slots. Change: control names the hosts that reach a server, routing sends its requests there, once; a class has a longest wait, counted over those that go before it; a closed caller cancels its lookup. Retries pause by 4 to 8 ms.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,8 @@
 
 slopes: build
 	./bench/slopes.sh
+
+.PHONY: report
+
+report: build
+	$(BUILD)/bin/bench-placement --svg report
--- a/bench/prove.sh
+++ b/bench/prove.sh
@@ -228,6 +228,46 @@
     end_system
 }
 
+host_cut_from_server() { # one host can't reach a server: nothing moves, and its requests go through another
+    system 3 6
+    sleep 6
+    local before bad
+    before=$(owners_given)
+    load cut 2400 400 & local job=$!
+    sleep 1
+    curl -s -o /dev/null -X POST -d '{"muteHost":"host-1"}' "http://127.0.0.1:$(server_port 2)/standin/faults"
+    wait $job
+    bad=$(violations "$work/cut.verdict")
+    server_moved 2 && bad=$((bad + 1))
+    local relayed
+    relayed=$(curl -s "http://127.0.0.1:$(host_port 1 3)/metrics" | awk '$1 == "requests_relayed" { print $2 }')
+    [ "${relayed:-0}" -gt 0 ] || bad=$((bad + 1))
+    line host-cut-from-server 1 "$bad" "relayed ${relayed:-0}, failed $(failures "$work/cut.verdict"), longest $(field longestGapMs "$work/cut.verdict") ms, owners given $(($(owners_given) - before))"
+    end_system
+}
+
+overload() { # twice what the servers can do: lookups and claims stay quick, goodput stays, archive reads progress
+    local capacity=1263 seconds=${OVERLOAD:-20} bad=0 kind before after # 24 slots, 19 ms of work on average
+    system 3 6
+    load half $((capacity / 2 * 8)) $((capacity / 2)) --work_scale 5 --skew 1
+    load twice $((capacity * 2 * seconds)) $((capacity * 2)) --work_scale 5 --skew 1
+    sleep 5
+    load after $((capacity / 2 * 4)) $((capacity / 2)) --work_scale 5 --skew 1
+    kind_p99() { sed -n "s/.*\"$1\":{\"ok\":[0-9]*,\"p99ms\":\([-0-9.E+]*\).*/\1/p" "$2" | awk '{ printf "%d", $1 }'; }
+    for kind in lookup claim; do
+        before=$(kind_p99 $kind "$work/half.verdict"); after=$(kind_p99 $kind "$work/twice.verdict")
+        [ "$after" -le $((before * 3)) ] || bad=$((bad + 1))
+        [ "$(kind_p99 $kind "$work/after.verdict")" -le $((before * 2)) ] || bad=$((bad + 1))
+        figures="${figures:-}$kind p99 $before to $after ms, "
+    done
+    local goodput=$(($(field ok "$work/twice.verdict") / seconds))
+    [ $goodput -ge $((capacity * 9 / 10)) ] || bad=$((bad + 1))
+    grep -q '"archive":{"ok":0' "$work/twice.verdict" && bad=$((bad + 1))
+    bad=$((bad + $(violations "$work/half.verdict" "$work/twice.verdict" "$work/after.verdict")))
+    line overload 1 "$bad" "${figures}goodput $goodput of $capacity/s, $(sed 's/.*"kinds"://' "$work/twice.verdict")"
+    end_system
+}
+
 hosts_replaced() { # all hosts one by one under load: SIGTERM cuts nothing
     system 3 6
     load replaced 6000 300 & local job=$!
@@ -270,7 +310,7 @@
     end_system
 }
 
-all="leaves crash freeze short_freeze host_killed assigner_killed host_frozen store_down store_faults operators_race hosts_replaced budget"
+all="leaves crash freeze short_freeze host_killed assigner_killed host_frozen store_down store_faults operators_race host_cut_from_server overload hosts_replaced budget"
 for promise in ${*:-$all}; do $promise; done
 [ -f "$work/violations.txt" ] && cat "$work/violations.txt" >&2
 exit $failed
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -228,6 +228,7 @@
     HotKeys keys(1024);
     std::mt19937_64 random(5);
     std::vector<uint64_t> points;
+    points.reserve(100'000);
     for (int i = 0; i < 100'000; ++i)
         points.push_back(static_cast<uint64_t>(std::pow(10'000, std::uniform_real_distribution<double>(0, 1)(random))));
     size_t i = 0;
--- a/packages/backends/Prober.cpp
+++ b/packages/backends/Prober.cpp
@@ -27,10 +27,11 @@
 
 }
 
-Prober::Prober(asio::any_io_executor executor, const Clock& clock, std::string address, uint16_t port,
+Prober::Prober(asio::any_io_executor executor, const Clock& clock, std::string host, std::string address, uint16_t port,
     WatchOptions options, ServerWatch& watch, std::function<void()> changed)
     : m_executor(std::move(executor))
     , m_clock(clock)
+    , m_host(std::move(host))
     , m_address(std::move(address))
     , m_port(port)
     , m_options(options)
@@ -52,6 +53,7 @@
 {
     HttpCall call;
     call.target = "/health";
+    call.headers.emplace_back("Cumindale-Host", m_host);
     const Instant askedAt = m_clock.now();
     const HttpReply reply = co_await m_client->send(call, m_options.answerWithin);
     if (m_stopped)
--- a/packages/backends/Prober.h
+++ b/packages/backends/Prober.h
@@ -17,8 +17,8 @@
 public:
     // `changed` is called after each probe that changed what the watch says. The watch may outlive nothing: call
     // stop() before it goes.
-    Prober(boost::asio::any_io_executor, const Clock&, std::string address, uint16_t port, WatchOptions, ServerWatch&,
-        std::function<void()> changed);
+    Prober(boost::asio::any_io_executor, const Clock&, std::string host, std::string address, uint16_t port,
+        WatchOptions, ServerWatch&, std::function<void()> changed);
     void start();
     void stop() { m_stopped = true; }
 
@@ -28,6 +28,7 @@
 
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
+    std::string m_host; // this host's name, told with each probe
     std::string m_address;
     uint16_t m_port;
     WatchOptions m_options;
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -67,7 +67,10 @@
     boost::asio::awaitable<Admitted> admit(PriorityClass, Instant arrived, Instant deadline);
     void evictQueue(); // what waits here looks anew for its owner, and keeps its age
     void release(Millis took); // after each admit() that said Yes
-    Millis expectedWait() const { return m_admission.expectedWait(); }
+    Millis expectedWait(PriorityClass priority, Instant arrived) const
+    {
+        return m_admission.expectedWait(priority, arrived);
+    }
     const Admission& admission() const { return m_admission; }
 
     // --- Connections. Null: could not connect.
--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <list>
+#include <sys/socket.h>
 
 namespace cumindale {
 
@@ -45,6 +46,12 @@
         return error.category() == make_error_code(http::error::bad_method).category();
     }
 
+    bool hasEnded(beast::tcp_stream& stream)
+    {
+        char byte = 0;
+        return ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
     // Framing that another parser on the way could read otherwise. Beast itself refuses two lengths and a length
     // together with chunked.
     bool ambiguousFraming(const CallerHeader& header)
@@ -103,6 +110,7 @@
         Instant lastUsed {}; // opened, or its last answer written
         Instant deadline = noDeadline; // of what it waits for now
         bool timedOut = false;
+        CallerPresence* handling = nullptr; // while the handler works for it
         bool busy = false; // a request has begun and its answer is not yet written
     };
 
@@ -227,7 +235,10 @@
     CallerRequest request = parser.release();
     shared.requests.add();
     session.deadline = noDeadline;
-    auto response = co_await shared.handler.handle(request);
+    CallerPresence presence;
+    session.handling = &presence;
+    auto response = co_await shared.handler.handle(request, presence);
+    session.handling = nullptr;
     co_return co_await writeAnswer(shared, session, response, keepAlive);
 }
 
@@ -251,6 +262,11 @@
         co_await sleepFor(overdueLook);
         const Instant now = shared->clock.now();
         for (auto& session : shared->sessions) {
+            if (session.handling && !session.handling->gone && hasEnded(session.stream)) {
+                session.handling->gone = true;
+                if (session.handling->whenGone)
+                    session.handling->whenGone();
+            }
             if (now < session.deadline)
                 continue;
             session.timedOut = true;
--- a/packages/callers/CallerServer.h
+++ b/packages/callers/CallerServer.h
@@ -14,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -28,12 +29,18 @@
     uint64_t largestBody = 0; // bytes
 };
 
+// Whether the caller of a request is still there.
+struct CallerPresence {
+    bool gone = false;
+    std::function<void()> whenGone; // set it for as long as something should be ended then
+};
+
 // What decides. Called on the server's thread.
 class RequestHandler {
 public:
     virtual ~RequestHandler() = default;
     virtual BodyRule bodyRule(const CallerHeader&) = 0;
-    virtual boost::asio::awaitable<CallerResponse> handle(CallerRequest&) = 0;
+    virtual boost::asio::awaitable<CallerResponse> handle(CallerRequest&, CallerPresence&) = 0;
     virtual CallerResponse refusal(ErrorKind) = 0; // an answer that the system makes itself
     virtual bool ready() const = 0; // for the balancer: whether new callers should come
 };
--- a/packages/control/Control.cpp
+++ b/packages/control/Control.cpp
@@ -154,6 +154,7 @@
 {
     m_pushFailed = false;
     m_toldFresh.clear();
+    m_toldRelays.clear();
     RoutingUpdate update;
     update.resources = m_view.resources();
     update.roster = m_view.roster();
@@ -226,12 +227,40 @@
     m_mesh.setPeers(wanted);
 }
 
+// Servers that only this host can't reach: nothing moves for them, and their requests go through a host that can.
+void Control::publishRelays()
+{
+    const Instant now = m_clock.now();
+    const HostReports reports = m_mesh.reports(now);
+    std::map<std::string, std::vector<Member>> relays;
+    for (const auto& [server, sight] : reports.at(m_settings.host.name).sights) {
+        if (sight == Sight::Reachable || sight == Sight::Unknown)
+            continue;
+        for (const auto& member : m_view.roster()->members) {
+            const auto report = reports.find(member.name);
+            const bool heard = m_mesh.heardSince(member.name, now - m_settings.timing.lease);
+            if (!heard || member.state != MemberState::Member || report == reports.end())
+                continue;
+            const auto theirs = report->second.sights.find(server);
+            if (theirs != report->second.sights.end() && theirs->second == Sight::Reachable)
+                relays[server].push_back(member);
+        }
+    }
+    if (relays == m_toldRelays)
+        return;
+    m_toldRelays = relays;
+    RoutingUpdate update;
+    update.relays = std::move(relays);
+    push(std::move(update));
+}
+
 asio::awaitable<void> Control::housekeeping()
 {
     for (;;) {
         choosePeers();
         m_mesh.refreshOwnState();
         publishFreshness();
+        publishRelays();
         if (m_pushFailed)
             publishAll();
         showStatus();
--- a/packages/control/Control.h
+++ b/packages/control/Control.h
@@ -30,6 +30,7 @@
     void onPeerLoad(const wire::LoadReport&) override;
 
     void publishFreshness();
+    void publishRelays();
     void publishAll();
     void push(RoutingUpdate);
     void choosePeers();
@@ -53,6 +54,7 @@
     LoadBook m_loads;
     AssignerDriver m_assigner;
     std::map<std::string, FreshUntil> m_toldFresh; // newest that the routing duty was told, by service
+    std::map<std::string, std::vector<Member>> m_toldRelays;
     bool m_pushFailed = false; // the ring was full: everything is sent again
 };
 
--- a/packages/decisions/Admission.cpp
+++ b/packages/decisions/Admission.cpp
@@ -22,10 +22,11 @@
         ++m_inFlight;
         return Verdict::Started;
     }
-    if (m_queue.size() >= m_options.longestQueue || now + expectedWait() >= deadline)
+    const Millis wait = expectedWait(priority, arrived);
+    const bool tooLong = wait > m_options.longestWait[static_cast<size_t>(priority)] || now + wait >= deadline;
+    if (m_queue.size() >= m_options.longestQueue || tooLong)
         return Verdict::Refused;
-    const Millis penalty = m_options.penalty[static_cast<size_t>(priority)];
-    const Place place { toMillis(arrived + penalty), ticket };
+    const Place place = placeOf(priority, arrived, ticket);
     m_queue.emplace(place, ticket);
     m_places.emplace(ticket, place);
     return Verdict::Queued;
@@ -60,9 +61,15 @@
     return ticket;
 }
 
-Millis Admission::expectedWait() const
+Admission::Place Admission::placeOf(PriorityClass priority, Instant arrived, TicketId ticket) const
 {
-    const double ahead = static_cast<double>(m_queue.size() + 1);
+    return { toMillis(arrived + m_options.penalty[static_cast<size_t>(priority)]), ticket };
+}
+
+Millis Admission::expectedWait(PriorityClass priority, Instant arrived) const
+{
+    const auto behind = m_queue.lower_bound(placeOf(priority, arrived, UINT64_MAX));
+    const double ahead = static_cast<double>(std::distance(m_queue.begin(), behind) + 1);
     return Millis(std::llround(std::ceil(ahead * m_meanServiceMillis / m_limit)));
 }
 
--- a/packages/decisions/Admission.h
+++ b/packages/decisions/Admission.h
@@ -4,7 +4,8 @@
 // pass archive reads, but an archive read that has waited out its penalty goes before newer lookups, so it
 // always progresses.
 //
-// A request is refused at once, with when to come back, if the queue is full or its deadline can't be met.
+// A request is refused at once, with when to come back, if the queue is full, the wait for those before it is
+// longer than its class is to wait, or its deadline can't be met.
 #pragma once
 
 #include "base/Time.h"
@@ -21,6 +22,9 @@
 struct AdmissionOptions {
     size_t longestQueue = 256;
     std::array<Millis, priorityClassCount> penalty { Millis(0), Millis(0), Millis(500), Millis(2000) };
+    // The longest wait that is worth it. Under overload a short queue answers those it takes in time, and tells
+    // the others at once when to come back; a long one makes everybody late.
+    std::array<Millis, priorityClassCount> longestWait { Millis(150), Millis(250), Millis(2000), Millis(60'000) };
 };
 
 using TicketId = uint64_t;
@@ -43,11 +47,13 @@
     void finished(Millis took); // one in flight has ended
     std::optional<TicketId> startNext(); // the next from the queue, now counted in flight; call until empty
 
-    Millis expectedWait() const; // of a request that would join the queue now
+    Millis expectedWait(PriorityClass, Instant arrived) const; // of a request that would join the queue now
 
 private:
     using Place = std::pair<int64_t, TicketId>; // arrival plus penalty in ms; the id keeps arrival order
 
+    Place placeOf(PriorityClass, Instant arrived, TicketId) const;
+
     AdmissionOptions m_options;
     unsigned m_limit = 1;
     unsigned m_inFlight = 0;
--- a/packages/routing/Messages.h
+++ b/packages/routing/Messages.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
 
 // Control to routing. Empty members mean "as before".
 struct RoutingUpdate {
+    // For each server that this host can't reach: the hosts that can. Replaces the former list.
+    std::optional<std::map<std::string, std::vector<Member>>> relays;
     std::shared_ptr<const Resources> resources;
     std::shared_ptr<const Roster> roster;
     std::shared_ptr<const SliceTable> table;
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -28,6 +28,7 @@
     constexpr Millis loadReportEvery { 1'000 };
     constexpr Millis connectTimeout { 500 };
     constexpr Millis unreachablePause { 20 }; // before a server that refused a connection is tried again
+    constexpr Millis retryPause { 4 }; // at least, and up to as much again
     constexpr unsigned mostTries = 4;
 
     constexpr std::string_view ranHeader = "Cumindale-Ran";
@@ -38,11 +39,13 @@
     constexpr std::string_view deadlineHeader = "Cumindale-Deadline";
     constexpr std::string_view timeoutHeader = "Cumindale-Timeout-Ms";
     constexpr std::string_view traceHeader = "traceparent";
+    constexpr std::string_view hostHeader = "Cumindale-Host"; // who dispatched it
+    constexpr std::string_view relayedHeader = "Cumindale-Relayed"; // by a host that can't reach the owner
 
     // Ours, or of one connection only: never passed through.
-    constexpr std::array<std::string_view, 13> strippedHeaders { "Connection", "Keep-Alive", "Proxy-Connection", "TE",
+    constexpr std::array<std::string_view, 15> strippedHeaders { "Connection", "Keep-Alive", "Proxy-Connection", "TE",
         "Trailer", "Upgrade", "Expect", ranHeader, requestIdHeader, fenceHeader, rangeHeader, deadlineHeader,
-        errorHeader };
+        timeoutHeader, hostHeader, errorHeader };
 
     std::string hex(uint64_t value)
     {
@@ -109,6 +112,7 @@
 
 struct Router::Job {
     CallerRequest& request;
+    CallerPresence& presence;
     const std::shared_ptr<const Resources> resources; // keeps `service` alive
     const ServiceResource* service = nullptr;
     RouteRule rule;
@@ -121,6 +125,7 @@
     uint64_t parentSpan = 0;
     unsigned tries = 0; // dispatches so far
     bool maybeRan = false; // an earlier try may have run
+    bool relayed = false; // came from a host that can't reach the owner: not relayed again
 };
 
 Router::Router(asio::any_io_executor executor, const Clock& clock, RouterOptions options, Metrics& metrics,
@@ -146,6 +151,8 @@
 
 void Router::apply(RoutingUpdate update)
 {
+    if (update.relays)
+        m_relays = std::move(*update.relays);
     if (update.roster)
         m_hosts = std::max<size_t>(1, update.roster->countingMembers());
     if (update.resources)
@@ -190,8 +197,8 @@
                 m_changed.notifyAll();
                 reportNow();
             };
-            server->prober = std::make_shared<Prober>(
-                m_executor, m_clock, resource.address, resource.port, m_options.watch, server->pool.watch(), changed);
+            server->prober = std::make_shared<Prober>(m_executor, m_clock, m_options.host, resource.address,
+                resource.port, m_options.watch, server->pool.watch(), changed);
             server->prober->start();
         }
         server->pool.update(resource, m_hosts);
@@ -286,7 +293,10 @@
         return ErrorKind::KeyTooLong;
     job.point = pointOfKey(key);
     job.rule = ruleFor(*job.service, request.method_string(), pathOf(target));
-    job.deadline = job.arrived + job.rule.deadline;
+    // A caller, or a host that relays, may have less time than the service's rule gives.
+    const int64_t patience = std::strtoll(std::string(request[timeoutHeader]).c_str(), nullptr, 10);
+    job.deadline = job.arrived + (patience > 0 ? std::min(job.rule.deadline, Millis(patience)) : job.rule.deadline);
+    job.relayed = request.count(relayedHeader) > 0;
     const auto parent = parseTraceparent(request[traceHeader]);
     job.trace = parent ? *parent : TraceContext { randomId(), randomId(), 0 };
     job.parentSpan = job.trace.span;
@@ -296,9 +306,9 @@
     return ErrorKind::None;
 }
 
-asio::awaitable<CallerResponse> Router::handle(CallerRequest& request)
+asio::awaitable<CallerResponse> Router::handle(CallerRequest& request, CallerPresence& presence)
 {
-    Job job { request, m_resources };
+    Job job { request, presence, m_resources };
     job.arrived = m_clock.now();
     job.arrivedMicros = m_clock.monotonicMicros();
     const ErrorKind fault = prepare(request, job);
@@ -322,9 +332,11 @@
         const ErrorKind error = co_await tryOnce(job, response);
         if (error == ErrorKind::None)
             co_return response;
-        const bool waited = m_clock.now() < job.deadline;
-        if (!waited || !mayTryAgain(job, error))
+        const bool timeLeft = m_clock.now() < job.deadline;
+        if (!timeLeft || job.presence.gone || !mayTryAgain(job, error))
             co_return errorAnswer(error, retryAfter(error, job), job.maybeRan);
+        if (job.tries)
+            co_await sleepFor(jitter(retryPause)); // many that failed together don't come back together
     }
 }
 
@@ -349,6 +361,8 @@
 {
     const std::string& service = job.service->name;
     Located at = locate(service, job.point);
+    if (const Member* peer = relayFor(job, at))
+        co_return co_await relay(job, *peer, response);
     if (at.error != ErrorKind::None) {
         co_await m_changed.wait(job.deadline - m_clock.now());
         co_return at.error;
@@ -376,7 +390,7 @@
     // Last thing before the first byte: waiting for a slot or a connection may have outlived the table or its
     // freshness.
     at = locate(service, job.point);
-    if (at.error != ErrorKind::None || at.server != server || m_clock.now() >= job.deadline) {
+    if (at.error != ErrorKind::None || at.server != server || m_clock.now() >= job.deadline || job.presence.gone) {
         server->pool.release(Millis(0));
         server->pool.giveBack(std::move(connection));
         co_return at.error != ErrorKind::None ? at.error
@@ -420,6 +434,8 @@
     request.set(deadlineHeader, std::to_string(m_clock.unixMillis() + timeout.count()));
     request.set(timeoutHeader, std::to_string(timeout.count()));
     request.set(traceHeader, formatTraceparent(span));
+    request.set(hostHeader, m_options.host);
+    request.erase(relayedHeader);
     request.keep_alive(true);
     request.prepare_payload();
     ++job.tries;
@@ -427,10 +443,13 @@
     const ServerResource& server = at.server->pool.server();
     const DispatchId id = m_inFlight.add(job.service->name, server.name, job.point, now + timeout);
     const int64_t sentAt = m_clock.monotonicMicros();
-    if (job.rule.idempotent)
+    if (job.rule.idempotent) {
         at.server->abandonable.insert(&connection);
+        job.presence.whenGone = [&connection] { connection.abandon(); };
+    }
     ExchangeResult result = co_await connection.exchange(request, timeout);
     at.server->abandonable.erase(&connection);
+    job.presence.whenGone = nullptr;
     const int64_t took = m_clock.monotonicMicros() - sentAt;
     job.serverMicros += took;
     if (result.ended) {
@@ -449,6 +468,55 @@
     co_return result;
 }
 
+const Member* Router::relayFor(const Job& job, const Located& at) const
+{
+    if (at.error != ErrorKind::ServerUnreachable || job.relayed || !at.server)
+        return nullptr;
+    const auto found = m_relays.find(at.server->pool.server().name);
+    if (found == m_relays.end() || found->second.empty())
+        return nullptr;
+    return &found->second[randomId() % found->second.size()];
+}
+
+// The other host dispatches by its own table and lease, so nothing is in flight from here. What it answers is
+// passed on as it is, also what it says of the run.
+asio::awaitable<ErrorKind> Router::relay(Job& job, Member peer, CallerResponse& response)
+{
+    auto& slot = m_peers[peer.name];
+    if (!slot || slot->server().address != peer.address || slot->server().port != peer.callerPort) {
+        ServerResource target;
+        target.name = peer.name;
+        target.address = peer.address;
+        target.port = peer.callerPort;
+        slot = std::make_shared<ServerPool>(m_executor, m_clock, target, m_options.watch);
+    }
+    const auto pool = slot;
+    auto connection = co_await pool->take(job.rule.idempotent, connectTimeout);
+    const Millis left = job.deadline - m_clock.now();
+    if (!connection || left.count() <= 0) {
+        co_await m_changed.wait(unreachablePause);
+        co_return ErrorKind::ServerUnreachable;
+    }
+    const TraceContext span { job.trace.traceHigh, job.trace.traceLow, randomId() };
+    CallerRequest& request = job.request;
+    request.set(relayedHeader, m_options.host);
+    request.set(timeoutHeader, std::to_string(left.count()));
+    request.set(traceHeader, formatTraceparent(span));
+    request.keep_alive(true);
+    request.prepare_payload();
+    const int64_t sentAt = m_clock.monotonicMicros();
+    ExchangeResult result = co_await connection->exchange(request, left);
+    m_spans.add({ span, job.trace.span, "relay", peer.name, sentAt, m_clock.monotonicMicros() - sentAt });
+    m_metrics.counter("requests_relayed").add();
+    if (result.error != ErrorKind::None) {
+        job.maybeRan = true;
+        co_return result.error;
+    }
+    pool->giveBack(std::move(connection));
+    response = std::move(result.response);
+    co_return ErrorKind::None;
+}
+
 void Router::countLoad(const Job& job, int64_t micros)
 {
     const auto found = m_routes.find(job.service->name);
@@ -467,7 +535,7 @@
     switch (kind) {
     case ErrorKind::Overloaded:
     case ErrorKind::DeadlineBeforeSend:
-        return jitter(at.server ? at.server->pool.expectedWait() : Millis(200));
+        return jitter(at.server ? at.server->pool.expectedWait(job.rule.priority, job.arrived) : Millis(200));
     case ErrorKind::Moving:
     case ErrorKind::ServerUnreachable:
         return jitter(Millis(500));
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -40,7 +40,7 @@
 
     // --- From callers
     BodyRule bodyRule(const CallerHeader&) override;
-    boost::asio::awaitable<CallerResponse> handle(CallerRequest&) override;
+    boost::asio::awaitable<CallerResponse> handle(CallerRequest&, CallerPresence&) override;
     CallerResponse refusal(ErrorKind) override;
     bool ready() const override;
 
@@ -67,6 +67,8 @@
     boost::asio::awaitable<CallerResponse> run(Job&);
     boost::asio::awaitable<ErrorKind> tryOnce(Job&, CallerResponse&); // one dispatch, or why there was none
     boost::asio::awaitable<ExchangeResult> dispatch(Job&, const Located&, BackendConnection&);
+    const Member* relayFor(const Job&, const Located&) const; // a host that reaches the server, if any
+    boost::asio::awaitable<ErrorKind> relay(Job&, Member, CallerResponse&);
     bool mayTryAgain(Job&, ErrorKind);
     CallerResponse errorAnswer(ErrorKind, Millis retryAfter, bool maybeRan) const;
     Millis retryAfter(ErrorKind, const Job&) const;
@@ -89,6 +91,8 @@
     size_t m_hosts = 1;
     std::map<std::string, std::shared_ptr<Server>> m_servers;
     std::map<std::string, std::unique_ptr<Route>, std::less<>> m_routes;
+    std::map<std::string, std::vector<Member>> m_relays; // by server that this host can't reach
+    std::map<std::string, std::shared_ptr<ServerPool>> m_peers; // pools to hosts that relay
     std::map<std::string, RetryBudget> m_budgets;
     InFlight m_inFlight;
     Signal m_changed; // a table, freshness, or a server's sight changed
--- a/standins/backend.cpp
+++ b/standins/backend.cpp
@@ -5,7 +5,7 @@
 // it ends: "B NONCE KEY METHOD FENCE MICROS" and "E NONCE MICROS", or "A NONCE MICROS" when it was stopped in the
 // work and gave it up past its deadline; on the machine's monotonic clock.
 //
-//     POST /standin/faults {"shed": 0..1, "delayMs": n, "answer": "whole|cut|late|wrong"}
+//     POST /standin/faults {"shed": 0..1, "delayMs": n, "answer": "whole|cut|wrong", "muteHost": NAME}
 #include "base/Time.h"
 #include "web/HttpServer.h"
 #include "web/Signal.h"
@@ -51,6 +51,8 @@
         const ServedRequest& request, boost::beast::tcp_stream& stream)
     {
         const std::string path = parseTarget(request.target()).path;
+        while (!m_muteHost.empty() && request["Cumindale-Host"] == m_muteHost)
+            co_await sleepFor(Millis(50)); // as if the path to this host were cut
         if (path == "/health")
             co_return makeResponse(200, "{}");
         if (path == "/standin/faults") {
@@ -89,6 +91,7 @@
     {
         m_shed = faults.contains("shed") ? faults.at("shed").to_number<double>() : 0;
         m_delay = Millis(faults.contains("delayMs") ? faults.at("delayMs").to_number<int64_t>() : 0);
+        m_muteHost = faults.contains("muteHost") ? std::string(faults.at("muteHost").as_string()) : "";
         m_answer = faults.contains("answer") ? std::string(faults.at("answer").as_string()) : "whole";
     }
 
@@ -176,6 +179,7 @@
     double m_shed = 0;
     double m_shedDebt = 0;
     Millis m_delay { 0 };
+    std::string m_muteHost;
     std::string m_answer = "whole";
     std::map<std::string, int64_t> m_fences;
 };
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -33,6 +33,7 @@
 ABSL_FLAG(unsigned, seed, 1, "of the load");
 ABSL_FLAG(unsigned, upload_bytes, 50000, "size of an upload");
 ABSL_FLAG(bool, lookups_only, false, "no claims, uploads or archive reads, and no work at the servers");
+ABSL_FLAG(double, work_scale, 1, "times the usual work at the servers");
 ABSL_FLAG(int64_t, timeout_ms, 5000, "the caller's patience");
 
 namespace {
@@ -50,6 +51,7 @@
     std::string nonce;
     std::string key;
     bool idempotent = true;
+    std::string kind = "lookup";
     unsigned status = 0; // 0: no answer
     std::string ran; // as the answer said
     std::string error;
@@ -150,18 +152,22 @@
             call.target = absl::GetFlag(FLAGS_path) + "claim";
             call.body = "claim " + sent.nonce;
             sent.idempotent = false;
+            sent.kind = "claim";
             work = 5;
         } else if (kind < 0.18) {
             call.verb = http::verb::post;
             call.target = absl::GetFlag(FLAGS_path) + "upload";
             call.body.assign(absl::GetFlag(FLAGS_upload_bytes), 'u');
             sent.idempotent = false;
+            sent.kind = "upload";
             work = 5;
         } else if (kind < 0.25) {
             call.target = absl::GetFlag(FLAGS_path) + "archive";
+            sent.kind = "archive";
             work = 20;
         }
-        call.headers = { { "Case-Key", sent.key }, { "X-Nonce", sent.nonce }, { "X-Work-Ms", std::to_string(work) } };
+        call.headers = { { "Case-Key", sent.key }, { "X-Nonce", sent.nonce },
+            { "X-Work-Ms", std::to_string(static_cast<int>(work * absl::GetFlag(FLAGS_work_scale))) } };
         return call;
     }
 
@@ -271,6 +277,7 @@
     size_t answered = 0, ok = 0, wrong = 0, lost = 0, ranTwice = 0, misled = 0;
     std::map<std::string, size_t> errors;
     std::vector<int64_t> times;
+    std::map<std::string, std::vector<int64_t>> byKind;
     std::map<std::string, int64_t> failedSince; // by key: when its requests began to fail
     int64_t longestGap = 0; // from a request to the next answer for its key
     for (const auto& sent : all) {
@@ -280,6 +287,7 @@
         if (sent.status == 200) {
             ++ok;
             times.push_back(sent.micros);
+            byKind[sent.kind].push_back(sent.micros);
         } else {
             ++errors[sent.status ? (sent.error.empty() ? std::to_string(sent.status) : sent.error) : "no-answer"];
         }
@@ -313,6 +321,11 @@
     result["p50ms"] = static_cast<double>(percentile(times, 0.50)) / 1000.0;
     result["p99ms"] = static_cast<double>(percentile(times, 0.99)) / 1000.0;
     result["longestGapMs"] = longestGap / 1000;
+    json::object kinds;
+    for (auto& [kind, micros] : byKind)
+        kinds[kind] = json::object { { "ok", micros.size() },
+            { "p99ms", static_cast<double>(percentile(micros, 0.99)) / 1000.0 } };
+    result["kinds"] = std::move(kinds);
     result["errors"] = std::move(byError);
     return result;
 }
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -19,7 +19,7 @@
     CHECK(admission.ask(1, PriorityClass::Interactive, now, now, farAway) == Admission::Verdict::Started);
     for (TicketId i = 2; i < 12; ++i)
         CHECK(admission.ask(i, PriorityClass::Interactive, now, now, farAway) == Admission::Verdict::Queued);
-    CHECK(admission.expectedWait() >= Millis(50)); // ten ahead of it, 5 ms each
+    CHECK(admission.expectedWait(PriorityClass::Interactive, now) >= Millis(50)); // ten ahead of it, 5 ms each
     CHECK(admission.ask(99, PriorityClass::Interactive, now, now, now + Millis(20)) == Admission::Verdict::Refused);
 }
 
@@ -39,6 +39,21 @@
     CHECK(order == std::vector<TicketId> { 3, 2, 4 });
 }
 
+TEST_CASE("under overload the queue stays short, and archive reads in it don't count against lookups")
+{
+    // A user would see every lookup late by seconds while the servers work on lookups whose callers have long
+    // given up: the queue took in all that its length allowed.
+    Admission admission({});
+    admission.setLimit(1);
+    admission.ask(1, PriorityClass::Interactive, now, now, farAway);
+    for (TicketId i = 0; i < 100; ++i)
+        CHECK(admission.ask(100 + i, PriorityClass::Background, now, now, farAway) == Admission::Verdict::Queued);
+    size_t taken = 0;
+    for (TicketId i = 0; i < 100; ++i)
+        taken += admission.ask(1000 + i, PriorityClass::Interactive, now, now, farAway) == Admission::Verdict::Queued;
+    CHECK(taken == 30); // 150 ms of 5 ms each
+}
+
 TEST_CASE("never more in flight than the limit, and a withdrawn request starts never")
 {
     Admission admission({});
--- a/tests/routing_fixture.cpp
+++ b/tests/routing_fixture.cpp
@@ -12,6 +12,7 @@
 
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
     constexpr Millis lateBy { 600 };
+    constexpr Millis lateInTime { 200 };
     constexpr Millis farAway { 3'600'000 };
 
     std::shared_ptr<Resources> resourcesFor(uint16_t port, uint64_t largestBody)
@@ -143,11 +144,16 @@
     ++m_runs;
     if (act == Act::Late)
         co_await sleepFor(lateBy);
+    if (act == Act::LateButInTime)
+        co_await sleepFor(lateInTime);
+    char byte = 0;
+    if (::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
+        ++m_cancelled;
     if (act == Act::CloseBeforeAnswer)
         co_return std::nullopt;
     auto response = makeResponse(200, "for " + std::string(request["X-Nonce"]));
     response.set("Cumindale-Request-Id", act == Act::WrongRequestId ? "another" : request["Cumindale-Request-Id"]);
-    if (act == Act::Answer || act == Act::Late || act == Act::WrongRequestId)
+    if (act == Act::Answer || act == Act::Late || act == Act::LateButInTime || act == Act::WrongRequestId)
         co_return response;
     std::ostringstream raw;
     if (act == Act::LongerThanSaid)
@@ -172,6 +178,15 @@
     return send(request("POST", "claim", "Content-Length: " + std::to_string(body.size()) + "\r\n") + body);
 }
 
+void RoutingFixture::sendAndLeave(const std::string& bytes) const
+{
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), m_port });
+    asio::write(socket, asio::buffer(bytes));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+}
+
 Answer RoutingFixture::send(const std::string& bytes) const
 {
     asio::io_context context;
--- a/tests/routing_fixture.h
+++ b/tests/routing_fixture.h
@@ -27,7 +27,8 @@
     WrongRequestId, // answers as if for another request
     ExtraBytes, // answers, and sends more that nobody asked for
     LongerThanSaid, // names a longer length than it sends, then ends
-    Late, // answers after 600 ms
+    Late, // answers after 600 ms, past the deadline
+    LateButInTime, // answers after 200 ms
     Refuse, // does not run it, and says so
 };
 
@@ -46,6 +47,7 @@
 
     void script(std::deque<Act> acts); // for the next requests; then Answer
     size_t runs() const { return m_runs; } // requests that the fake ran
+    size_t cancelled() const { return m_cancelled; } // requests whose connection was ended while the fake worked
     size_t serverConnections() const { return m_connections; }
     std::string receivedHeader(const std::string& name); // of the newest request at the fake
     uint16_t port() const { return m_port; }
@@ -54,6 +56,7 @@
 
     // Sends bytes to the callers' port and reads one answer, or until the connection ends.
     Answer send(const std::string& bytes) const;
+    void sendAndLeave(const std::string& bytes) const; // closes after 50 ms
     Answer get(const std::string& more = "") const { return send(request("GET", "lookup", more)); }
     Answer post(const std::string& body) const;
     static std::string request(const std::string& method, const std::string& path, const std::string& more);
@@ -72,6 +75,7 @@
     std::map<std::string, std::string> m_received;
     std::atomic<size_t> m_runs { 0 };
     std::atomic<size_t> m_connections { 0 };
+    std::atomic<size_t> m_cancelled { 0 };
     std::set<uint16_t> m_streams; // by the other end's port
     std::unique_ptr<HttpServer> m_fake;
     std::unique_ptr<Router> m_router;
--- a/tests/truth_test.cpp
+++ b/tests/truth_test.cpp
@@ -163,3 +163,20 @@
     CHECK(fixture.post("claim").status == 200);
     CHECK(fixture.serverConnections() == 2);
 }
+
+TEST_CASE("a caller that goes away cancels a lookup, and never a claim")
+{
+    // A user would see a server busy with work that nobody waits for: the caller had closed its connection long
+    // ago, and the router held on to the server's slot until the deadline.
+    RoutingFixture fixture;
+    fixture.script({ Act::Late });
+    fixture.sendAndLeave(RoutingFixture::request("GET", "lookup", ""));
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    CHECK(fixture.cancelled() == 1);
+    RoutingFixture another;
+    another.script({ Act::LateButInTime });
+    another.sendAndLeave(RoutingFixture::request("POST", "claim", "Content-Length: 1\r\n") + "c");
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    CHECK(another.runs() == 1);
+    CHECK(another.cancelled() == 0);
+}
