Work that can't be done in time any more is not sent

Change: with less than half of the class's usual work left a request is answered deadline-before-send, surely not run.

--- a/packages/decisions/Admission.cpp
+++ b/packages/decisions/Admission.cpp
@@ -97,6 +97,11 @@
     return std::max(policyOf(priority).longestWait, Millis(std::llround(work)));
 }
 
+Millis Admission::meanWork(PriorityClass priority) const
+{
+    return Millis(std::llround(m_classes[static_cast<size_t>(priority)].meanMillis));
+}
+
 Millis Admission::expectedWait(PriorityClass priority) const
 {
     const ClassState& mine = m_classes[static_cast<size_t>(priority)];
--- a/packages/decisions/Admission.h
+++ b/packages/decisions/Admission.h
@@ -60,6 +60,7 @@
     void finished(PriorityClass, Millis took); // one in flight has ended; 0: it was not used
     std::optional<TicketId> startNext(); // the next from the queue, now counted in flight; call until empty
 
+    Millis meanWork(PriorityClass) const; // of the class at this server, from the moment it is sent
     Millis expectedWait(PriorityClass) const; // of a request that would join the queue now
 
 private:
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -390,7 +390,10 @@
     // Last thing before the first byte: waiting for a slot or a connection may have outlived the table or its
     // freshness.
     at = locate(service, job.point);
-    if (at.error != ErrorKind::None || at.server != server || m_clock.now() >= job.deadline || job.presence.gone) {
+    // With less than half of the usual work's time left it would most likely end as "unknown"; now it is a sure no.
+    const Millis leastTime = server->pool.admission().meanWork(job.rule.priority) / 2;
+    const bool tooLate = m_clock.now() + leastTime >= job.deadline;
+    if (at.error != ErrorKind::None || at.server != server || tooLate || job.presence.gone) {
         server->pool.release(job.rule.priority, Millis(0));
         server->pool.giveBack(std::move(connection));
         co_return at.error != ErrorKind::None ? at.error
