Connections that go silent cost a lookup half a second, not its deadline

Cause: a lookup on a connection that something on the way had forgotten hung until longestWork and was then given up, although its deadline was not over; longest wait 3,467 ms (keys seldom asked counted in). Ruled out: the prober, whose second probe goes over a fresh connection and was answered. Change: when a fresh probe answers after an old one had not, lookups hanging for longer than a probe may are tried again; a dispatch that ran out of time may be tried again if it is idempotent and has time left.

--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,8 @@
 
 report: build
 	$(BUILD)/bin/bench-placement --svg report
+
+.PHONY: soak
+
+soak: build
+	./bench/soak.sh
--- a/bench/prove.sh
+++ b/bench/prove.sh
@@ -268,6 +268,53 @@
     end_system
 }
 
+grants() { # the same with servers that check grants: one leaves, one freezes and wakes with work queued
+    SERVER_OPTIONS=--checks_grants SERVER_FIELDS=',"checksGrants":true' system 3 6
+    load grants 3000 400 --keys 60 --skew 1 & local job=$!
+    sleep 1
+    ctl drain server-2 --wait >/dev/null 2>&1
+    kill -STOP "${pid[server-4]}"
+    sleep 4
+    kill -CONT "${pid[server-4]}"
+    wait $job
+    local bad
+    bad=$(violations "$work/grants.verdict")
+    server_moved 2 || bad=$((bad + 1))
+    line servers-check-grants 2 "$bad" "longest $(field longestGapMs "$work/grants.verdict") ms, errors $(sed 's/.*"errors"://' "$work/grants.verdict")"
+    end_system
+}
+
+slow_uploads() { # 500 at 2 KB/s on one host; a server leaves, keys move, then the host itself is stopped
+    system 2 6
+    hosts=1 load slow 1 1 --slow_uploads 500 --slow_bytes 24000 --slow_rate 2000 & local job=$! most=0 rss i
+    for i in $(seq 1 9); do
+        sleep 1
+        rss=$(awk '$1 == "VmRSS:" { print $2 }' "/proc/${pid[host-1]}/status")
+        [ "${rss:-0}" -gt $most ] && most=$rss
+        [ $i = 3 ] && ctl drain server-2 >/dev/null 2>&1
+        [ $i = 6 ] && kill -TERM "${pid[host-1]}"
+    done
+    wait $job
+    local bad
+    bad=$(($(violations "$work/slow.verdict") + $(failures "$work/slow.verdict")))
+    wait "${pid[host-1]}" || bad=$((bad + 1))
+    [ $most -le 131072 ] || bad=$((bad + 1))
+    line slow-uploads 500 "$bad" "cut or failed $(failures "$work/slow.verdict"), most memory of the host $most KB"
+    end_system
+}
+
+silent_connections() { # connections to a server go silent for good while new ones work
+    system 3 6
+    load silent 2000 400 --keys 60 --skew 1 & local job=$! i
+    for i in 1 2 3; do
+        sleep 1
+        curl -s -o /dev/null -X POST -d '{"silenceOpen":true}' "http://127.0.0.1:$(server_port $i)/standin/faults"
+    done
+    wait $job
+    line silent-connections 3 "$(violations "$work/silent.verdict")" "longest $(field longestGapMs "$work/silent.verdict") ms, errors $(sed 's/.*"errors"://' "$work/silent.verdict")"
+    end_system
+}
+
 hosts_replaced() { # all hosts one by one under load: SIGTERM cuts nothing
     system 3 6
     load replaced 6000 300 & local job=$!
@@ -310,7 +357,7 @@
     end_system
 }
 
-all="leaves crash freeze short_freeze host_killed assigner_killed host_frozen store_down store_faults operators_race host_cut_from_server overload hosts_replaced budget"
+all="leaves crash freeze short_freeze host_killed assigner_killed host_frozen store_down store_faults operators_race host_cut_from_server overload grants slow_uploads silent_connections hosts_replaced budget"
 for promise in ${*:-$all}; do $promise; done
 [ -f "$work/violations.txt" ] && cat "$work/violations.txt" >&2
 exit $failed
--- a/packages/base/ErrorKind.cpp
+++ b/packages/base/ErrorKind.cpp
@@ -25,7 +25,7 @@
         { ErrorKind::ServerRefused, "server-refused", 503, Ran::No, true, true },
         { ErrorKind::ServerUnreachable, "server-unreachable", 503, Ran::No, true, true },
         { ErrorKind::DeadlineBeforeSend, "deadline-before-send", 504, Ran::No, true, false },
-        { ErrorKind::DeadlineAfterSend, "deadline-after-send", 504, Ran::Unknown, true, false },
+        { ErrorKind::DeadlineAfterSend, "deadline-after-send", 504, Ran::Unknown, true, true },
         { ErrorKind::ConnectionLost, "connection-lost", 502, Ran::Unknown, true, true },
         { ErrorKind::BadAnswer, "bad-answer", 502, Ran::Unknown, true, false },
         { ErrorKind::ShuttingDown, "shutting-down", 503, Ran::No, true, false },
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -88,7 +88,17 @@
 
     ServerPool pool;
     std::shared_ptr<Prober> prober;
-    std::set<BackendConnection*> abandonable; // with idempotent requests under way
+    // Idempotent requests under way that began before `limit` are tried elsewhere.
+    void abandonOlderThan(Instant limit)
+    {
+        for (const auto& [connection, began] : abandonable) {
+            if (began < limit)
+                connection->abandon();
+        }
+    }
+
+    bool tookWork = true; // as of the last probe
+    std::map<BackendConnection*, Instant> abandonable; // with idempotent requests under way, since when
 };
 
 struct Router::Route {
@@ -188,10 +198,13 @@
                     found->second->pool.evictQueue();
                 }
                 // Their answers may never come; another owner will give them. Non-idempotent ones wait on.
-                if (found->second->pool.watch().sight() == Sight::Silent) {
-                    for (auto* connection : found->second->abandonable)
-                        connection->abandon();
-                }
+                const bool takesWork = found->second->pool.watch().takesWork();
+                if (found->second->pool.watch().sight() == Sight::Silent)
+                    found->second->abandonOlderThan(Instant::max());
+                // A fresh connection answered after an old one had not: what hangs on old ones may hang for good.
+                else if (takesWork && !found->second->tookWork)
+                    found->second->abandonOlderThan(m_clock.now() - m_options.watch.answerWithin);
+                found->second->tookWork = takesWork;
                 if (found->second->pool.watch().sight() == Sight::Refused)
                     m_inFlight.serverGone(serverName);
                 m_changed.notifyAll();
@@ -447,7 +460,7 @@
     const DispatchId id = m_inFlight.add(job.service->name, server.name, job.point, now + timeout);
     const int64_t sentAt = m_clock.monotonicMicros();
     if (job.rule.idempotent) {
-        at.server->abandonable.insert(&connection);
+        at.server->abandonable.emplace(&connection, now);
         job.presence.whenGone = [&connection] { connection.abandon(); };
     }
     ExchangeResult result = co_await connection.exchange(request, timeout);
--- a/standins/backend.cpp
+++ b/standins/backend.cpp
@@ -5,7 +5,8 @@
 // it ends: "B NONCE KEY METHOD FENCE MICROS" and "E NONCE MICROS", or "A NONCE MICROS" when it was stopped in the
 // work and gave it up past its deadline; on the machine's monotonic clock.
 //
-//     POST /standin/faults {"shed": 0..1, "delayMs": n, "answer": "whole|cut|wrong", "muteHost": NAME}
+//     POST /standin/faults {"shed": 0..1, "delayMs": n, "answer": "whole|cut|wrong", "muteHost": NAME,
+//                            "silenceOpen": bool: open connections are never answered again, new ones are}
 #include "base/Time.h"
 #include "web/HttpServer.h"
 #include "web/Signal.h"
@@ -17,6 +18,7 @@
 #include <fcntl.h>
 #include <iostream>
 #include <map>
+#include <set>
 #include <unistd.h>
 
 ABSL_FLAG(std::string, address, "127.0.0.1", "IP number to listen on");
@@ -51,6 +53,10 @@
         const ServedRequest& request, boost::beast::tcp_stream& stream)
     {
         const std::string path = parseTarget(request.target()).path;
+        const uint16_t connection = stream.socket().remote_endpoint().port();
+        while (m_silenced.count(connection))
+            co_await sleepFor(Millis(50)); // as if something on the way had lost track of it
+        m_open.insert(connection);
         while (!m_muteHost.empty() && request["Cumindale-Host"] == m_muteHost)
             co_await sleepFor(Millis(50)); // as if the path to this host were cut
         if (path == "/health")
@@ -91,6 +97,8 @@
     {
         m_shed = faults.contains("shed") ? faults.at("shed").to_number<double>() : 0;
         m_delay = Millis(faults.contains("delayMs") ? faults.at("delayMs").to_number<int64_t>() : 0);
+        if (faults.contains("silenceOpen"))
+            m_silenced = std::exchange(m_open, {});
         m_muteHost = faults.contains("muteHost") ? std::string(faults.at("muteHost").as_string()) : "";
         m_answer = faults.contains("answer") ? std::string(faults.at("answer").as_string()) : "whole";
     }
@@ -180,6 +188,8 @@
     double m_shedDebt = 0;
     Millis m_delay { 0 };
     std::string m_muteHost;
+    std::set<uint16_t> m_open; // connections seen, by the other end's port
+    std::set<uint16_t> m_silenced;
     std::string m_answer = "whole";
     std::map<std::string, int64_t> m_fences;
 };
--- a/standins/callers.cpp
+++ b/standins/callers.cpp
@@ -10,9 +10,14 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <filesystem>
 #include <fstream>
@@ -32,6 +37,9 @@
 ABSL_FLAG(std::string, records, "", "folder with the servers' records; empty: no judgement of what ran");
 ABSL_FLAG(unsigned, seed, 1, "of the load");
 ABSL_FLAG(unsigned, upload_bytes, 50000, "size of an upload");
+ABSL_FLAG(unsigned, slow_uploads, 0, "uploads beside the load, all begun at once, as over a slow village connection");
+ABSL_FLAG(unsigned, slow_bytes, 30000, "size of a slow upload");
+ABSL_FLAG(unsigned, slow_rate, 2000, "bytes a second of a slow upload");
 ABSL_FLAG(bool, lookups_only, false, "no claims, uploads or archive reads, and no work at the servers");
 ABSL_FLAG(double, work_scale, 1, "times the usual work at the servers");
 ABSL_FLAG(int64_t, timeout_ms, 5000, "the caller's patience");
@@ -43,6 +51,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
+constexpr auto token = asio::as_tuple(asio::use_awaitable);
 constexpr Millis avoidFailedHost { 500 };
 constexpr Millis healthEvery { 200 };
 
@@ -107,7 +116,10 @@
             asio::co_spawn(m_executor, followHealth(host), asio::detached);
         const unsigned requests = absl::GetFlag(FLAGS_requests);
         const double rate = absl::GetFlag(FLAGS_rate);
-        m_sent.resize(requests);
+        const unsigned slow = absl::GetFlag(FLAGS_slow_uploads);
+        m_sent.resize(requests + slow);
+        for (unsigned i = 0; i < slow; ++i)
+            asio::co_spawn(m_executor, sendSlowly(requests + i), asio::detached);
         const int64_t start = m_clock.monotonicMicros();
         for (unsigned i = 0; i < requests; ++i) {
             const int64_t due = start + static_cast<int64_t>(i * 1e6 / rate);
@@ -171,6 +183,60 @@
         return call;
     }
 
+    asio::awaitable<void> sendSlowly(unsigned index)
+    {
+        ++m_open;
+        Sent& sent = m_sent[index];
+        sent.kind = "slow";
+        sent.idempotent = false;
+        sent.key = "case-" + std::to_string(index);
+        sent.nonce = std::to_string(absl::GetFlag(FLAGS_seed)) + "-" + std::to_string(index);
+        HostEnd& host = pickHost();
+        sent.host = host.name;
+        sent.startMicros = m_clock.monotonicMicros();
+        const auto answer = co_await uploadSlowly(host.name, sent);
+        sent.micros = m_clock.monotonicMicros() - sent.startMicros;
+        if (answer) {
+            sent.status = answer->result_int();
+            sent.ran = std::string((*answer)["Cumindale-Ran"]);
+            sent.error = std::string((*answer)["Cumindale-Error"]);
+            sent.wrong = sent.status == 200 && !matches(answer->body(), sent, absl::GetFlag(FLAGS_slow_bytes));
+        }
+        --m_open;
+    }
+
+    // A piece each 100 ms; nothing if the connection was cut.
+    asio::awaitable<std::optional<http::response<http::string_body>>> uploadSlowly(
+        std::string endpoint, const Sent& sent)
+    {
+        const size_t size = absl::GetFlag(FLAGS_slow_bytes);
+        const size_t piece = std::max<size_t>(1, absl::GetFlag(FLAGS_slow_rate) / 10);
+        const auto colon = endpoint.rfind(':');
+        const auto port = static_cast<uint16_t>(std::stoi(endpoint.substr(colon + 1)));
+        asio::ip::tcp::socket socket(m_executor);
+        const auto [connectError]
+            = co_await socket.async_connect({ asio::ip::make_address(endpoint.substr(0, colon)), port }, token);
+        const std::string head = "POST " + absl::GetFlag(FLAGS_path)
+            + "upload HTTP/1.1\r\nHost: h\r\nCase-Key: " + sent.key + "\r\nX-Nonce: " + sent.nonce
+            + "\r\nX-Work-Ms: 5\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+        const auto [headError, headSent] = co_await asio::async_write(socket, asio::buffer(head), token);
+        if (connectError || headError)
+            co_return std::nullopt;
+        for (size_t done = 0; done < size; done += piece) {
+            const std::string bytes(std::min(piece, size - done), 'u');
+            const auto [error, written] = co_await asio::async_write(socket, asio::buffer(bytes), token);
+            if (error)
+                break; // perhaps refused: the answer tells
+            co_await sleepFor(Millis(100));
+        }
+        boost::beast::flat_buffer buffer;
+        http::response<http::string_body> response;
+        const auto [error, got] = co_await http::async_read(socket, buffer, response, token);
+        if (error)
+            co_return std::nullopt;
+        co_return response;
+    }
+
     asio::awaitable<void> sendOne(unsigned index)
     {
         ++m_open;
