Router split by job; random numbers, hexadecimal points, peer questions and process clean-up stand once

Change: RequestHeaders, Refusals and ServiceRoute beside Router; base/Random; PeerLink::ask; lib.sh kill_all. Behaviour as before: tests decisions, routing and configuration pass.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 .PHONY: prove prove-quick bench slopes
 
 prove: build
-	LOSSES=50 ./bench/prove.sh
+	./bench/prove_all.sh
 
 prove-quick: build
 	LOSSES=3 ./bench/prove.sh leaves crash freeze short_freeze
--- a/bench/prove.sh
+++ b/bench/prove.sh
@@ -40,13 +40,7 @@
 }
 
 end_system() {
-    local name
-    for name in "${!pid[@]}"; do
-        kill -CONT "${pid[$name]}" 2>/dev/null
-        kill -KILL "${pid[$name]}" 2>/dev/null
-    done
-    wait 2>/dev/null
-    pid=()
+    kill_all
     [ -n "${KEEP:-}" ] || rm -f "$work"/*.record "$work"/*.log
 }
 
--- /dev/null
+++ b/bench/prove_all.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# All promises: the two long series of losses beside the rest, each on its own ports. Exit status 1 on a violation.
+cd "$(dirname "$0")/.." || exit 1
+LOSSES=${LOSSES:-50} BASE=9000 ./bench/prove.sh crash &
+crash=$!
+LOSSES=${LOSSES:-50} BASE=11000 ./bench/prove.sh freeze &
+freeze=$!
+./bench/prove.sh leaves short_freeze host_killed assigner_killed host_frozen store_down store_faults operators_race \
+    host_cut_from_server grants slow_uploads silent_connections hosts_replaced budget
+status=$?
+wait $crash || status=1
+wait $freeze || status=1
+./bench/prove.sh overload || status=1 # alone: it fills the servers
+exit $status
--- a/bench/slopes.sh
+++ b/bench/slopes.sh
@@ -27,10 +27,7 @@
     IFS=, read -r reads writes watches <<<"$(paste -d, <(echo "$store") <(calls) | awk -F, '{ print $4 - $1 "," $5 - $2 "," $6 - $3 }')"
     awk -v h="$1" -v s="$2" -v t="$seconds" -v k="$ticks" -v b="$bytes" -v r="$reads" -v w="$writes" -v a="$watches" -v m="$(sum_over rss_of "$1")" 'BEGIN {
         printf "{\"hosts\":%d,\"servers\":%d,\"corePercentPerHost\":%.3f,\"beatBytesPerSecondPerHost\":%.0f,\"rssKilobytes\":%.0f,\"storeReadsPerSecond\":%.2f,\"storeWritesPerSecond\":%.2f,\"storeWatchesPerSecond\":%.2f}\n", h, s, k / t / h, b / t / h, m / h, r / t, w / t, a / t }'
-    local name
-    for name in "${!pid[@]}"; do kill -KILL "${pid[$name]}" 2>/dev/null; done
-    wait 2>/dev/null
-    pid=()
+    kill_all
 }
 
 "$bin/bench-slopes" --benchmark_min_time=0.2 2>/dev/null
--- a/packages/base/Hash.cpp
+++ b/packages/base/Hash.cpp
@@ -1,9 +1,17 @@
 #include "base/Hash.h"
 
+#include <cstdio>
 #include <xxhash.h>
 
 namespace cumindale {
 
+std::string pointText(uint64_t point)
+{
+    char buffer[17];
+    std::snprintf(buffer, sizeof buffer, "%016llx", static_cast<unsigned long long>(point));
+    return buffer;
+}
+
 uint64_t pointOfKey(std::string_view key) { return XXH3_64bits(key.data(), key.size()); }
 
 }
--- a/packages/base/Hash.h
+++ b/packages/base/Hash.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace cumindale {
 
+std::string pointText(uint64_t point); // 16 hexadecimal digits
 uint64_t pointOfKey(std::string_view key); // the same on every host and in every version: tables depend on it
 
 }
--- a/packages/base/Log.cpp
+++ b/packages/base/Log.cpp
@@ -1,12 +1,13 @@
 #include "base/Log.h"
 
+#include "base/Time.h"
+
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
-#include <chrono>
 #include <iostream>
 
 namespace cumindale {
@@ -40,12 +41,6 @@
         return "error";
     }
 
-    int64_t unixMillis()
-    {
-        using namespace std::chrono;
-        return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-    }
-
 }
 
 void startLog(std::string_view host, LogLevel least)
@@ -61,7 +56,7 @@
 void logChange(LogLevel level, std::string_view event, boost::json::object fields)
 {
     boost::json::object line;
-    line["timeMs"] = unixMillis();
+    line["timeMs"] = SystemClock().unixMillis();
     line["level"] = levelName(level);
     line["host"] = hostName();
     line["event"] = event;
--- a/packages/base/Spans.cpp
+++ b/packages/base/Spans.cpp
@@ -2,7 +2,6 @@
 
 #include <charconv>
 #include <cstdio>
-#include <random>
 
 namespace cumindale {
 
@@ -44,16 +43,6 @@
 
 std::string traceId(const TraceContext& context) { return formatTraceparent(context).substr(3, 32); }
 
-uint64_t randomId()
-{
-    thread_local std::mt19937_64 engine { (static_cast<uint64_t>(std::random_device {}()) << 32)
-        | std::random_device {}() };
-    uint64_t value = 0;
-    while (!value)
-        value = engine();
-    return value;
-}
-
 SpanLog::SpanLog(size_t capacity)
     : m_capacity(capacity)
 {
--- a/packages/base/Spans.h
+++ b/packages/base/Spans.h
@@ -23,7 +23,6 @@
 std::optional<TraceContext> parseTraceparent(std::string_view header);
 std::string formatTraceparent(const TraceContext&);
 std::string traceId(const TraceContext&); // 32 hexadecimal digits
-uint64_t randomId(); // never 0
 
 struct Span {
     TraceContext context;
--- a/packages/control/Election.cpp
+++ b/packages/control/Election.cpp
@@ -1,7 +1,7 @@
 #include "control/Election.h"
 
 #include "base/Log.h"
-#include "base/Spans.h"
+#include "base/Random.h"
 #include "resources/ResourceCodec.h"
 
 namespace cumindale {
@@ -12,6 +12,7 @@
 
     constexpr Millis callTimeout { 1500 };
     constexpr Millis lookEvery { 500 };
+    constexpr Millis spreadOfCandidates { 50 };
     constexpr int64_t keepalivesPerLease = 3;
 
     // Built outside the coroutines: g++ 12 mishandles lists of temporaries inside one.
@@ -54,10 +55,10 @@
 asio::awaitable<bool> Election::stand()
 {
     // Spread, so that not all hosts stand at the same moment.
-    co_await sleepFor(Millis(static_cast<int64_t>(randomId() % 50)));
+    co_await sleepFor(randomBelow(spreadOfCandidates));
     if (!m_view.leader().host.empty())
         co_return false;
-    m_nonce = std::to_string(randomId());
+    m_nonce = std::to_string(randomNumber());
     const Instant askedAt = m_clock.now();
     m_writes.add();
     const LeaseReply lease = co_await m_store.grantLease(m_settings.timing.leaderLease, callTimeout);
--- a/packages/control/PeerMesh.cpp
+++ b/packages/control/PeerMesh.cpp
@@ -1,6 +1,6 @@
 #include "control/PeerMesh.h"
 
-#include "base/Spans.h"
+#include "base/Random.h"
 #include "decisions/TableCodec.h"
 #include "resources/RosterCodec.h"
 
@@ -30,11 +30,11 @@
     , m_events(events)
     // Not from 0: a peer must not take this incarnation's first states for ones it already holds. Short, since it
     // travels with every beat.
-    , m_sequence(1 + static_cast<int64_t>(randomId() % firstSequences))
+    , m_sequence(1 + static_cast<int64_t>(randomNumber() % firstSequences))
     , m_startedAt(clock.now())
     , m_urgent(executor)
 {
-    m_own.report.incarnation = randomId();
+    m_own.report.incarnation = randomNumber();
 }
 
 void PeerMesh::setOwnReport(HostReport report)
--- a/packages/control/StoreFollower.cpp
+++ b/packages/control/StoreFollower.cpp
@@ -1,7 +1,7 @@
 #include "control/StoreFollower.h"
 
 #include "base/Log.h"
-#include "base/Spans.h"
+#include "base/Random.h"
 #include "resources/ResourceCodec.h"
 #include "web/Signal.h"
 
@@ -15,10 +15,7 @@
     constexpr Millis shortestPause { 200 };
     constexpr Millis longestPause { 2000 };
 
-    Millis jittered(Millis base)
-    {
-        return base / 2 + Millis(static_cast<int64_t>(randomId() % static_cast<uint64_t>(base.count())));
-    }
+    Millis jittered(Millis base) { return base / 2 + randomBelow(base); }
 
 }
 
--- a/packages/decisions/HotKeys.cpp
+++ b/packages/decisions/HotKeys.cpp
@@ -51,15 +51,11 @@
     return keys;
 }
 
-void HotKeys::halve()
+void HotKeys::clear()
 {
-    m_total /= 2;
+    m_total = 0;
+    m_entries.clear();
     m_order.clear();
-    for (auto& [point, entry] : m_entries) {
-        entry.weight /= 2;
-        entry.error /= 2;
-        entry.order = m_order.emplace(entry.weight, point);
-    }
 }
 
 }
--- a/packages/decisions/HotKeys.h
+++ b/packages/decisions/HotKeys.h
@@ -25,7 +25,7 @@
     void add(uint64_t point, uint64_t weight);
     std::vector<HeavyKey> heaviest(size_t most) const; // surely heavy ones first: by weight - error
     uint64_t total() const { return m_total; }
-    void halve(); // ages all weights, so that yesterday's hot keys make room
+    void clear(); // begins a new period
 
 private:
     struct Entry {
--- a/packages/operators/StatusJson.cpp
+++ b/packages/operators/StatusJson.cpp
@@ -3,7 +3,6 @@
 #include "base/Hash.h"
 
 #include <boost/json/array.hpp>
-#include <cstdio>
 
 namespace cumindale {
 
@@ -39,13 +38,6 @@
         return "unowned";
     }
 
-    std::string hex(uint64_t value)
-    {
-        char buffer[17];
-        std::snprintf(buffer, sizeof buffer, "%016llx", static_cast<unsigned long long>(value));
-        return buffer;
-    }
-
     json::object hostsJson(const StatusSnapshot& snapshot)
     {
         json::object hosts;
@@ -125,7 +117,7 @@
     answer["service"] = service;
     answer["key"] = key;
     const uint64_t point = pointOfKey(key);
-    answer["point"] = hex(point);
+    answer["point"] = pointText(point);
     const auto table = snapshot.tables.find(service);
     if (table == snapshot.tables.end()) {
         answer["why"] = "no table: the service is not declared, or has no servers yet";
@@ -135,7 +127,7 @@
     const Slice& slice = table->second->slices[index];
     answer["tableVersion"] = table->second->version;
     answer["slice"] = index;
-    answer["range"] = hex(slice.begin) + "-" + hex(table->second->lastPointOf(index));
+    answer["range"] = pointText(slice.begin) + "-" + pointText(table->second->lastPointOf(index));
     answer["state"] = stateName(slice.state);
     answer["fence"] = slice.fence;
     answer["owner"] = table->second->serverName(slice.owner);
--- a/packages/peers/PeerLink.cpp
+++ b/packages/peers/PeerLink.cpp
@@ -65,78 +65,59 @@
     co_return true;
 }
 
-asio::awaitable<std::optional<wire::Beat>> PeerLink::beat(wire::Beat ask, Millis timeout)
+template <typename Receive> asio::awaitable<bool> PeerLink::ask(Millis timeout, Receive receive)
 {
-    m_codec->client.send_beat(ask);
     if (!co_await exchange(timeout))
-        co_return std::nullopt;
+        co_return false;
     try {
-        wire::Beat answer;
-        m_codec->client.recv_beat(answer);
-        co_return answer;
+        receive();
+        co_return true;
     } catch (const TException&) {
-        m_codec->stream.reset();
+        m_codec->stream.reset(); // not our protocol: nothing more can be expected of it
     }
-    co_return std::nullopt;
+    co_return false;
+}
+
+asio::awaitable<std::optional<std::string>> PeerLink::askText(
+    Millis timeout, void (wire::PeersClient::*receive)(std::string&))
+{
+    std::string answer;
+    if (!co_await ask(timeout, [&] { (m_codec->client.*receive)(answer); }))
+        co_return std::nullopt;
+    co_return answer;
+}
+
+asio::awaitable<std::optional<wire::Beat>> PeerLink::beat(wire::Beat question, Millis timeout)
+{
+    m_codec->client.send_beat(question);
+    wire::Beat answer;
+    if (!co_await ask(timeout, [&] { m_codec->client.recv_beat(answer); }))
+        co_return std::nullopt;
+    co_return answer;
 }
 
 asio::awaitable<bool> PeerLink::load(wire::LoadReport report, Millis timeout)
 {
     m_codec->client.send_load(report);
-    if (!co_await exchange(timeout))
-        co_return false;
-    try {
-        m_codec->client.recv_load();
-        co_return true;
-    } catch (const TException&) {
-        m_codec->stream.reset();
-    }
-    co_return false;
+    co_return co_await ask(timeout, [&] { m_codec->client.recv_load(); });
 }
 
 asio::awaitable<std::optional<std::string>> PeerLink::table(std::string service, Millis timeout)
 {
     m_codec->client.send_table(service);
-    if (!co_await exchange(timeout))
-        co_return std::nullopt;
-    try {
-        std::string answer;
-        m_codec->client.recv_table(answer);
-        co_return answer;
-    } catch (const TException&) {
-        m_codec->stream.reset();
-    }
-    co_return std::nullopt;
+    co_return co_await askText(timeout, &wire::PeersClient::recv_table);
 }
 
 asio::awaitable<std::optional<std::string>> PeerLink::roster(Millis timeout)
 {
     m_codec->client.send_roster();
-    if (!co_await exchange(timeout))
-        co_return std::nullopt;
-    try {
-        std::string answer;
-        m_codec->client.recv_roster(answer);
-        co_return answer;
-    } catch (const TException&) {
-        m_codec->stream.reset();
-    }
-    co_return std::nullopt;
+    co_return co_await askText(timeout, &wire::PeersClient::recv_roster);
 }
 
 asio::awaitable<std::optional<std::string>> PeerLink::resources(Millis timeout)
 {
     m_codec->client.send_resources();
-    if (!co_await exchange(timeout))
-        co_return std::nullopt;
-    try {
-        std::string answer;
-        m_codec->client.recv_resources(answer);
-        co_return answer;
-    } catch (const TException&) {
-        m_codec->stream.reset();
-    }
-    co_return std::nullopt;
+    co_return co_await askText(timeout, &wire::PeersClient::recv_resources);
 }
 
 }
--- a/packages/peers/PeerLink.h
+++ b/packages/peers/PeerLink.h
@@ -12,6 +12,10 @@
 #include <optional>
 #include <string>
 
+namespace cumindale::wire {
+class PeersClient;
+}
+
 namespace cumindale {
 
 class PeerLink {
@@ -29,6 +33,10 @@
 private:
     struct Codec;
     boost::asio::awaitable<bool> exchange(Millis timeout); // sends what the codec holds, reads the answer into it
+    template <typename Receive>
+    boost::asio::awaitable<bool> ask(Millis timeout, Receive); // exchange, then take the answer
+    boost::asio::awaitable<std::optional<std::string>> askText(
+        Millis timeout, void (wire::PeersClient::*receive)(std::string&));
 
     std::unique_ptr<Codec> m_codec;
 };
--- /dev/null
+++ b/packages/routing/Refusals.h
@@ -0,0 +1,27 @@
+// The answers that the system makes itself, from the one table of kinds.
+#pragma once
+
+#include "base/ErrorKind.h"
+#include "base/Metrics.h"
+#include "callers/CallerServer.h"
+
+namespace cumindale {
+
+class Refusals {
+public:
+    explicit Refusals(Metrics& metrics)
+        : m_metrics(metrics)
+    {
+    }
+
+    // `maybeRan`: an earlier try of the same request may have run, whatever the last one says.
+    CallerResponse make(ErrorKind, Millis retryAfter, bool maybeRan) const;
+
+private:
+    Metrics& m_metrics;
+};
+
+// At least the time, at most twice it: callers that were refused together don't come back together.
+Millis spread(Millis);
+
+}
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -1,13 +1,13 @@
 #include "routing/Router.h"
 
 #include "base/Hash.h"
-#include "base/Log.h"
+#include "base/Random.h"
+#include "routing/RequestHeaders.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/http.hpp>
-#include <set>
 
 namespace cumindale {
 
@@ -21,7 +21,6 @@
 
 namespace {
 
-    constexpr size_t hotKeyCounters = 1'024;
     constexpr size_t hotKeysReported = 64;
     constexpr Millis busyReportEvery { 20 }; // while slices are stopping
     constexpr Millis quietReportEvery { 100 };
@@ -31,95 +30,8 @@
     constexpr Millis retryPause { 4 }; // at least, and up to as much again
     constexpr unsigned mostTries = 4;
 
-    constexpr std::string_view ranHeader = "Cumindale-Ran";
-    constexpr std::string_view errorHeader = "Cumindale-Error";
-    constexpr std::string_view requestIdHeader = "Cumindale-Request-Id";
-    constexpr std::string_view fenceHeader = "Cumindale-Fence";
-    constexpr std::string_view rangeHeader = "Cumindale-Range";
-    constexpr std::string_view deadlineHeader = "Cumindale-Deadline";
-    constexpr std::string_view timeoutHeader = "Cumindale-Timeout-Ms";
-    constexpr std::string_view traceHeader = "traceparent";
-    constexpr std::string_view hostHeader = "Cumindale-Host"; // who dispatched it
-    constexpr std::string_view relayedHeader = "Cumindale-Relayed"; // by a host that can't reach the owner
-
-    // Ours, or of one connection only: never passed through.
-    constexpr std::array<std::string_view, 15> strippedHeaders { "Connection", "Keep-Alive", "Proxy-Connection", "TE",
-        "Trailer", "Upgrade", "Expect", ranHeader, requestIdHeader, fenceHeader, rangeHeader, deadlineHeader,
-        timeoutHeader, hostHeader, errorHeader };
-
-    std::string hex(uint64_t value)
-    {
-        char buffer[17];
-        std::snprintf(buffer, sizeof buffer, "%016llx", static_cast<unsigned long long>(value));
-        return buffer;
-    }
-
-    Millis jitter(Millis base)
-    {
-        // Up to as much again, so that callers don't all come back at once.
-        return base + Millis(static_cast<int64_t>(randomId() % static_cast<uint64_t>(base.count() + 1)));
-    }
-
-    std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
-
-    std::string_view segmentOf(std::string_view path, unsigned index)
-    {
-        while (index--) {
-            const auto slash = path.find('/');
-            if (slash == std::string_view::npos)
-                return {};
-            path.remove_prefix(slash + 1);
-        }
-        return path.substr(0, path.find('/'));
-    }
-
 }
 
-struct Router::Server {
-    Server(asio::any_io_executor executor, const Clock& clock, const ServerResource& resource, WatchOptions watch)
-        : pool(executor, clock, resource, watch)
-    {
-    }
-    ~Server()
-    {
-        if (prober)
-            prober->stop();
-    }
-
-    ServerPool pool;
-    std::shared_ptr<Prober> prober;
-    // Idempotent requests under way that began before `limit` are tried elsewhere.
-    void abandonOlderThan(Instant limit)
-    {
-        for (const auto& [connection, began] : abandonable) {
-            if (began < limit)
-                connection->abandon();
-        }
-    }
-
-    bool tookWork = true; // as of the last probe
-    std::map<BackendConnection*, Instant> abandonable; // with idempotent requests under way, since when
-};
-
-struct Router::Route {
-    explicit Route(std::shared_ptr<const SliceTable> adopted)
-        : table(std::move(adopted))
-        , index(*table)
-        , busyMicros(table->slices.size(), 0)
-    {
-        for (const auto& slice : table->slices)
-            stopping = stopping || slice.state == SliceState::Stopping;
-    }
-
-    std::shared_ptr<const SliceTable> table;
-    SliceIndex index;
-    std::vector<std::shared_ptr<Server>> servers; // by the table's server index; null if not declared
-    Instant freshUntil {};
-    bool stopping = false; // has stopping slices
-    std::vector<uint64_t> busyMicros; // by slice, since the last load report
-    HotKeys hotKeys { hotKeyCounters };
-};
-
 struct Router::Job {
     CallerRequest& request;
     CallerPresence& presence;
@@ -146,6 +58,7 @@
     , m_metrics(metrics)
     , m_spans(spans)
     , m_report(std::move(report))
+    , m_refusals(metrics)
     , m_latency(metrics.distribution("request_total"))
     , m_added(metrics.distribution("request_added"))
     , m_resources(std::make_shared<Resources>())
@@ -188,7 +101,7 @@
         const bool moved = server
             && (server->pool.server().address != resource.address || server->pool.server().port != resource.port);
         if (!server || moved) {
-            server = std::make_shared<Server>(m_executor, m_clock, resource, m_options.watch);
+            server = std::make_shared<ServerTarget>(m_executor, m_clock, resource, m_options.watch);
             const auto changed = [this, serverName = name] {
                 const auto found = m_servers.find(serverName);
                 if (found == m_servers.end())
@@ -236,12 +149,12 @@
                 server->pool.evictQueue();
         }
     }
-    route = std::make_unique<Route>(std::move(table));
+    route = std::make_unique<ServiceRoute>(std::move(table));
     bindServers(*route);
     reportNow();
 }
 
-void Router::bindServers(Route& route)
+void Router::bindServers(ServiceRoute& route)
 {
     route.servers.clear();
     for (const auto& name : route.table->servers) {
@@ -255,7 +168,7 @@
     const auto found = m_routes.find(service);
     if (found == m_routes.end())
         return { ErrorKind::NoOwner, nullptr };
-    const Route& route = *found->second;
+    const ServiceRoute& route = *found->second;
     if (m_clock.now() >= route.freshUntil)
         return { ErrorKind::NotFresh, nullptr };
     const size_t index = route.index.indexOf(point);
@@ -287,7 +200,7 @@
         m_routes.begin(), m_routes.end(), [now](const auto& entry) { return now < entry.second->freshUntil; });
 }
 
-CallerResponse Router::refusal(ErrorKind kind) { return errorAnswer(kind, jitter(Millis(500)), false); }
+CallerResponse Router::refusal(ErrorKind kind) { return m_refusals.make(kind, spread(Millis(500)), false); }
 
 ErrorKind Router::prepare(CallerRequest& request, Job& job) const
 {
@@ -295,11 +208,7 @@
     job.service = job.resources->serviceForPath(pathOf(target));
     if (!job.service)
         return ErrorKind::UnknownService;
-    std::string_view key;
-    if (job.service->keySource == KeySource::Header)
-        key = request[job.service->keyHeader];
-    else
-        key = segmentOf(pathOf(target).substr(job.service->pathPrefix.size()), job.service->keySegment);
+    const std::string_view key = keyIn(*job.service, request);
     if (key.empty())
         return ErrorKind::MissingKey;
     if (key.size() > m_options.keyBytes)
@@ -311,11 +220,10 @@
     job.deadline = job.arrived + (patience > 0 ? std::min(job.rule.deadline, Millis(patience)) : job.rule.deadline);
     job.relayed = request.count(relayedHeader) > 0;
     const auto parent = parseTraceparent(request[traceHeader]);
-    job.trace = parent ? *parent : TraceContext { randomId(), randomId(), 0 };
+    job.trace = parent ? *parent : TraceContext { randomNumber(), randomNumber(), 0 };
     job.parentSpan = job.trace.span;
-    job.trace.span = randomId();
-    for (const auto name : strippedHeaders)
-        request.erase(name);
+    job.trace.span = randomNumber();
+    stripForServer(request);
     return ErrorKind::None;
 }
 
@@ -347,9 +255,9 @@
             co_return response;
         const bool timeLeft = m_clock.now() < job.deadline;
         if (!timeLeft || job.presence.gone || !mayTryAgain(job, error))
-            co_return errorAnswer(error, retryAfter(error, job), job.maybeRan);
+            co_return m_refusals.make(error, retryAfter(error, job), job.maybeRan);
         if (job.tries)
-            co_await sleepFor(jitter(retryPause)); // many that failed together don't come back together
+            co_await sleepFor(spread(retryPause)); // many that failed together don't come back together
     }
 }
 
@@ -391,7 +299,7 @@
         co_return ErrorKind::Moving;
     const int64_t startedAt = m_clock.monotonicMicros();
     if (startedAt - queuedAt > 1000)
-        m_spans.add({ { job.trace.traceHigh, job.trace.traceLow, randomId() }, job.trace.span, "queue",
+        m_spans.add({ { job.trace.traceHigh, job.trace.traceLow, randomNumber() }, job.trace.span, "queue",
             server->pool.server().name, queuedAt, startedAt - queuedAt });
 
     auto connection = co_await server->pool.take(job.rule.idempotent, connectTimeout);
@@ -429,8 +337,7 @@
     if (result.response.result() == http::status::service_unavailable && result.response[ranHeader] == "no")
         co_return ErrorKind::ServerRefused;
     response = std::move(result.response);
-    for (const auto name : { "Connection", "Keep-Alive", "Proxy-Connection" })
-        response.erase(name);
+    stripForCaller(response);
     response.set(ranHeader, toString(Ran::Yes));
     co_return ErrorKind::None;
 }
@@ -439,12 +346,13 @@
 {
     const Instant now = m_clock.now();
     const Millis timeout = std::min<Millis>(job.deadline - now, job.service->longestWork);
-    const std::string requestId = hex(job.trace.traceLow) + "-" + hex(job.trace.span) + "-" + std::to_string(job.tries);
-    const TraceContext span { job.trace.traceHigh, job.trace.traceLow, randomId() };
+    const std::string requestId
+        = pointText(job.trace.traceLow) + "-" + pointText(job.trace.span) + "-" + std::to_string(job.tries);
+    const TraceContext span { job.trace.traceHigh, job.trace.traceLow, randomNumber() };
     CallerRequest& request = job.request;
     request.set(requestIdHeader, requestId);
     request.set(fenceHeader, std::to_string(at.fence));
-    request.set(rangeHeader, hex(at.firstPoint) + "-" + hex(at.lastPoint));
+    request.set(rangeHeader, pointText(at.firstPoint) + "-" + pointText(at.lastPoint));
     // Absolute beside remaining: a request that sat in a socket buffer of a cut path or a frozen server must
     // not start its time anew when it is read at last.
     request.set(deadlineHeader, std::to_string(m_clock.unixMillis() + timeout.count()));
@@ -491,7 +399,7 @@
     const auto found = m_relays.find(at.server->pool.server().name);
     if (found == m_relays.end() || found->second.empty())
         return nullptr;
-    return &found->second[randomId() % found->second.size()];
+    return &found->second[randomNumber() % found->second.size()];
 }
 
 // The other host dispatches by its own table and lease, so nothing is in flight from here. What it answers is
@@ -513,7 +421,7 @@
         co_await m_changed.wait(unreachablePause);
         co_return ErrorKind::ServerUnreachable;
     }
-    const TraceContext span { job.trace.traceHigh, job.trace.traceLow, randomId() };
+    const TraceContext span { job.trace.traceHigh, job.trace.traceLow, randomNumber() };
     CallerRequest& request = job.request;
     request.set(relayedHeader, m_options.host);
     request.set(timeoutHeader, std::to_string(left.count()));
@@ -538,7 +446,7 @@
     const auto found = m_routes.find(job.service->name);
     if (found == m_routes.end())
         return;
-    Route& route = *found->second;
+    ServiceRoute& route = *found->second;
     route.busyMicros[route.index.indexOf(job.point)] += static_cast<uint64_t>(micros);
     route.hotKeys.add(job.point, static_cast<uint64_t>(micros));
 }
@@ -551,33 +459,15 @@
     switch (kind) {
     case ErrorKind::Overloaded:
     case ErrorKind::DeadlineBeforeSend:
-        return jitter(at.server ? at.server->pool.expectedWait(job.rule.priority) : Millis(200));
+        return spread(at.server ? at.server->pool.expectedWait(job.rule.priority) : Millis(200));
     case ErrorKind::Moving:
     case ErrorKind::ServerUnreachable:
-        return jitter(Millis(500));
+        return spread(Millis(500));
     case ErrorKind::NotFresh:
-        return jitter(Millis(300));
+        return spread(Millis(300));
     default:
-        return jitter(Millis(1000));
-    }
-}
-
-CallerResponse Router::errorAnswer(ErrorKind kind, Millis after, bool maybeRan) const
-{
-    const ErrorAnswer& row = answerFor(kind);
-    // The last try may surely not have run while an earlier one may have: the answer speaks for all tries.
-    const std::string ran(toString(maybeRan && row.ran == Ran::No ? Ran::Unknown : row.ran));
-    m_metrics.counter("answers_" + std::string(row.name)).add();
-    CallerResponse response { http::int_to_status(row.status), 11 };
-    response.set(errorHeader, row.name);
-    response.set(ranHeader, ran);
-    response.set(http::field::content_type, "application/json");
-    if (row.retryAfter) {
-        response.set(http::field::retry_after, std::to_string((after.count() + 999) / 1000));
-        response.set("Cumindale-Retry-After-Ms", std::to_string(after.count()));
+        return spread(Millis(1000));
     }
-    response.body() = "{\"error\":\"" + std::string(row.name) + "\",\"ran\":\"" + ran + "\"}\n";
-    return response;
 }
 
 // --- Reports
@@ -622,7 +512,7 @@
                     if (route->busyMicros[i])
                         load.busyMicros[i] = std::exchange(route->busyMicros[i], 0);
                 }
-                route->hotKeys = HotKeys(hotKeyCounters);
+                route->hotKeys.clear();
                 report.loads[name] = std::move(load);
             }
             m_lastLoadReport = now;
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -4,14 +4,14 @@
 // dispatches, and decides whether another try is allowed. Everything here runs on one thread.
 #pragma once
 
-#include "backends/Prober.h"
-#include "backends/ServerPool.h"
 #include "base/Metrics.h"
 #include "base/Spans.h"
 #include "callers/CallerServer.h"
 #include "decisions/InFlight.h"
 #include "decisions/RetryBudget.h"
 #include "routing/Messages.h"
+#include "routing/Refusals.h"
+#include "routing/ServiceRoute.h"
 #include "web/Signal.h"
 
 #include <functional>
@@ -45,14 +45,12 @@
     bool ready() const override;
 
 private:
-    struct Server; // one backend server: its pool and prober
-    struct Route; // one service: its adopted table and freshness
     struct Job; // one request on its way
 
     // Where a key's requests go now, or why they can't.
     struct Located {
         ErrorKind error = ErrorKind::None;
-        std::shared_ptr<Server> server;
+        std::shared_ptr<ServerTarget> server;
         uint64_t fence = 0;
         uint64_t firstPoint = 0;
         uint64_t lastPoint = 0;
@@ -60,7 +58,7 @@
 
     void applyResources(std::shared_ptr<const Resources>);
     void adoptTable(std::shared_ptr<const SliceTable>);
-    void bindServers(Route&);
+    void bindServers(ServiceRoute&);
     Located locate(const std::string& service, uint64_t point) const;
 
     ErrorKind prepare(CallerRequest&, Job&) const;
@@ -70,7 +68,6 @@
     const Member* relayFor(const Job&, const Located&) const; // a host that reaches the server, if any
     boost::asio::awaitable<ErrorKind> relay(Job&, Member, CallerResponse&);
     bool mayTryAgain(Job&, ErrorKind);
-    CallerResponse errorAnswer(ErrorKind, Millis retryAfter, bool maybeRan) const;
     Millis retryAfter(ErrorKind, const Job&) const;
     void countLoad(const Job&, int64_t micros);
 
@@ -84,13 +81,14 @@
     Metrics& m_metrics;
     SpanLog& m_spans;
     ReportSink m_report;
+    Refusals m_refusals;
     Distribution& m_latency;
     Distribution& m_added;
 
     std::shared_ptr<const Resources> m_resources;
     size_t m_hosts = 1;
-    std::map<std::string, std::shared_ptr<Server>> m_servers;
-    std::map<std::string, std::unique_ptr<Route>, std::less<>> m_routes;
+    std::map<std::string, std::shared_ptr<ServerTarget>> m_servers;
+    std::map<std::string, std::unique_ptr<ServiceRoute>, std::less<>> m_routes;
     std::map<std::string, std::vector<Member>> m_relays; // by server that this host can't reach
     std::map<std::string, std::shared_ptr<ServerPool>> m_peers; // pools to hosts that relay
     std::map<std::string, RetryBudget> m_budgets;
--- a/standins/lib.sh
+++ b/standins/lib.sh
@@ -16,13 +16,18 @@
     pid[$name]=$!
 }
 
-stop_all() {
+kill_all() { # every process that was started here, frozen ones too
     local name
     for name in "${!pid[@]}"; do
         kill -CONT "${pid[$name]}" 2>/dev/null
         kill -KILL "${pid[$name]}" 2>/dev/null
     done
     wait 2>/dev/null
+    pid=()
+}
+
+stop_all() {
+    kill_all
     if [ -n "${KEEP:-}" ]; then echo "logs and records are in $work" >&2; else rm -rf "$work"; fi
 }
 trap stop_all EXIT
