Light slices are joined again, and tolerance of uneven load is a setting

Change: mergeForPlan; hot keys need a hundredth of a slot's work; a service's tolerance, default 0.2.

--- a/packages/control/LoadBook.cpp
+++ b/packages/control/LoadBook.cpp
@@ -10,6 +10,7 @@
     constexpr Millis reportLives { 5'000 }; // a host silent for longer is left out
     constexpr Millis averageEvery { 1'000 };
     constexpr double newestWeight = 0.1; // about the last twenty averages
+    constexpr double leastHotLoad = 10; // ms of work a second: a hundredth of a slot
     constexpr double hotShare = 0.002; // of the service's load: heavier keys get a slice of their own
 
 }
@@ -39,6 +40,11 @@
     if (due && any)
         ++book.averages;
     const double weight = std::max(newestWeight, 1.0 / static_cast<double>(std::max<uint64_t>(1, book.averages)));
+    // What was known of slices that have been joined since goes to those that hold their points now.
+    std::map<uint64_t, double> former;
+    for (const auto& [begin, load] : book.average)
+        former[table.slices[table.indexOf(begin)].begin] += load;
+    book.average = std::move(former);
     std::map<uint64_t, double> average;
     for (size_t i = 0; i < sum.size(); ++i) {
         const auto before = book.average.find(table.slices[i].begin);
@@ -72,7 +78,7 @@
     }
     std::vector<HotKey> keys;
     for (const auto& [point, load] : sum) {
-        if (load >= hotShare * total)
+        if (load >= hotShare * total && load >= leastHotLoad)
             keys.push_back({ point, load });
     }
     std::sort(keys.begin(), keys.end(), [](const HotKey& a, const HotKey& b) { return a.load > b.load; });
--- a/packages/decisions/Assigner.cpp
+++ b/packages/decisions/Assigner.cpp
@@ -24,8 +24,11 @@
     observeGates(current, view, roster, reports, now);
     bool changed = splitForPlan(draft, view.placement, m_options.placement) > 0;
     const bool even = view.calm && (!m_lastEven || now >= *m_lastEven + m_options.evenEvery);
-    if (even)
+    if (even) {
         m_lastEven = now;
+        if (mergeForPlan(draft, view.placement, m_options.placement))
+            changed = true;
+    }
     if (applyMoves(draft, view, even))
         changed = true;
     // After the moves, which replace successors that were lost meanwhile.
@@ -76,6 +79,7 @@
 bool ServiceAssigner::applyMoves(SliceTable& draft, const ServiceView& view, bool even)
 {
     PlacementOptions options = m_options.placement;
+    options.tolerance = view.service->tolerance;
     if (!even)
         options.churnBudget = 0;
     bool changed = false;
--- a/packages/decisions/Placement.cpp
+++ b/packages/decisions/Placement.cpp
@@ -224,6 +224,46 @@
     return added;
 }
 
+size_t mergeForPlan(SliceTable& table, PlacementInput& input, const PlacementOptions& options)
+{
+    const size_t base = std::max<size_t>(1, input.servers.size() * options.slicesPerServer);
+    if (table.slices.size() <= base || input.sliceLoad.size() != table.slices.size())
+        return 0;
+    std::set<uint64_t> keptCuts; // of keys that have a slice of their own for a reason
+    const auto keep = [&](uint64_t point) {
+        keptCuts.insert(point);
+        keptCuts.insert(point + 1);
+    };
+    for (const auto& key : input.hotKeys)
+        keep(key.point);
+    for (const auto& wish : input.wishes)
+        std::for_each(wish.points.begin(), wish.points.end(), keep);
+    const double total = std::accumulate(input.sliceLoad.begin(), input.sliceLoad.end(), 0.0);
+    const double lightest = total / static_cast<double>(base);
+
+    std::vector<Slice> slices { table.slices.front() };
+    std::vector<double> loads { input.sliceLoad.front() };
+    size_t removed = 0;
+    for (size_t i = 1; i < table.slices.size(); ++i) {
+        const Slice& slice = table.slices[i];
+        Slice& last = slices.back();
+        const bool alike
+            = slice.owner == last.owner && slice.state == SliceState::Serving && last.state == SliceState::Serving;
+        const bool light = loads.back() + input.sliceLoad[i] <= lightest;
+        if (alike && light && !keptCuts.count(slice.begin) && table.slices.size() - removed > base) {
+            last.fence = std::max(last.fence, slice.fence);
+            loads.back() += input.sliceLoad[i];
+            ++removed;
+            continue;
+        }
+        slices.push_back(slice);
+        loads.push_back(input.sliceLoad[i]);
+    }
+    table.slices = std::move(slices);
+    input.sliceLoad = std::move(loads);
+    return removed;
+}
+
 // --- First table
 
 SliceTable firstTable(std::string_view service, const PlacementInput& input, const PlacementOptions& options)
--- a/packages/decisions/Placement.h
+++ b/packages/decisions/Placement.h
@@ -45,7 +45,7 @@
 
 struct PlacementOptions {
     unsigned slicesPerServer = 16; // at the start, and the least kept by merging
-    double tolerance = 0.10; // servers within mean * (1 + tolerance) are left alone
+    double tolerance = 0.20; // servers within mean * (1 + tolerance) are left alone
     double churnBudget = 0.02; // most share of all load that one plan moves to make it even
     size_t mostSlices = 40'000; // no splits beyond
 };
@@ -61,6 +61,12 @@
 // are divided with it. Returns how many slices it added.
 size_t splitForPlan(SliceTable&, PlacementInput&, const PlacementOptions&);
 
+// Joins neighbours of one owner that are light and were cut for a key that is no longer hot or wished for, while
+// more slices remain than at the start. Without it a hot set that changes would use up all slices. The joined
+// slice has the higher fence of the two: work under the lower one is refused by its own server at worst, and
+// then surely not run. Returns how many slices went away.
+size_t mergeForPlan(SliceTable&, PlacementInput&, const PlacementOptions&);
+
 // The table of a service that has none: equal slices, dealt out by slots.
 SliceTable firstTable(std::string_view service, const PlacementInput&, const PlacementOptions&);
 
--- a/packages/decisions/Resources.h
+++ b/packages/decisions/Resources.h
@@ -43,6 +43,7 @@
     Millis longestWork { 1000 }; // the most that one dispatch may take; a move after a freeze waits for it
     double retryRatio = 0.10;
     uint64_t largestBody = 8'000'000; // bytes
+    double tolerance = 0.20; // of uneven load: lower means more even and more moves
 };
 
 enum class ServerWish : uint8_t { Live, Leaving };
--- a/packages/decisions/SliceTable.cpp
+++ b/packages/decisions/SliceTable.cpp
@@ -42,24 +42,6 @@
     return index + 1;
 }
 
-void SliceTable::mergeEqualNeighbours(size_t keepAtLeast)
-{
-    std::vector<Slice> kept;
-    size_t remaining = slices.size();
-    for (const auto& slice : slices) {
-        if (!kept.empty() && remaining > keepAtLeast) {
-            Slice likeLast = slice;
-            likeLast.begin = kept.back().begin;
-            if (likeLast == kept.back()) {
-                --remaining;
-                continue;
-            }
-        }
-        kept.push_back(slice);
-    }
-    slices = std::move(kept);
-}
-
 std::string_view faultOf(const SliceTable& table)
 {
     if (table.slices.empty())
--- a/packages/decisions/SliceTable.h
+++ b/packages/decisions/SliceTable.h
@@ -54,7 +54,6 @@
     // --- Editing (the assigner's working copy)
     ServerIndex internServer(std::string_view name); // index of the name, added if new
     size_t splitAt(uint64_t point); // makes a slice begin at the point, with the same owner and fence; its index
-    void mergeEqualNeighbours(size_t keepAtLeast); // joins neighbours alike in all but begin, while more remain
 };
 
 // What is wrong with a table, or empty. Decoded tables are checked before they are used.
--- a/packages/resources/ResourceCodec.cpp
+++ b/packages/resources/ResourceCodec.cpp
@@ -70,6 +70,7 @@
             service.routes.push_back(readRoute(*route, "spec.routes[" + std::to_string(index++) + "]", fault));
         service.longestWork = Millis(reader.number("longestWorkMs", 10, longestDeadlineMillis, 1000));
         service.retryRatio = reader.ratio("retryRatio", 0, 1, 0.10);
+        service.tolerance = reader.ratio("tolerance", 0.01, 10, 0.20);
         service.largestBody
             = static_cast<uint64_t>(reader.number("largestBodyBytes", 0, largestBodyAllowed, 8'000'000));
         reader.finish();
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -127,3 +127,35 @@
     CHECK(rounds < 50);
     CHECK(imbalanceOf(table, input) < 1.15);
 }
+
+TEST_CASE("a hot set that changes does not use up all slices")
+{
+    // Users would see hot keys stay on full servers: each key that was ever hot kept its slice, until the table had
+    // no room for the next ones.
+    PlacementInput input = inputOf(10);
+    SliceTable table = placed(input);
+    const size_t base = table.slices.size();
+    uint64_t point = 1;
+    size_t most = 0;
+    for (int round = 0; round < 200; ++round) {
+        input.sliceLoad.clear();
+        for (size_t i = 0; i < table.slices.size(); ++i) // load by width
+            input.sliceLoad.push_back(static_cast<double>(table.lastPointOf(i) - table.slices[i].begin) / 0x1p64);
+        input.hotKeys.clear();
+        for (int i = 0; i < 20; ++i)
+            input.hotKeys.push_back({ point = point * 6364136223846793005ull + 1442695040888963407ull, 0.01 });
+        splitForPlan(table, input, {});
+        for (const auto& key : input.hotKeys) {
+            const size_t own = table.indexOf(key.point);
+            CHECK(table.slices[own].begin == key.point);
+            CHECK(table.lastPointOf(own) == key.point);
+        }
+        mergeForPlan(table, input, {});
+        for (const auto& key : input.hotKeys)
+            CHECK(table.slices[table.indexOf(key.point)].begin == key.point);
+        CHECK(faultOf(table).empty());
+        CHECK(input.sliceLoad.size() == table.slices.size());
+        most = std::max(most, table.slices.size());
+    }
+    CHECK(most < base + 4 * 40);
+}
