A lowered longestWorkMs counts only when the work under the former one is over

Cause: found by looking for holes: operators who lowered longestWorkMs shortened the wait of a move at once, while a frozen server could still hold work with the former, later deadline. Ruled out: hosts that answer, which report what is in flight by its true deadline; the hole is in the wait for those that don't, and in the age after which a new incarnation vouches. Change: the limit lives in the table. Hosts dispatch by the table's limit; lowering has two steps like a move, and waits count the former limit in between. The codec's format is 2.

--- a/packages/control/AssignerDriver.cpp
+++ b/packages/control/AssignerDriver.cpp
@@ -104,8 +104,8 @@
 Millis AssignerDriver::longestWork() const
 {
     Millis longest { 0 };
-    for (const auto& [name, service] : m_view.resources()->services)
-        longest = std::max(longest, service.longestWork);
+    for (const auto& [name, table] : m_view.tables())
+        longest = std::max(longest, table->formerWork);
     return longest;
 }
 
--- a/packages/decisions/Assigner.cpp
+++ b/packages/decisions/Assigner.cpp
@@ -21,8 +21,9 @@
         draft = firstTable(view.service->name, view.placement, m_options.placement);
     draft.version = current.version + 1;
 
-    observeGates(current, view, roster, reports, now);
-    bool changed = splitForPlan(draft, view.placement, m_options.placement) > 0;
+    observeGates(current, roster, reports, now);
+    bool changed = updateWorkLimit(draft, current, view, roster, reports, now);
+    changed = splitForPlan(draft, view.placement, m_options.placement) > 0 || changed;
     const bool even = view.calm && (!m_lastEven || now >= *m_lastEven + m_options.evenEvery);
     if (even) {
         m_lastEven = now;
@@ -40,7 +41,7 @@
 }
 
 void ServiceAssigner::observeGates(
-    const SliceTable& current, const ServiceView& view, const Roster& roster, const HostReports& reports, Instant now)
+    const SliceTable& current, const Roster& roster, const HostReports& reports, Instant now)
 {
     std::map<uint64_t, StopGate> kept;
     for (const auto& slice : current.slices) {
@@ -48,15 +49,46 @@
             continue;
         const auto found = m_gates.find(slice.begin);
         const bool same = found != m_gates.end() && found->second.stopVersion() == slice.stoppedIn;
-        auto gate = same
-            ? found->second
-            : StopGate(current.service, slice.begin, slice.stoppedIn, view.service->longestWork, m_options.gate);
+        auto gate = same ? found->second
+                         : StopGate(current.service, slice.begin, slice.stoppedIn, current.formerWork, m_options.gate);
         gate.observe(roster, reports, now);
         kept.emplace(slice.begin, std::move(gate));
     }
     m_gates = std::move(kept);
 }
 
+// Raising takes effect with the version that says so. Lowering has two steps, like a move: hosts dispatch by the lower
+// limit from the next version on, waits count the higher one until its last dispatch must be over. Without the second
+// step a slice would get its next owner while a frozen server still held work with the former, later deadline.
+bool ServiceAssigner::updateWorkLimit(SliceTable& draft, const SliceTable& current, const ServiceView& view,
+    const Roster& roster, const HostReports& reports, Instant now)
+{
+    const Millis wish = view.service->longestWork;
+    if (!current.version) {
+        draft.workLimit = wish;
+        draft.formerWork = wish;
+        return false; // a first table is committed for its owners
+    }
+    if (wish != draft.workLimit) {
+        draft.workLimit = wish;
+        draft.formerWork = std::max(draft.formerWork, wish);
+        draft.loweredIn = draft.formerWork > wish ? draft.version : 0;
+        m_lowering.reset();
+        return true;
+    }
+    if (!draft.loweredIn)
+        return false;
+    if (!m_lowering || m_lowering->stopVersion() != draft.loweredIn)
+        m_lowering.emplace(draft.service, 0, draft.loweredIn, draft.formerWork, m_options.gate);
+    m_lowering->observe(roster, reports, now);
+    if (!m_lowering->waitedOut(now))
+        return false;
+    draft.formerWork = draft.workLimit;
+    draft.loweredIn = 0;
+    m_lowering.reset();
+    return true;
+}
+
 bool ServiceAssigner::finishStops(SliceTable& draft, Instant now) const
 {
     bool changed = false;
--- a/packages/decisions/Assigner.h
+++ b/packages/decisions/Assigner.h
@@ -38,12 +38,15 @@
         const SliceTable& current, ServiceView, const Roster&, const HostReports&, Instant now);
 
 private:
-    void observeGates(const SliceTable&, const ServiceView&, const Roster&, const HostReports&, Instant now);
+    void observeGates(const SliceTable&, const Roster&, const HostReports&, Instant now);
+    bool updateWorkLimit(
+        SliceTable&, const SliceTable& current, const ServiceView&, const Roster&, const HostReports&, Instant now);
     bool finishStops(SliceTable&, Instant now) const;
     bool applyMoves(SliceTable&, const ServiceView&, bool even);
 
     AssignerOptions m_options;
     std::map<uint64_t, StopGate> m_gates; // by the slice's begin
+    std::optional<StopGate> m_lowering; // waits until dispatches under a former, higher limit are over
     std::optional<Instant> m_lastEven;
 };
 
@@ -51,7 +54,7 @@
 struct RosterView {
     std::vector<Member> live; // from the platform's list, answering beats and ready to route
     std::set<std::string> gone; // names that the platform no longer shows for longer than its lag, or that left
-    Millis longestWork { 1000 }; // over all services
+    Millis longestWork { 1000 }; // over all services: the highest formerWork of their tables
 };
 
 class RosterAssigner {
--- a/packages/decisions/SliceTable.cpp
+++ b/packages/decisions/SliceTable.cpp
@@ -46,6 +46,10 @@
 {
     if (table.slices.empty())
         return "no slices";
+    const bool lowering = table.formerWork > table.workLimit;
+    if (table.workLimit.count() < 0 || table.formerWork < table.workLimit || lowering != (table.loweredIn != 0)
+        || table.loweredIn > table.version)
+        return "limits of work do not fit";
     if (table.slices.front().begin)
         return "the first slice does not begin at 0";
     for (size_t i = 0; i < table.slices.size(); ++i) {
--- a/packages/decisions/SliceTable.h
+++ b/packages/decisions/SliceTable.h
@@ -9,6 +9,8 @@
 // Tables are immutable once committed: the assigner makes the next version, everybody else reads.
 #pragma once
 
+#include "base/Time.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -41,6 +43,11 @@
     std::string service;
     uint64_t version = 0; // 0: nothing committed yet
     uint64_t nextFence = 1; // fence for the next new owner in this service
+    // Hosts give a dispatch by this version at most `workLimit`. When operators lower it, dispatches by older versions
+    // may still take longer: every wait counts `formerWork` until those have died out.
+    Millis workLimit { 1000 };
+    Millis formerWork { 1000 }; // at least workLimit
+    uint64_t loweredIn = 0; // version that lowered workLimit; 0 if formerWork is the same
     std::vector<std::string> servers; // names; slices refer to them by index
     std::vector<Slice> slices; // sorted by begin; the first begins at 0
 
--- a/packages/decisions/StopGate.cpp
+++ b/packages/decisions/StopGate.cpp
@@ -48,10 +48,10 @@
         m_majorityAt = now;
 }
 
-bool StopGate::mayOwn(Instant now) const
+bool StopGate::mayOwn(Instant now) const { return m_allIdle || waitedOut(now); }
+
+bool StopGate::waitedOut(Instant now) const
 {
-    if (m_allIdle)
-        return true;
     return m_majorityAt && now >= *m_majorityAt + m_options.lease + m_options.driftMargin + m_longestWork;
 }
 
--- a/packages/decisions/StopGate.h
+++ b/packages/decisions/StopGate.h
@@ -61,6 +61,7 @@
     // Looks at the newest reports; call it whenever they change. `now` is the assigner's clock.
     void observe(const Roster&, const HostReports&, Instant now);
     bool mayOwn(Instant now) const; // after observe()
+    bool waitedOut(Instant now) const; // (b) alone: whatever was dispatched before is over
     uint64_t stopVersion() const { return m_stopVersion; }
 
 private:
--- a/packages/decisions/TableCodec.cpp
+++ b/packages/decisions/TableCodec.cpp
@@ -5,10 +5,11 @@
 namespace {
 
     constexpr uint8_t magic = 0xC5;
-    constexpr uint64_t format = 1;
+    constexpr uint64_t format = 2;
     constexpr size_t checksumBytes = 8;
     constexpr size_t mostServers = 100'000;
     constexpr size_t mostSlices = 1'000'000;
+    constexpr size_t longestWorkMillis = 86'400'000; // a day
     constexpr size_t longestName = 1'024;
     constexpr unsigned statesPerSlice = 3;
 
@@ -136,6 +137,9 @@
     writeText(out, table.service);
     writeNumber(out, table.version);
     writeNumber(out, table.nextFence);
+    writeNumber(out, static_cast<uint64_t>(table.workLimit.count()));
+    writeNumber(out, static_cast<uint64_t>((table.formerWork - table.workLimit).count()));
+    writeNumber(out, table.loweredIn);
     writeNumber(out, table.servers.size());
     for (const auto& server : table.servers)
         writeText(out, server);
@@ -171,6 +175,9 @@
     table.service = reader.text();
     table.version = reader.number();
     table.nextFence = reader.number();
+    table.workLimit = Millis(static_cast<int64_t>(reader.count(longestWorkMillis)));
+    table.formerWork = table.workLimit + Millis(static_cast<int64_t>(reader.count(longestWorkMillis)));
+    table.loweredIn = reader.number();
     const size_t servers = reader.count(mostServers);
     for (size_t i = 0; i < servers && reader.ok(); ++i)
         table.servers.push_back(reader.text());
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -179,7 +179,8 @@
     const auto& owner = route.servers[slice.owner];
     if (!owner->pool.watch().takesWork())
         return { ErrorKind::ServerUnreachable, owner };
-    return { ErrorKind::None, owner, slice.fence, slice.begin, route.table->lastPointOf(index) };
+    return { ErrorKind::None, owner, slice.fence, slice.begin, route.table->lastPointOf(index),
+        route.table->workLimit };
 }
 
 // --- Requests
@@ -348,7 +349,7 @@
 asio::awaitable<ExchangeResult> Router::dispatch(Job& job, const Located& at, BackendConnection& connection)
 {
     const Instant now = m_clock.now();
-    const Millis timeout = std::min<Millis>(job.deadline - now, job.service->longestWork);
+    const Millis timeout = std::min<Millis>(job.deadline - now, at.workLimit); // the table's, which moves wait for
     const std::string requestId
         = pointText(job.trace.traceLow) + "-" + pointText(job.trace.span) + "-" + std::to_string(job.tries);
     const TraceContext span { job.trace.traceHigh, job.trace.traceLow, randomNumber() };
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -54,6 +54,7 @@
         uint64_t fence = 0;
         uint64_t firstPoint = 0;
         uint64_t lastPoint = 0;
+        Millis workLimit { 0 }; // of one dispatch
     };
 
     void applyResources(std::shared_ptr<const Resources>);
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -162,6 +162,12 @@
         guards.inFlightUntilDeadline = false;
         expectCaught("ended connections are forgotten", guards, 8'000);
     }
+    SUBCASE("the wait for a limit of work that was lowered")
+    {
+        Guards guards;
+        guards.waitForFormerLimit = false;
+        expectCaught("a lowered limit counts at once", guards, 20'000);
+    }
     SUBCASE("absolute deadlines")
     {
         Guards guards;
--- a/tests/routing_fixture.cpp
+++ b/tests/routing_fixture.cpp
@@ -86,6 +86,8 @@
     table->service = "tracing";
     table->version = version;
     table->nextFence = version + 1;
+    table->workLimit = Millis(300);
+    table->formerWork = Millis(300);
     table->servers = { "server-1" };
     Slice slice;
     slice.fence = version;
--- a/tests/slice_table_test.cpp
+++ b/tests/slice_table_test.cpp
@@ -14,6 +14,9 @@
     SliceTable table;
     table.service = "tracing";
     table.version = *rc::gen::inRange<uint64_t>(1, 1'000'000);
+    table.workLimit = Millis(*rc::gen::inRange(1, 100'000));
+    table.formerWork = table.workLimit + Millis(*rc::gen::inRange(0, 1'000));
+    table.loweredIn = table.formerWork > table.workLimit ? 1 : 0;
     const auto servers = *rc::gen::inRange<size_t>(1, 20);
     for (size_t i = 0; i < servers; ++i)
         table.servers.push_back("server-" + std::to_string(i));
