Deadlines are stamped before the last check, not after it

Cause: found by reading: a host stopped between its freshness check and the stamp of the deadline woke and gave the request a deadline from then, so that even a server that honours deadlines would run old work. Ruled out: the pause between the stamp and the send, which the absolute deadline covers. Change: both clocks are read first, then the lease and the owner are checked, then the request goes out.

--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -312,6 +312,9 @@
         co_await m_changed.wait(unreachablePause);
         co_return ErrorKind::ServerUnreachable;
     }
+    // The times first, then the check, then the send. A host that is stopped after the check sends a deadline that
+    // lies in the past when it wakes; stamped after the check, it would give old work a new life.
+    const SendTime time { m_clock.now(), m_clock.unixMillis() };
     // Last thing before the first byte: waiting for a slot or a connection may have outlived the table or its
     // freshness.
     at = locate(service, job.point);
@@ -325,7 +328,7 @@
             : at.server != server             ? ErrorKind::Moving
                                               : ErrorKind::DeadlineBeforeSend;
     }
-    ExchangeResult result = co_await dispatch(job, at, *connection);
+    ExchangeResult result = co_await dispatch(job, at, time, *connection);
     const int64_t took = m_clock.monotonicMicros() - startedAt;
     server->pool.release(job.rule.priority, Millis((took + 999) / 1000));
     if (result.error != ErrorKind::None) {
@@ -346,9 +349,10 @@
     co_return ErrorKind::None;
 }
 
-asio::awaitable<ExchangeResult> Router::dispatch(Job& job, const Located& at, BackendConnection& connection)
+asio::awaitable<ExchangeResult> Router::dispatch(
+    Job& job, const Located& at, SendTime time, BackendConnection& connection)
 {
-    const Instant now = m_clock.now();
+    const Instant now = time.monotonic;
     const Millis timeout = std::min<Millis>(job.deadline - now, at.workLimit); // the table's, which moves wait for
     const std::string requestId
         = pointText(job.trace.traceLow) + "-" + pointText(job.trace.span) + "-" + std::to_string(job.tries);
@@ -359,7 +363,7 @@
     request.set(rangeHeader, pointText(at.firstPoint) + "-" + pointText(at.lastPoint));
     // Absolute beside remaining: a request that sat in a socket buffer of a cut path or a frozen server must
     // not start its time anew when it is read at last.
-    request.set(deadlineHeader, std::to_string(m_clock.unixMillis() + timeout.count()));
+    request.set(deadlineHeader, std::to_string(time.unixMillis + timeout.count()));
     request.set(timeoutHeader, std::to_string(timeout.count()));
     request.set(traceHeader, formatTraceparent(span));
     request.set(hostHeader, m_options.host);
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -57,6 +57,12 @@
         Millis workLimit { 0 }; // of one dispatch
     };
 
+    // One moment on both clocks, taken before the last check of a dispatch.
+    struct SendTime {
+        Instant monotonic {};
+        int64_t unixMillis = 0;
+    };
+
     void applyResources(std::shared_ptr<const Resources>);
     void adoptTable(std::shared_ptr<const SliceTable>);
     void bindServers(ServiceRoute&);
@@ -65,7 +71,7 @@
     ErrorKind prepare(CallerRequest&, Job&) const;
     boost::asio::awaitable<CallerResponse> run(Job&);
     boost::asio::awaitable<ErrorKind> tryOnce(Job&, CallerResponse&); // one dispatch, or why there was none
-    boost::asio::awaitable<ExchangeResult> dispatch(Job&, const Located&, BackendConnection&);
+    boost::asio::awaitable<ExchangeResult> dispatch(Job&, const Located&, SendTime, BackendConnection&);
     const Member* relayFor(const Job&, const Located&) const; // a host that reaches the server, if any
     boost::asio::awaitable<ErrorKind> relay(Job&, Member, CallerResponse&);
     bool mayTryAgain(Job&, ErrorKind);
--- a/tests/routing_fixture.cpp
+++ b/tests/routing_fixture.cpp
@@ -13,7 +13,6 @@
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
     constexpr Millis lateBy { 600 };
     constexpr Millis lateInTime { 200 };
-    constexpr Millis farAway { 3'600'000 };
 
     std::shared_ptr<Resources> resourcesFor(uint16_t port, uint64_t largestBody)
     {
@@ -47,15 +46,26 @@
 }
 
 RoutingFixture::RoutingFixture(CallerLimits limits, uint64_t largestBody)
-    : m_work(m_context.get_executor())
+    : RoutingFixture(std::make_shared<SystemClock>(), limits, largestBody)
+{
+}
+
+RoutingFixture::RoutingFixture(std::shared_ptr<const Clock> clock)
+    : RoutingFixture(std::move(clock), {}, 1'000'000)
+{
+}
+
+RoutingFixture::RoutingFixture(std::shared_ptr<const Clock> clock, CallerLimits limits, uint64_t largestBody)
+    : m_clock(std::move(clock))
+    , m_work(m_context.get_executor())
 {
     const auto handler
         = [this](const ServedRequest& request, boost::beast::tcp_stream& stream) { return serve(request, stream); };
     m_fake = std::make_unique<HttpServer>(m_context.get_executor(), "127.0.0.1", uint16_t(0), handler);
     m_router = std::make_unique<Router>(
-        m_context.get_executor(), m_clock, RouterOptions { "host", 64 }, m_metrics, m_spans, [](RoutingReport) {});
+        m_context.get_executor(), *m_clock, RouterOptions { "host", 64 }, m_metrics, m_spans, [](RoutingReport) {});
     m_callers = std::make_unique<CallerServer>(
-        m_context.get_executor(), m_clock, "127.0.0.1", uint16_t(0), limits, *m_router, m_metrics);
+        m_context.get_executor(), *m_clock, "127.0.0.1", uint16_t(0), limits, *m_router, m_metrics);
     m_port = m_callers->port();
     RoutingUpdate update;
     update.resources = resourcesFor(m_fake->port(), largestBody);
@@ -80,7 +90,7 @@
     done.get_future().wait();
 }
 
-void RoutingFixture::setTable(uint64_t version, SliceState state, bool fresh)
+void RoutingFixture::setTable(uint64_t version, SliceState state, Millis freshFor)
 {
     auto table = std::make_shared<SliceTable>();
     table->service = "tracing";
@@ -98,7 +108,7 @@
     onThread([&] {
         RoutingUpdate update;
         update.table = table;
-        update.freshness.push_back({ "tracing", version, fresh ? m_clock.now() + farAway : Instant {} });
+        update.freshness.push_back({ "tracing", version, m_clock->now() + freshFor });
         m_router->apply(update);
     });
 }
--- a/tests/routing_fixture.h
+++ b/tests/routing_fixture.h
@@ -43,6 +43,7 @@
 class RoutingFixture {
 public:
     explicit RoutingFixture(CallerLimits limits = {}, uint64_t largestBody = 1'000'000);
+    explicit RoutingFixture(std::shared_ptr<const Clock>);
     ~RoutingFixture();
 
     void script(std::deque<Act> acts); // for the next requests; then Answer
@@ -51,7 +52,7 @@
     size_t serverConnections() const { return m_connections; }
     std::string receivedHeader(const std::string& name); // of the newest request at the fake
     uint16_t port() const { return m_port; }
-    void setTable(uint64_t version, SliceState, bool fresh = true);
+    void setTable(uint64_t version, SliceState, Millis freshFor = Millis(3'600'000));
     void stopServer(); // nothing listens any more
 
     // Sends bytes to the callers' port and reads one answer, or until the connection ends.
@@ -65,7 +66,9 @@
     boost::asio::awaitable<std::optional<ServedResponse>> serve(const ServedRequest&, boost::beast::tcp_stream&);
     void onThread(std::function<void()>);
 
-    SystemClock m_clock;
+    RoutingFixture(std::shared_ptr<const Clock>, CallerLimits, uint64_t largestBody);
+
+    std::shared_ptr<const Clock> m_clock;
     Metrics m_metrics;
     SpanLog m_spans { 1000 };
     boost::asio::io_context m_context { 1 };
--- a/tests/truth_test.cpp
+++ b/tests/truth_test.cpp
@@ -10,6 +10,22 @@
 
 constexpr auto untilTrusted = std::chrono::milliseconds(1'100); // idle for longer than a claim trusts
 
+// A clock of a host that is stopped for ten seconds whenever it is about to stamp a deadline.
+class StoppedAtTheStamp final : public Clock {
+public:
+    Instant now() const override { return m_system.now() + Millis(m_stopped); }
+    int64_t monotonicMicros() const override { return m_system.monotonicMicros() + m_stopped * 1000; }
+    int64_t unixMillis() const override
+    {
+        m_stopped += 10'000;
+        return m_system.unixMillis() + m_stopped;
+    }
+
+private:
+    SystemClock m_system;
+    mutable std::atomic<int64_t> m_stopped { 0 };
+};
+
 int64_t millisSince(std::chrono::steady_clock::time_point start)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start).count();
@@ -132,7 +148,7 @@
     RoutingFixture fixture;
     fixture.setTable(2, SliceState::Stopping);
     CHECK(fixture.post("claim").header("Cumindale-Error") == "moving");
-    fixture.setTable(3, SliceState::Serving, false);
+    fixture.setTable(3, SliceState::Serving, Millis(0));
     CHECK(fixture.post("claim").header("Cumindale-Error") == "not-fresh");
     CHECK(fixture.runs() == 0);
     fixture.setTable(4, SliceState::Serving);
@@ -195,3 +211,14 @@
     request.target("/tracing/x");
     CHECK(router.bodyRule(request).error == ErrorKind::NotFresh);
 }
+
+TEST_CASE("a host that is stopped between its check and its send gives old work no new life")
+{
+    // A user would see a claim run at a server that no longer owns its key: a host checked its lease, was stopped for
+    // seconds, woke, and stamped the request with a deadline from then.
+    RoutingFixture fixture(std::make_shared<StoppedAtTheStamp>());
+    fixture.setTable(2, SliceState::Serving, Millis(1'000));
+    const Answer answer = fixture.post("claim");
+    CHECK(answer.header("Cumindale-Ran") == "no");
+    CHECK(fixture.runs() == 0);
+}
