Accepting, connecting and looking at a connection stand once

Cause: three accept loops, three connects and three looks at an idle connection stood beside each other; each accept loop asked again at once after any error, so that a process out of file descriptors would keep a core busy.

--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -1,11 +1,12 @@
 #include "backends/ServerPool.h"
 
+#include "web/Sockets.h"
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
-#include <sys/socket.h>
 
 namespace cumindale {
 
@@ -35,23 +36,11 @@
 
 asio::awaitable<bool> BackendConnection::connect(const ServerResource& server, Millis timeout)
 {
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(server.address), server.port);
-    m_stream.expires_after(timeout);
-    const auto [error] = co_await m_stream.async_connect(endpoint, token);
-    if (error)
-        co_return false;
-    boost::system::error_code ignored; // the other side may have gone already
-    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    m_reusable = true;
-    co_return true;
+    m_reusable = co_await connectTo(m_stream, server.address, server.port, timeout);
+    co_return m_reusable;
 }
 
-bool BackendConnection::closedByPeer()
-{
-    char byte = 0;
-    const auto got = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0; // 0: an end; 1: an answer to nothing. Otherwise there is nothing to read: it is idle.
-}
+bool BackendConnection::hasUnasked() { return hasInput(m_stream); }
 
 asio::awaitable<ExchangeResult> BackendConnection::exchange(BackendRequest& request, Millis timeout)
 {
@@ -167,7 +156,7 @@
         // Something between the two ends may have lost track of an idle connection: what is sent over it would
         // go nowhere, and nobody could say whether it ran. A fresh connection costs about 1 ms.
         const bool trusted = idempotent || now - connection->lastAnswer <= trustIdle;
-        if (trusted && !connection->closedByPeer())
+        if (trusted && !connection->hasUnasked())
             co_return connection;
     }
     auto connection = std::make_unique<BackendConnection>(m_executor);
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -42,7 +42,7 @@
     boost::asio::awaitable<ExchangeResult> exchange(BackendRequest&, Millis timeout);
     void abandon() { m_stream.cancel(); } // ends a running exchange as if the connection were lost
     bool reusable() const { return m_reusable; }
-    bool closedByPeer(); // a byte or an end is waiting although nothing was asked
+    bool hasUnasked(); // a byte or an end is waiting although nothing was asked
     Instant lastAnswer {};
 
 private:
--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "web/Signal.h"
+#include "web/Sockets.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -12,7 +13,6 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <list>
-#include <sys/socket.h>
 
 namespace cumindale {
 
@@ -48,12 +48,6 @@
         return error.category() == make_error_code(http::error::bad_method).category();
     }
 
-    bool hasEnded(beast::tcp_stream& stream)
-    {
-        char byte = 0;
-        return ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-    }
-
     // Framing that another parser on the way could read otherwise. Beast itself refuses two lengths and a length
     // together with chunked.
     bool ambiguousFraming(const CallerHeader& header)
@@ -325,19 +319,15 @@
 asio::awaitable<void> CallerServer::Shared::acceptCallers(std::shared_ptr<Shared> shared)
 {
     for (;;) {
-        auto [error, socket] = co_await shared->acceptor.async_accept(token);
-        if (error == asio::error::operation_aborted)
+        auto socket = co_await acceptFrom(shared->acceptor);
+        if (!socket)
             co_return;
-        if (error)
-            continue;
-        beast::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
         if (shared->sessions.size() >= shared->limits.connections) {
             shared->refusedConnections.add();
             continue; // closes it: the balancer tries another host
         }
         const auto executor = shared->acceptor.get_executor();
-        shared->sessions.push_back({ beast::tcp_stream(std::move(socket)), shared->clock.now() });
+        shared->sessions.push_back({ beast::tcp_stream(std::move(*socket)), shared->clock.now() });
         asio::co_spawn(executor, serveConnection(shared, std::prev(shared->sessions.end())), asio::detached);
     }
 }
--- a/packages/peers/PeerLink.cpp
+++ b/packages/peers/PeerLink.cpp
@@ -1,9 +1,9 @@
 #include "peers/PeerLink.h"
 
 #include "peers/Frame.h"
+#include "web/Sockets.h"
 #include <Peers.h>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -15,15 +15,10 @@
 using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
-namespace {
-
-    constexpr auto token = asio::as_tuple(asio::use_awaitable);
-
-}
-
 struct PeerLink::Codec {
     asio::any_io_executor executor;
-    asio::ip::tcp::endpoint endpoint;
+    std::string address;
+    uint16_t port;
     Counter& bytesSent;
     std::shared_ptr<TMemoryBuffer> out = std::make_shared<TMemoryBuffer>();
     std::shared_ptr<TMemoryBuffer> in = std::make_shared<TMemoryBuffer>();
@@ -32,7 +27,7 @@
 };
 
 PeerLink::PeerLink(asio::any_io_executor executor, std::string address, uint16_t port, Counter& bytesSent)
-    : m_codec(new Codec { std::move(executor), { asio::ip::make_address(address), port }, bytesSent })
+    : m_codec(new Codec { std::move(executor), std::move(address), port, bytesSent })
 {
 }
 
@@ -46,12 +41,8 @@
     m_codec->out->resetBuffer();
     if (!stream) {
         stream = std::make_unique<boost::beast::tcp_stream>(m_codec->executor);
-        stream->expires_after(timeout);
-        const auto [error] = co_await stream->async_connect(m_codec->endpoint, token);
-        if (error)
+        if (!co_await connectTo(*stream, m_codec->address, m_codec->port, timeout))
             co_return false;
-        boost::system::error_code ignored; // the other side may have gone already
-        stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
     stream->expires_after(timeout);
     m_codec->bytesSent.add(question.size() + sizeof(uint32_t));
--- a/packages/peers/PeerServer.cpp
+++ b/packages/peers/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include "peers/PeerServer.h"
 
 #include "peers/Frame.h"
+#include "web/Sockets.h"
 #include <Peers.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -78,14 +79,10 @@
     static asio::awaitable<void> acceptAll(std::shared_ptr<Shared> shared)
     {
         for (;;) {
-            auto [error, socket] = co_await shared->acceptor.async_accept(token);
-            if (error == asio::error::operation_aborted)
+            auto socket = co_await acceptFrom(shared->acceptor);
+            if (!socket)
                 co_return;
-            if (error)
-                continue;
-            boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            asio::co_spawn(shared->acceptor.get_executor(), serve(shared, std::move(socket)), asio::detached);
+            asio::co_spawn(shared->acceptor.get_executor(), serve(shared, std::move(*socket)), asio::detached);
         }
     }
 };
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -1,11 +1,12 @@
 #include "web/HttpClient.h"
 
+#include "web/Sockets.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <sys/socket.h>
 
 namespace cumindale {
 
@@ -29,13 +30,6 @@
         return request;
     }
 
-    // An idle connection with something to read: an end, or an answer to nothing.
-    bool hasInput(beast::tcp_stream& stream)
-    {
-        char byte = 0;
-        return ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
-    }
-
 }
 
 std::string_view HttpReply::header(std::string_view name) const
@@ -60,13 +54,8 @@
 asio::awaitable<HttpClient::Stream> HttpClient::connect(Millis timeout)
 {
     auto stream = std::make_unique<beast::tcp_stream>(m_executor);
-    stream->expires_after(timeout);
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_address), m_port);
-    const auto [error] = co_await stream->async_connect(endpoint, token);
-    if (error)
+    if (!co_await connectTo(*stream, m_address, m_port, timeout))
         co_return nullptr;
-    boost::system::error_code ignored; // the other side may have gone already
-    stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     co_return stream;
 }
 
--- a/packages/web/HttpServer.cpp
+++ b/packages/web/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "web/HttpServer.h"
 
+#include "web/Sockets.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -63,14 +65,10 @@
         [[maybe_unused]] std::shared_ptr<void> owner, tcp::acceptor& acceptor, HttpServer::Handler& handler)
     {
         for (;;) {
-            auto [error, socket] = co_await acceptor.async_accept(token);
-            if (error == asio::error::operation_aborted)
+            auto socket = co_await acceptFrom(acceptor);
+            if (!socket)
                 co_return;
-            if (error)
-                continue;
-            boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket), handler), asio::detached);
+            asio::co_spawn(acceptor.get_executor(), serve(std::move(*socket), handler), asio::detached);
         }
     }
 
