What a probe changes stands in one function; lint clean

Cause: a lambda of twenty lines inside applyResources; the linter found a constant left unused, a move without effect and a product in int. Change: Router::onSight; the three findings mended. Behaviour as before: tests decisions, routing, configuration and resources pass.

--- a/packages/peers/PeerServer.cpp
+++ b/packages/peers/PeerServer.cpp
@@ -20,7 +20,6 @@
 
 namespace {
 
-    constexpr auto token = asio::as_tuple(asio::use_awaitable);
     constexpr std::chrono::seconds idleTimeout { 60 };
 
     class Adapter final : public wire::PeersIf {
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -101,29 +101,8 @@
             && (server->pool.server().address != resource.address || server->pool.server().port != resource.port);
         if (!server || moved) {
             server = std::make_shared<ServerTarget>(m_executor, m_clock, resource, m_options.watch);
-            const auto changed = [this, serverName = name] {
-                const auto found = m_servers.find(serverName);
-                if (found == m_servers.end())
-                    return;
-                if (!found->second->pool.watch().takesWork()) {
-                    found->second->pool.dropIdle();
-                    found->second->pool.evictQueue();
-                }
-                // Their answers may never come; another owner will give them. Non-idempotent ones wait on.
-                const bool takesWork = found->second->pool.watch().takesWork();
-                if (found->second->pool.watch().sight() == Sight::Silent)
-                    found->second->abandonOlderThan(Instant::max());
-                // A fresh connection answered after an old one had not: what hangs on old ones may hang for good.
-                else if (takesWork && !found->second->tookWork)
-                    found->second->abandonOlderThan(m_clock.now() - m_options.watch.answerWithin);
-                found->second->tookWork = takesWork;
-                if (found->second->pool.watch().sight() == Sight::Refused)
-                    m_inFlight.serverGone(serverName);
-                m_changed.notifyAll();
-                reportNow();
-            };
             server->prober = std::make_shared<Prober>(m_executor, m_clock, m_options.host, resource.address,
-                resource.port, m_options.watch, server->pool.watch(), changed);
+                resource.port, m_options.watch, server->pool.watch(), [this, name = name] { onSight(name); });
             server->prober->start();
         }
         server->pool.update(resource, m_hosts);
@@ -135,6 +114,32 @@
     reportNow();
 }
 
+void Router::onSight(const std::string& name)
+{
+    const auto found = m_servers.find(name);
+    if (found == m_servers.end())
+        return;
+    ServerTarget& server = *found->second;
+    const Sight sight = server.pool.watch().sight();
+    const bool takesWork = server.pool.watch().takesWork();
+    if (!takesWork) {
+        server.pool.dropIdle();
+        server.pool.evictQueue();
+    }
+    if (sight == Sight::Silent) {
+        // Answers may never come, another owner will give them. What is not idempotent waits on.
+        server.abandonOlderThan(Instant::max());
+    } else if (takesWork && !server.tookWork) {
+        // A fresh connection answered after an old one had not: what hangs on old ones may hang for good.
+        server.abandonOlderThan(m_clock.now() - m_options.watch.answerWithin);
+    }
+    server.tookWork = takesWork;
+    if (sight == Sight::Refused)
+        m_inFlight.serverGone(name);
+    m_changed.notifyAll();
+    reportNow();
+}
+
 void Router::adoptTable(std::shared_ptr<const SliceTable> table)
 {
     auto& route = m_routes[table->service];
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -64,6 +64,7 @@
     };
 
     void applyResources(std::shared_ptr<const Resources>);
+    void onSight(const std::string& server); // a probe changed what this host sees of it
     void adoptTable(std::shared_ptr<const SliceTable>);
     void bindServers(ServiceRoute&);
     Located locate(const std::string& service, uint64_t point) const;
--- a/packages/web/Signal.cpp
+++ b/packages/web/Signal.cpp
@@ -21,7 +21,7 @@
 
 void spawnLoop(asio::any_io_executor executor, std::string name, asio::awaitable<void> loop)
 {
-    asio::co_spawn(std::move(executor), std::move(loop), [name = std::move(name)](std::exception_ptr error) {
+    asio::co_spawn(executor, std::move(loop), [name = std::move(name)](std::exception_ptr error) {
         if (!error)
             return;
         try {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -157,5 +157,6 @@
         CHECK(input.sliceLoad.size() == table.slices.size());
         most = std::max(most, table.slices.size());
     }
-    CHECK(most < base + 4 * 40);
+    constexpr size_t cutsOfFourRounds = 160;
+    CHECK(most < base + cutsOfFourRounds);
 }
