State that nobody reads is gone

Cause: read through the whole change: since draining waits for connections, the count of busy sessions was kept for nobody; each routing report was copied into a member that nothing read, 10 to 50 times a second; the assigner's driver took an executor that it does not use. Change: the three removed; behaviour as before. Looked at and left: the shapes that tests share (a story each reads better whole), the small tables from enum to text.

--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -119,7 +119,6 @@
     Counter& bodyBytes;
     std::list<Session> sessions;
     size_t bodyMemoryUsed = 0;
-    size_t busySessions = 0;
     bool draining = false;
 
     void allow(Session& session, Millis time)
@@ -134,7 +133,6 @@
             return;
         session.busy = busy;
         session.lastUsed = clock.now();
-        busySessions += busy ? 1 : size_t(-1);
     }
 
     static asio::awaitable<void> acceptCallers(std::shared_ptr<Shared>);
@@ -369,8 +367,6 @@
 
 uint16_t CallerServer::port() const { return m_shared->acceptor.local_endpoint().port(); }
 
-size_t CallerServer::requestsInProgress() const { return m_shared->busySessions; }
-
 size_t CallerServer::connections() const { return m_shared->sessions.size(); }
 
 }
--- a/packages/callers/CallerServer.h
+++ b/packages/callers/CallerServer.h
@@ -64,7 +64,6 @@
     void stopAccepting(); // no new connections
     void closeIdle(Millis unusedFor); // connections without a request since so long
     uint16_t port() const;
-    size_t requestsInProgress() const; // from a request's first byte to its answer's last
     size_t connections() const;
 
 private:
--- a/packages/control/AssignerDriver.cpp
+++ b/packages/control/AssignerDriver.cpp
@@ -48,9 +48,8 @@
 
 }
 
-AssignerDriver::AssignerDriver(asio::any_io_executor, const Clock& clock, const Settings& settings, Store& store,
-    HostList& hostList, ClusterView& view, Election& election, PeerMesh& mesh, LoadBook& loads, Metrics& metrics,
-    ViewSink sink)
+AssignerDriver::AssignerDriver(const Clock& clock, const Settings& settings, Store& store, HostList& hostList,
+    ClusterView& view, Election& election, PeerMesh& mesh, LoadBook& loads, Metrics& metrics, ViewSink sink)
     : m_clock(clock)
     , m_settings(settings)
     , m_store(store)
--- a/packages/control/AssignerDriver.h
+++ b/packages/control/AssignerDriver.h
@@ -19,8 +19,8 @@
 public:
     using ViewSink = std::function<void(const ViewChange&)>;
 
-    AssignerDriver(boost::asio::any_io_executor, const Clock&, const Settings&, Store&, HostList&, ClusterView&,
-        Election&, PeerMesh&, LoadBook&, Metrics&, ViewSink);
+    AssignerDriver(const Clock&, const Settings&, Store&, HostList&, ClusterView&, Election&, PeerMesh&, LoadBook&,
+        Metrics&, ViewSink);
     boost::asio::awaitable<void> run(); // forever
     boost::asio::awaitable<void> followHostList(); // forever; asks only while in office
     const std::map<std::string, Member>& candidates() const { return m_listed; } // hosts on the list, to beat with
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -504,8 +504,7 @@
 void Router::reportNow()
 {
     m_inFlight.forgetExpired(m_clock.now());
-    m_lastReport = makeReport();
-    m_report(m_lastReport);
+    m_report(makeReport());
 }
 
 asio::awaitable<void> Router::reportLoop()
@@ -530,7 +529,6 @@
             }
             m_lastLoadReport = now;
         }
-        m_lastReport = report;
         m_report(std::move(report));
     }
 }
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -103,7 +103,6 @@
     std::map<std::string, RetryBudget> m_budgets;
     InFlight m_inFlight;
     Signal m_changed; // a table, freshness, or a server's sight changed
-    RoutingReport m_lastReport;
     Instant m_lastLoadReport {};
 };
 
