--- /dev/null
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -0,0 +1,191 @@
+#include "GatewayHost.h"
+
+#include "Duties.h"
+#include "base/Log.h"
+#include "base/Ring.h"
+#include "gateway/Gateway.h"
+#include "gateway/GatewayControl.h"
+#include "platform/Dialect.h"
+#include "web/HttpServer.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <thread>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // The balancer asks once a second and takes a host out after two misses: a host that stops goes on accepting for
+    // that long, and closes what is idle then.
+    constexpr DrainTiming gatewayDrain { Millis(2'200), Millis(600) };
+
+    GatewayOptions gatewayOptions(const Settings& settings)
+    {
+        GatewayOptions options;
+        options.host = settings.host.name;
+        options.dataCentre = settings.host.dataCentre;
+        options.settings = *settings.gateway;
+        return options;
+    }
+
+    class GatewayHost {
+    public:
+        GatewayHost(const Settings& settings, const PlatformAdapter& adapter, std::string file)
+            : m_settings(settings)
+            , m_adapter(adapter)
+            , m_file(std::move(file))
+            , m_toRouting(ringCapacity, [this] { asio::post(m_routing, [this] { drainToRouting(); }); })
+            , m_toControl(ringCapacity, [this] { asio::post(m_control, [this] { drainToControl(); }); })
+            , m_store(
+                  adapter.makeStore(m_control.get_executor(), settings.host.store.address, settings.host.store.port))
+            , m_gateway(
+                  m_routing.get_executor(), m_clock, adapter, gatewayOptions(settings), m_metrics,
+                  [this](GatewayReport report) { m_toControl.push(std::move(report)); },
+                  [this](const CallerBounds& bounds) { applyBounds(bounds); })
+            , m_callers(m_routing.get_executor(), m_clock, settings.host.callers.address, settings.host.callers.port,
+                  callerLimits(settings.limits), m_gateway, m_metrics)
+            , m_controlDuty(m_control.get_executor(), m_clock, settings, adapter, *m_store, m_metrics,
+                  [this](GatewayUpdate update) { return m_toRouting.push(std::move(update)); })
+            , m_readiness(m_operators.get_executor(), settings.gateway->readiness.address,
+                  settings.gateway->readiness.port, handlerOf(&GatewayHost::answerReadiness))
+            , m_admin(m_operators.get_executor(), settings.host.operators.address, settings.host.operators.port,
+                  handlerOf(&GatewayHost::answerOperator))
+            , m_signals(m_routing, SIGTERM, SIGINT, SIGHUP)
+        {
+        }
+
+        int run()
+        {
+            m_gateway.start();
+            m_controlDuty.start();
+            waitForSignal();
+            std::thread control([this] { runDuty(m_control); });
+            std::thread operators([this] { runDuty(m_operators); });
+            runDuty(m_routing);
+            m_control.stop();
+            m_operators.stop();
+            control.join();
+            operators.join();
+            return 0;
+        }
+
+    private:
+        using Answer = ServedResponse (GatewayHost::*)(const ServedRequest&);
+
+        HttpServer::Handler handlerOf(Answer answer)
+        {
+            return [this, answer](const ServedRequest& request,
+                       boost::beast::tcp_stream&) -> asio::awaitable<std::optional<ServedResponse>> {
+                co_return (this->*answer)(request);
+            };
+        }
+
+        ServedResponse answerReadiness(const ServedRequest& request)
+        {
+            if (request.target() != m_adapter.readinessPath())
+                return makeResponse(404, "{}");
+            return makeResponse(m_ready ? 200 : 503, m_ready ? "{\"ready\":true}" : "{\"ready\":false}");
+        }
+
+        ServedResponse answerOperator(const ServedRequest& request)
+        {
+            const std::string path = parseTarget(request.target()).path;
+            if (path == "/metrics")
+                return makeResponse(200, m_metrics.text(), "text/plain");
+            return makeResponse(404, "{}");
+        }
+
+        void drainToRouting()
+        {
+            m_toRouting.drain([this](GatewayUpdate update) { m_gateway.apply(std::move(update)); });
+            m_ready = m_gateway.ready() && !m_draining;
+        }
+
+        void drainToControl()
+        {
+            m_toControl.drain([this](GatewayReport report) { m_controlDuty.onReport(std::move(report)); });
+        }
+
+        void applyBounds(const CallerBounds& bounds)
+        {
+            CallerLimits limits = callerLimits(m_settings.limits);
+            limits.headerBytes = bounds.headerBytes;
+            limits.headerTimeout = bounds.headerTimeout;
+            // A caller may use a connection until the limit; closed right then it could cross a request.
+            constexpr Millis crossing { 1'000 };
+            limits.idleTimeout = bounds.idleTimeout + crossing;
+            m_callers.setLimits(limits);
+        }
+
+        void waitForSignal()
+        {
+            m_signals.async_wait([this](boost::system::error_code error, int signal) {
+                if (error)
+                    return;
+                // A second signal must cut nothing either: it is waited for and ignored.
+                waitForSignal();
+                if (signal == SIGHUP) {
+                    logChange(LogLevel::Info, "settings-reload", { { "file", m_file } });
+                    return;
+                }
+                if (m_draining)
+                    return;
+                m_draining = true;
+                m_ready = false;
+                logChange(LogLevel::Info, "host-draining", { { "connections", m_callers.connections() } });
+                asio::co_spawn(m_routing, drain(), asio::detached);
+            });
+        }
+
+        asio::awaitable<void> drain()
+        {
+            asio::co_spawn(m_control, m_controlDuty.leave(), asio::detached);
+            co_await finishCallers(m_callers, gatewayDrain);
+            logChange(LogLevel::Info, "host-stopped");
+            m_routing.stop();
+        }
+
+        const Settings& m_settings;
+        const PlatformAdapter& m_adapter;
+        std::string m_file;
+        SystemClock m_clock;
+        Metrics m_metrics;
+        asio::io_context m_routing { singleThread };
+        asio::io_context m_control { singleThread };
+        asio::io_context m_operators { singleThread };
+        Ring<GatewayUpdate> m_toRouting;
+        Ring<GatewayReport> m_toControl;
+        std::unique_ptr<Store> m_store;
+        Gateway m_gateway;
+        CallerServer m_callers;
+        GatewayControl m_controlDuty;
+        HttpServer m_readiness;
+        HttpServer m_admin;
+        asio::signal_set m_signals;
+        std::atomic<bool> m_ready { false };
+        bool m_draining = false;
+    };
+
+}
+
+int runGatewayHost(const Settings& settings, const std::string& file)
+{
+    startLog(settings.host.name);
+    try {
+        const Dialect dialect;
+        GatewayHost host(settings, dialect, file);
+        logChange(LogLevel::Info, "host-started", { { "version", CUMINDALE_VERSION } });
+        return host.run();
+    } catch (const boost::system::system_error& error) {
+        logChange(LogLevel::Error, "host-failed", { { "why", error.what() } });
+        return 1;
+    }
+}
+
+}
--- a/apps/cumindaled/Host.cpp
+++ b/apps/cumindaled/Host.cpp
@@ -1,13 +1,14 @@
 #include "Host.h"
 
+#include "Duties.h"
 #include "base/Log.h"
 #include "base/Ring.h"
 #include "callers/CallerServer.h"
 #include "control/Control.h"
 #include "operators/AdminServer.h"
-#include "platform/EtcdStore.h"
-#include "platform/HostList.h"
 #include "routing/Router.h"
+#include "store/EtcdStore.h"
+#include "store/HostList.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,18 +23,7 @@
 
 namespace {
 
-    constexpr size_t ringCapacity = 4096;
     constexpr size_t spansKept = 65'536;
-    constexpr Millis balancerNotices { 2'000 }; // after health has turned, callers may still come for this long
-    constexpr Millis quietBeforeClose { 1'000 }; // a connection unused for so long is closed
-    constexpr Millis drainLook { 50 };
-    constexpr int singleThread = 1; // hint for each duty's context
-
-    CallerLimits callerLimits(const LimitSettings& limits)
-    {
-        return { limits.callerConnections, limits.bodyMemory, limits.headerBytes, limits.headerTimeout,
-            limits.bodyIdleTimeout, limits.idleTimeout };
-    }
 
     RouterOptions routerOptions(const Settings& settings)
     {
@@ -81,12 +71,6 @@
         }
 
     private:
-        static void runDuty(asio::io_context& context)
-        {
-            const auto work = asio::make_work_guard(context);
-            context.run();
-        }
-
         void drainToRouting()
         {
             m_toRouting.drain([this](RoutingUpdate update) { m_router.apply(std::move(update)); });
@@ -114,15 +98,8 @@
 
         asio::awaitable<void> drain()
         {
-            m_callers.startDraining();
             asio::co_spawn(m_control, m_controlDuty.leave(), asio::detached);
-            co_await sleepFor(balancerNotices);
-            m_callers.stopAccepting();
-            // No cap: a slow upload is waited for, however long it takes.
-            while (m_callers.connections()) {
-                m_callers.closeIdle(quietBeforeClose);
-                co_await sleepFor(drainLook);
-            }
+            co_await finishCallers(m_callers, {});
             logChange(LogLevel::Info, "host-stopped");
             m_routing.stop();
         }
--- a/apps/cumindaled/main.cpp
+++ b/apps/cumindaled/main.cpp
@@ -1,6 +1,7 @@
 // cumindaled: the one process on every entry host.
 //
 // Exit status: 0 stopped or checked, 1 failed while running, 2 bad command line or settings.
+#include "GatewayHost.h"
 #include "Host.h"
 
 #include "resources/ResourceCodec.h"
@@ -57,5 +58,5 @@
         std::cout << file << ": ok\n";
         return 0;
     }
-    return cumindale::runHost(settings);
+    return settings.gateway ? cumindale::runGatewayHost(settings, file) : cumindale::runHost(settings);
 }
--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -22,6 +22,7 @@
     constexpr uint64_t largestAnswer = 64'000'000; // bytes; a larger one is a bad answer
     constexpr uint32_t largestAnswerHeader = 64 * 1024;
     constexpr Millis trustIdle { 1000 }; // a non-idempotent request goes only over a connection that answered so lately
+    constexpr Millis closingMargin { 500 }; // before the time at which the server closes an idle connection
     constexpr unsigned slotsOvercommit
         = 1; // all hosts together may have this many times the slots in flight, each rounded up
 
@@ -42,49 +43,94 @@
 
 bool BackendConnection::hasUnasked() { return hasInput(m_stream); }
 
-asio::awaitable<ExchangeResult> BackendConnection::exchange(BackendRequest& request, Millis timeout)
+namespace {
+
+    // The time after which the server closes the connection if it is idle, as "Keep-Alive: timeout=5" (RFC 2068,
+    // section 19.7.1.1); as good as forever if it says nothing.
+    Millis idleTimeIn(const BackendResponse& response)
+    {
+        const std::string_view text = response[http::field::keep_alive];
+        constexpr std::string_view name = "timeout=";
+        const auto at = text.find(name);
+        if (at == std::string_view::npos)
+            return Millis::max();
+        const long seconds = std::strtol(std::string(text.substr(at + name.size())).c_str(), nullptr, 10);
+        return Millis(seconds * 1000);
+    }
+
+    bool endsConnection(beast::error_code error)
+    {
+        return error == http::error::end_of_stream || error == http::error::partial_message
+            || error.category() == asio::error::get_system_category();
+    }
+
+    ErrorKind kindOfAnswerError(beast::error_code error)
+    {
+        if (error == beast::error::timeout)
+            return ErrorKind::DeadlineAfterSend;
+        return endsConnection(error) ? ErrorKind::ConnectionLost : ErrorKind::BadAnswer;
+    }
+
+}
+
+asio::awaitable<beast::error_code> BackendConnection::readAnswer(const BackendRequest& request, BackendResponse& answer)
+{
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largestAnswer);
+    parser.header_limit(largestAnswerHeader);
+    if (request.method() == http::verb::head)
+        parser.skip(true);
+    const auto [error, got] = co_await http::async_read(m_stream, m_buffer, parser, token);
+    if (!error)
+        answer = parser.release();
+    co_return error;
+}
+
+asio::awaitable<ExchangeResult> BackendConnection::exchange(
+    BackendRequest& request, Millis timeout, std::string_view echoHeader)
 {
     ExchangeResult result;
     m_reusable = false; // until a whole answer came
     m_stream.expires_after(timeout);
     result.sent = true;
     const auto [writeError, written] = co_await http::async_write(m_stream, request, token);
-    if (writeError) {
-        result.error = writeError == beast::error::timeout ? ErrorKind::DeadlineAfterSend : ErrorKind::ConnectionLost;
-        result.ended = true;
-        co_return result;
+    // A server may refuse a long request before it has read it, and close: its answer may wait although the rest of
+    // the body could not be written.
+    beast::error_code error = writeError == beast::error::timeout ? writeError : beast::error_code {};
+    bool crossed = false;
+    constexpr int mostForeignAnswers = 3; // more than a server ever has left over from earlier requests
+    for (int i = 0; !error && i <= mostForeignAnswers; ++i) {
+        error = co_await readAnswer(request, result.response);
+        if (error || echoHeader.empty())
+            break;
+        const std::string_view echo = result.response[echoHeader];
+        if (echo.empty() || echo == std::string_view(request[echoHeader]))
+            break;
+        crossed = true;
+        if (i == mostForeignAnswers)
+            error = http::error::bad_value;
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(largestAnswer);
-    parser.header_limit(largestAnswerHeader);
-    if (request.method() == http::verb::head)
-        parser.skip(true);
-    const auto [readError, got] = co_await http::async_read(m_stream, m_buffer, parser, token);
-    if (readError) {
-        const bool lost = readError == http::error::end_of_stream || readError == http::error::partial_message
-            || readError.category() == asio::error::get_system_category();
-        result.error = readError == beast::error::timeout ? ErrorKind::DeadlineAfterSend
-            : lost                                        ? ErrorKind::ConnectionLost
-                                                          : ErrorKind::BadAnswer;
+    if (error) {
+        result.error = kindOfAnswerError(error);
         result.ended = true;
-        beast::error_code ignored;
-        m_stream.socket().close(ignored);
+        resetConnection(m_stream);
         co_return result;
     }
-    result.response = parser.release();
+    m_idleAllowed = idleTimeIn(result.response);
     // Bytes after the answer belong to no request: such a connection can't be trusted again.
-    m_reusable = result.response.keep_alive() && !m_buffer.size();
+    m_reusable = result.response.keep_alive() && !m_buffer.size() && !crossed && !writeError;
     co_return result;
 }
 
 // --- Slots
 
-ServerPool::ServerPool(asio::any_io_executor executor, const Clock& clock, ServerResource server, WatchOptions watch)
+ServerPool::ServerPool(asio::any_io_executor executor, const Clock& clock, ServerResource server, WatchOptions watch,
+    AdmissionOptions admission)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_server(std::move(server))
     , m_watch(watch)
-    , m_admission(AdmissionOptions {})
+    , m_admission(admission)
 {
 }
 
@@ -100,6 +146,12 @@
     startWaiting();
 }
 
+void ServerPool::setLimit(unsigned limit)
+{
+    m_admission.setLimit(static_cast<unsigned>(std::min<size_t>(m_mostIdle, limit)));
+    startWaiting();
+}
+
 asio::awaitable<ServerPool::Admitted> ServerPool::admit(PriorityClass priority, Instant arrived, Instant deadline)
 {
     const TicketId ticket = m_nextTicket++;
@@ -155,7 +207,10 @@
         m_idle.pop_back();
         // Something between the two ends may have lost track of an idle connection: what is sent over it would
         // go nowhere, and nobody could say whether it ran. A fresh connection costs about 1 ms.
-        const bool trusted = idempotent || now - connection->lastAnswer <= trustIdle;
+        const Millis idle = now - connection->lastAnswer;
+        const bool closing
+            = connection->idleAllowed() != Millis::max() && idle + closingMargin >= connection->idleAllowed();
+        const bool trusted = (idempotent || idle <= trustIdle) && !closing;
         if (trusted && !connection->hasUnasked())
             co_return connection;
     }
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -39,15 +39,21 @@
 public:
     explicit BackendConnection(boost::asio::any_io_executor);
     boost::asio::awaitable<bool> connect(const ServerResource&, Millis timeout);
-    boost::asio::awaitable<ExchangeResult> exchange(BackendRequest&, Millis timeout);
+    // `echoHeader`: the server repeats this header of the request in its answer. An answer with another value belongs
+    // to an earlier request and is dropped; the connection is not used again.
+    boost::asio::awaitable<ExchangeResult> exchange(BackendRequest&, Millis timeout, std::string_view echoHeader = {});
     void abandon() { m_stream.cancel(); } // ends a running exchange as if the connection were lost
     bool reusable() const { return m_reusable; }
     bool hasUnasked(); // a byte or an end is waiting although nothing was asked
     Instant lastAnswer {};
+    Millis idleAllowed() const { return m_idleAllowed; } // as the server's last answer said; it closes it after
 
 private:
+    boost::asio::awaitable<boost::beast::error_code> readAnswer(const BackendRequest&, BackendResponse&);
+
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
+    Millis m_idleAllowed { Millis::max() };
     bool m_reusable = false;
 };
 
@@ -55,10 +61,11 @@
 
 class ServerPool {
 public:
-    ServerPool(boost::asio::any_io_executor, const Clock&, ServerResource, WatchOptions);
+    ServerPool(boost::asio::any_io_executor, const Clock&, ServerResource, WatchOptions, AdmissionOptions = {});
 
     const ServerResource& server() const { return m_server; }
     void update(const ServerResource&, size_t hosts); // new settings, and how many hosts share the server
+    void setLimit(unsigned); // requests at once from this host, where it is not an even share
     ServerWatch& watch() { return m_watch; }
     const ServerWatch& watch() const { return m_watch; }
 
--- a/packages/base/ErrorKind.cpp
+++ b/packages/base/ErrorKind.cpp
@@ -28,6 +28,7 @@
         { ErrorKind::DeadlineAfterSend, "deadline-after-send", 504, Ran::Unknown, true, true },
         { ErrorKind::ConnectionLost, "connection-lost", 502, Ran::Unknown, true, true },
         { ErrorKind::BadAnswer, "bad-answer", 502, Ran::Unknown, true, false },
+        { ErrorKind::ServerFailed, "server-failed", 502, Ran::Unknown, true, true },
         { ErrorKind::ShuttingDown, "shutting-down", 503, Ran::No, true, false },
         { ErrorKind::Internal, "internal", 500, Ran::Unknown, true, false },
     } };
--- a/packages/base/ErrorKind.h
+++ b/packages/base/ErrorKind.h
@@ -37,6 +37,7 @@
     DeadlineAfterSend, // sent, and no answer before the deadline
     ConnectionLost, // sent, and the connection ended without an answer
     BadAnswer, // the server's answer can't be parsed, or belongs to another request
+    ServerFailed, // the server answered with a failure of its own
     ShuttingDown,
     Internal,
 };
--- a/packages/base/Log.cpp
+++ b/packages/base/Log.cpp
@@ -2,12 +2,17 @@
 
 #include "base/Time.h"
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
 #include <iostream>
 
 namespace cumindale {
@@ -22,6 +27,14 @@
         return name;
     }
 
+    constexpr size_t linesWaiting = 4'096; // for the writer; about 1 MB
+
+    boost::shared_ptr<boost::log::sinks::sink>& writer()
+    {
+        static boost::shared_ptr<boost::log::sinks::sink> sink;
+        return sink;
+    }
+
     Logger& logger()
     {
         static Logger instance;
@@ -46,13 +59,30 @@
 void startLog(std::string_view host, LogLevel least)
 {
     namespace expressions = boost::log::expressions;
+    namespace sinks = boost::log::sinks;
+    // A thread of its own writes the lines. A reader that stops reading fills the queue, and lines are dropped: no
+    // request ever waits for the log.
+    using Backend = sinks::text_ostream_backend;
+    using Sink = sinks::asynchronous_sink<Backend, sinks::bounded_fifo_queue<linesWaiting, sinks::drop_on_overflow>>;
+    const auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+    backend->auto_flush(true);
+    const auto sink = boost::make_shared<Sink>(backend);
+    sink->set_formatter(expressions::stream << expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+    writer() = sink;
     hostName() = host;
-    boost::log::add_console_log(std::clog,
-        boost::log::keywords::format = (expressions::stream << expressions::smessage),
-        boost::log::keywords::auto_flush = true);
     boost::log::core::get()->set_filter(expressions::attr<LogLevel>("Severity") >= least);
 }
 
+void stopLog()
+{
+    if (!writer())
+        return;
+    writer()->flush();
+    boost::log::core::get()->remove_sink(std::exchange(writer(), nullptr));
+}
+
 void logChange(LogLevel level, std::string_view event, boost::json::object fields)
 {
     boost::json::object line;
--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -346,6 +346,8 @@
     m_shared->acceptor.close(ignored);
 }
 
+void CallerServer::setLimits(const CallerLimits& limits) { m_shared->limits = limits; }
+
 void CallerServer::startDraining() { m_shared->draining = true; }
 
 void CallerServer::stopAccepting()
--- a/packages/callers/CallerServer.h
+++ b/packages/callers/CallerServer.h
@@ -60,6 +60,7 @@
         RequestHandler&, Metrics&);
     ~CallerServer();
 
+    void setLimits(const CallerLimits&); // for what comes from now on
     void startDraining(); // health turns; each answer from now on ends its connection
     void stopAccepting(); // no new connections
     void closeIdle(Millis unusedFor); // connections without a request since so long
--- a/packages/control/AssignerDriver.h
+++ b/packages/control/AssignerDriver.h
@@ -6,8 +6,8 @@
 #include "control/LoadBook.h"
 #include "control/PeerMesh.h"
 #include "decisions/Assigner.h"
-#include "platform/HostList.h"
-#include "platform/Store.h"
+#include "store/HostList.h"
+#include "store/Store.h"
 
 #include <functional>
 #include <map>
--- a/packages/control/ClusterView.cpp
+++ b/packages/control/ClusterView.cpp
@@ -19,23 +19,6 @@
         return prefix;
     }
 
-    LeaderView decodeLeader(const KeyValue& value)
-    {
-        FieldFault fault;
-        const json::object object = parseObject(value.value, fault);
-        FieldReader reader(object, {}, fault);
-        LeaderView leader { reader.text("host", true), reader.text("nonce", true), value.modRevision };
-        return fault.any() ? LeaderView {} : leader;
-    }
-
-}
-
-std::string encodeLeader(std::string_view host, std::string_view nonce)
-{
-    json::object object;
-    object["host"] = host;
-    object["nonce"] = nonce;
-    return json::serialize(object);
 }
 
 KnownVersions versionsIn(const RangeReply& reply)
@@ -108,8 +91,7 @@
     if (value.key == leaderKey()) {
         if (value.modRevision <= m_leader.modRevision)
             return;
-        m_leader = decodeLeader(value);
-        m_leader.modRevision = value.modRevision;
+        m_leader = decodeLeader(value.value, value.modRevision);
         change.leader = true;
         return;
     }
@@ -143,7 +125,7 @@
     if (key == leaderKey()) {
         if (revision < m_leader.modRevision || m_leader.host.empty())
             return;
-        m_leader = { {}, {}, revision };
+        m_leader = { {}, {}, {}, revision };
         change.leader = true;
         return;
     }
--- a/packages/control/ClusterView.h
+++ b/packages/control/ClusterView.h
@@ -4,11 +4,12 @@
 // peers. A resource is replaced only by a later revision, a table or the roster only by a higher version.
 #pragma once
 
+#include "control/LeaderSource.h"
 #include "decisions/Freshness.h"
 #include "decisions/Resources.h"
 #include "decisions/Roster.h"
 #include "decisions/SliceTable.h"
-#include "platform/Store.h"
+#include "store/Store.h"
 
 #include <functional>
 #include <map>
@@ -18,12 +19,6 @@
 
 namespace cumindale {
 
-struct LeaderView {
-    std::string host; // empty: nobody
-    std::string nonce; // of the election that it won
-    int64_t modRevision = 0;
-};
-
 // A resource as its operator wrote it, and the revision of that write.
 struct ResourceEntry {
     std::string kind;
@@ -42,7 +37,7 @@
     bool any() const { return resources || roster || leader || !tables.empty(); }
 };
 
-class ClusterView {
+class ClusterView final : public LeaderSource {
 public:
     // --- Writing
     ViewChange applyEvents(int64_t revision, const std::vector<WatchEvent>&);
@@ -53,10 +48,10 @@
 
     // --- Reading
     bool coveredBy(const RangeReply&) const; // every resource held is in it, as it is here or written later
-    int64_t revision() const { return m_revision; } // highest that the store ever showed
+    int64_t revision() const override { return m_revision; }
     const std::shared_ptr<const Resources>& resources() const { return m_resources; }
     const std::shared_ptr<const Roster>& roster() const { return m_roster; }
-    const LeaderView& leader() const { return m_leader; }
+    const LeaderView& leader() const override { return m_leader; }
     std::shared_ptr<const SliceTable> table(std::string_view service) const; // null if unknown
     const std::map<std::string, std::shared_ptr<const SliceTable>, std::less<>>& tables() const { return m_tables; }
     int64_t modRevisionOf(const std::string& key) const; // for compares; 0 if absent
@@ -89,6 +84,4 @@
 // Versions in a reading of the store, for the freshness decision.
 KnownVersions versionsIn(const RangeReply&);
 
-std::string encodeLeader(std::string_view host, std::string_view nonce);
-
 }
--- a/packages/control/Control.cpp
+++ b/packages/control/Control.cpp
@@ -71,7 +71,7 @@
     , m_peerServer(
           executor, settings.host.peers.address, settings.host.peers.port, m_mesh, metrics.counter("peers_bytes_sent"))
     , m_follower(clock, settings, store, m_view, m_freshness, metrics, *this)
-    , m_election(executor, clock, settings, store, m_view, metrics)
+    , m_election(executor, clock, { settings.host.name, {}, settings.timing.leaderLease }, store, m_view, metrics)
     , m_assigner(clock, settings, store, hostList, m_view, m_election, m_mesh, m_loads, metrics,
           [this](const ViewChange& change) { onViewChange(change); })
 {
--- a/packages/control/Election.cpp
+++ b/packages/control/Election.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-    constexpr Millis callTimeout { 1500 };
     constexpr Millis lookEvery { 500 };
     constexpr Millis spreadOfCandidates { 50 };
     constexpr int64_t keepalivesPerLease = 3;
+    constexpr Millis othersFirst { 3'000 }; // long enough for another host to be elected and to take over
 
     // Built outside the coroutines: g++ 12 mishandles lists of temporaries inside one.
     std::vector<Compare> ifVacant() { return { { leaderKey(), 0 } }; }
@@ -25,10 +25,10 @@
 
 }
 
-Election::Election(asio::any_io_executor executor, const Clock& clock, const Settings& settings, Store& store,
-    ClusterView& view, Metrics& metrics)
+Election::Election(asio::any_io_executor executor, const Clock& clock, ElectionOptions options, Store& store,
+    const LeaderSource& view, Metrics& metrics)
     : m_clock(clock)
-    , m_settings(settings)
+    , m_options(std::move(options))
     , m_store(store)
     , m_view(view)
     , m_writes(metrics.counter("store_writes_election"))
@@ -45,7 +45,7 @@
 {
     for (;;) {
         const bool vacant = m_view.revision() && m_view.leader().host.empty();
-        if (m_standing && vacant && co_await stand())
+        if (m_standing && vacant && m_clock.now() >= m_notBefore && co_await stand())
             co_await hold();
         else
             co_await m_changed.wait(lookEvery);
@@ -61,44 +61,51 @@
     m_nonce = std::to_string(randomNumber());
     const Instant askedAt = m_clock.now();
     m_writes.add();
-    const LeaseReply lease = co_await m_store.grantLease(m_settings.timing.leaderLease, callTimeout);
+    const LeaseReply lease = co_await m_store.grantLease(m_options.lease, m_options.callTimeout);
     if (lease.status != StoreStatus::Ok)
         co_return false;
     m_lease = lease.id;
     const auto vacant = ifVacant();
-    const auto writes = leaderWrite(encodeLeader(m_settings.host.name, m_nonce), m_lease);
+    const auto writes = leaderWrite(encodeLeader({ m_options.host, m_nonce, m_options.address }), m_lease);
     m_writes.add();
-    const TxnReply reply = co_await m_store.txn(vacant, writes, callTimeout);
+    const TxnReply reply = co_await m_store.txn(vacant, writes, m_options.callTimeout);
     if (reply.status == StoreStatus::Ok && reply.succeeded) {
         m_modRevision = reply.revision;
     } else if (reply.status == StoreStatus::Unavailable) {
         // The answer was lost, perhaps after the write took effect: the nonce tells.
-        const RangeReply found = co_await m_store.range(leaderKey(), false, callTimeout);
-        const bool mine
-            = !found.values.empty() && found.values.front().value == encodeLeader(m_settings.host.name, m_nonce);
+        const RangeReply found = co_await m_store.range(leaderKey(), false, m_options.callTimeout);
+        const bool mine = !found.values.empty()
+            && found.values.front().value == encodeLeader({ m_options.host, m_nonce, m_options.address });
         m_modRevision = mine ? found.values.front().modRevision : 0;
     }
     if (!m_modRevision) {
         m_writes.add();
-        co_await m_store.revokeLease(m_lease, callTimeout);
+        co_await m_store.revokeLease(m_lease, m_options.callTimeout);
         co_return false;
     }
-    m_validUntil = askedAt + m_settings.timing.leaderLease;
+    m_confirmedAt = askedAt;
+    m_validUntil = askedAt + m_options.lease;
     m_won.add();
     logChange(LogLevel::Info, "assigner-elected", { { "term", m_modRevision } });
+    tellChange();
     co_return true;
 }
 
 asio::awaitable<void> Election::hold()
 {
-    const Millis every = m_settings.timing.leaderLease / keepalivesPerLease;
+    const Millis every = m_options.lease / keepalivesPerLease;
     while (m_modRevision) {
         co_await sleepFor(every);
+        if (!m_modRevision)
+            break; // given back meanwhile
         const Instant askedAt = m_clock.now();
         m_writes.add();
         const LeaseReply kept = co_await m_store.keepLease(m_lease, every * 2);
+        if (!m_modRevision)
+            break;
         if (kept.status == StoreStatus::Ok && kept.ttl.count() > 0) {
-            m_validUntil = askedAt + m_settings.timing.leaderLease;
+            m_confirmedAt = askedAt;
+            m_validUntil = askedAt + m_options.lease;
             continue;
         }
         const bool lapsed = kept.status == StoreStatus::Ok;
@@ -108,7 +115,23 @@
             continue; // the store is silent: the office may still be this host's when it is back
         logChange(LogLevel::Warning, "assigner-deposed", { { "term", m_modRevision } });
         m_modRevision = 0;
+        tellChange();
     }
+    if (std::exchange(m_abandoned, false))
+        co_await m_store.revokeLease(m_lease, m_options.callTimeout);
+}
+
+void Election::tellChange()
+{
+    if (m_options.whenChanged)
+        m_options.whenChanged();
+}
+
+void Election::abandon()
+{
+    m_abandoned = m_modRevision != 0;
+    m_notBefore = m_clock.now() + othersFirst;
+    m_modRevision = 0;
 }
 
 asio::awaitable<void> Election::resign()
@@ -117,7 +140,7 @@
     if (!m_modRevision)
         co_return;
     m_modRevision = 0;
-    co_await m_store.revokeLease(m_lease, callTimeout);
+    co_await m_store.revokeLease(m_lease, m_options.callTimeout);
 }
 
 }
--- a/packages/control/Election.h
+++ b/packages/control/Election.h
@@ -5,35 +5,47 @@
 #pragma once
 
 #include "base/Metrics.h"
-#include "control/ClusterView.h"
-#include "platform/Store.h"
-#include "resources/Settings.h"
+#include "control/LeaderSource.h"
+#include "store/Store.h"
 #include "web/Signal.h"
 
+#include <functional>
 #include <string>
 
 namespace cumindale {
 
+struct ElectionOptions {
+    std::string host; // this host's name
+    std::string address; // "IP:port" under which the others find the leader; may be empty
+    Millis lease { 2'000 };
+    Millis callTimeout { 1'500 }; // of one call to the store
+    std::function<void()> whenChanged; // the office was won or lost
+};
+
 class Election {
 public:
-    Election(boost::asio::any_io_executor, const Clock&, const Settings&, Store&, ClusterView&, Metrics&);
+    Election(boost::asio::any_io_executor, const Clock&, ElectionOptions, Store&, const LeaderSource&, Metrics&);
     boost::asio::awaitable<void> run(); // forever
     void onLeaderChange() { m_changed.notifyAll(); }
     void stopStanding() { m_standing = false; } // this host is leaving
     boost::asio::awaitable<void> resign();
 
+    bool holds() const { return m_modRevision; } // as far as this host knows; the store may say otherwise
     bool mayAct() const;
+    Instant lastConfirmed() const { return m_confirmedAt; } // the store said so to a question asked then
+    void abandon(); // gives the office back: another is at work, or this host can't do it
     Compare fence() const; // condition for every write of the assigner
     int64_t term() const { return m_modRevision; } // changes with each election won
 
 private:
     boost::asio::awaitable<bool> stand();
     boost::asio::awaitable<void> hold();
+    void tellChange();
 
     const Clock& m_clock;
-    const Settings& m_settings;
+    ElectionOptions m_options;
     Store& m_store;
-    ClusterView& m_view;
+    const LeaderSource& m_view;
     Counter& m_writes;
     Counter& m_won;
     Signal m_changed;
@@ -41,7 +53,10 @@
     int64_t m_lease = 0;
     int64_t m_modRevision = 0; // of the leader key, as this host wrote it; 0: not leader
     Instant m_validUntil {};
+    Instant m_confirmedAt {};
+    Instant m_notBefore {}; // after the office was given back the others go first
     bool m_standing = true;
+    bool m_abandoned = false;
 };
 
 }
--- a/packages/control/StoreFollower.h
+++ b/packages/control/StoreFollower.h
@@ -5,8 +5,8 @@
 #include "base/Metrics.h"
 #include "control/ClusterView.h"
 #include "decisions/Freshness.h"
-#include "platform/Store.h"
 #include "resources/Settings.h"
+#include "store/Store.h"
 
 namespace cumindale {
 
--- /dev/null
+++ b/packages/decisions/GrantPlan.cpp
@@ -0,0 +1,474 @@
+#include "decisions/GrantPlan.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cumindale {
+
+// Sections: beginning, answers, planning, orders, looking.
+
+GrantPlan::GrantPlan(std::string service, GrantTiming timing, int64_t term)
+    : m_service(std::move(service))
+    , m_timing(timing)
+    , m_term(term)
+{
+}
+
+// --- Beginning
+
+void GrantPlan::takeOver(const GrantTable& table, Instant now)
+{
+    m_highestFence = table.highestFence;
+    for (const auto& range : table.ranges) {
+        Item item;
+        item.range = range;
+        item.id = m_nextId++;
+        item.range.fence = ++m_highestFence;
+        if (item.range.moving()) {
+            item.range.nextFence = ++m_highestFence;
+            // The former coordinator renews nothing that it has announced as moving; what it sent before may still
+            // hold.
+            item.formerUntil = lapseOf(now + m_timing.orderTimeout);
+            // It may have granted the range to the next server already, and renew it there.
+            item.nextOrdered = true;
+            item.nextHoldsUntil = lapseOf(now + m_timing.renewsWithoutStore + m_timing.orderTimeout);
+        } else {
+            item.formerUntil = lapseOf(now + m_timing.renewsWithoutStore + m_timing.orderTimeout);
+        }
+        touch(item);
+        m_items.push_back(std::move(item));
+    }
+}
+
+void GrantPlan::begin(Instant)
+{
+    Item item;
+    item.id = m_nextId++;
+    m_items.push_back(std::move(item));
+}
+
+void GrantPlan::formerStopped(Instant now)
+{
+    for (auto& item : m_items) {
+        item.formerUntil = std::min(item.formerUntil, lapseOf(now));
+        if (item.nextOrdered && item.orderedAt == Instant {})
+            item.nextHoldsUntil = std::min(item.nextHoldsUntil, lapseOf(now));
+    }
+}
+
+// --- Answers
+
+Instant GrantPlan::lapseOf(Instant arrivedBy) const
+{
+    const auto longest = static_cast<int64_t>(static_cast<double>(m_timing.hold.count()) * m_timing.slowClock);
+    return arrivedBy + Millis(longest) + m_timing.margin;
+}
+
+Instant GrantPlan::freeAt(const Item& item) const
+{
+    return std::max({ item.holdsUntil, item.unansweredUntil, item.formerUntil });
+}
+
+GrantPlan::Item* GrantPlan::find(uint64_t id)
+{
+    const auto found = std::find_if(m_items.begin(), m_items.end(), [&](const Item& item) { return item.id == id; });
+    return found == m_items.end() ? nullptr : &*found;
+}
+
+void GrantPlan::noteAnswer(const std::string& server, OrderResult result)
+{
+    const bool silent = result == OrderResult::Unanswered || result == OrderResult::NotSent;
+    if (result == OrderResult::OtherServer)
+        m_misses[server] = m_timing.missesUntilSuspect;
+    else if (silent)
+        ++m_misses[server];
+    else
+        m_misses.erase(server);
+}
+
+void GrantPlan::onAnswer(const OrderAnswer& answer)
+{
+    Item* item = find(answer.range);
+    if (!item || item->outstanding != answer.number)
+        return; // an order that was given up: its effects were counted when it was
+    item->outstanding = 0;
+    noteAnswer(item->outstandingServer, answer.result);
+    if (answer.result == OrderResult::HigherFence) {
+        m_deposed = true;
+        note(*item, "coordinator-refused", "a server has seen a higher fence");
+        return;
+    }
+    if (item->outstandingKind == GrantOrder::Kind::Release)
+        onReleaseAnswer(*item, answer);
+    else
+        onGrantAnswer(*item, answer);
+}
+
+void GrantPlan::onGrantAnswer(Item& item, const OrderAnswer& answer)
+{
+    const bool toNext = item.range.moving() && item.outstandingServer == item.range.next && item.nextOrdered;
+    if (answer.result == OrderResult::Unanswered) {
+        Instant& until = toNext ? item.nextHoldsUntil : item.unansweredUntil;
+        until = std::max(until, lapseOf(answer.endedAt));
+    }
+    if (answer.result != OrderResult::Done)
+        return;
+    if (!toNext) {
+        item.confirmed = true;
+        item.formerUntil = {}; // its holder has seen a higher fence than any of a former coordinator
+        item.holdsUntil = std::max(item.holdsUntil, lapseOf(answer.endedAt));
+        item.handover.clear();
+        return;
+    }
+    const Instant unanswered = item.nextHoldsUntil;
+    item.range.holder = std::exchange(item.range.next, {});
+    item.range.fence = std::exchange(item.range.nextFence, 0);
+    item.range.holderLost = false;
+    item.confirmed = true;
+    item.holderDone = false;
+    item.released = false;
+    item.nextOrdered = false;
+    item.handover.clear();
+    item.holdsUntil = lapseOf(answer.endedAt);
+    item.unansweredUntil = unanswered;
+    item.formerUntil = {};
+    item.nextHoldsUntil = {};
+    touch(item);
+    note(item, "keys-moved", {});
+}
+
+void GrantPlan::onReleaseAnswer(Item& item, const OrderAnswer& answer)
+{
+    if (!item.range.moving() || item.holderDone)
+        return;
+    if (answer.result == OrderResult::Done) {
+        item.handover = answer.handover;
+        item.released = true;
+        item.holdsUntil = {};
+        // A former coordinator's orders carry lower fences than this release: the server refuses them from now on.
+        item.formerUntil = {};
+        // An own grant without an answer may still be carried out after the release, with the same fence.
+        item.holderDone = item.unansweredUntil <= answer.endedAt;
+    } else if (answer.result == OrderResult::OtherServer) {
+        item.holderDone = true; // its address was given away: it has ended, and its grants with it
+    }
+}
+
+// --- Planning
+
+void GrantPlan::touch(Item& item) { item.edition = ++m_edition; }
+
+void GrantPlan::note(const Item& item, std::string what, std::string why)
+{
+    m_events.push_back({ std::move(what), item.range.first, item.range.last, item.range.holder, item.range.next,
+        item.range.moving() ? item.range.nextFence : item.range.fence, std::move(why) });
+}
+
+bool GrantPlan::isSilent(std::string_view server) const
+{
+    const auto found = m_misses.find(server);
+    return found != m_misses.end() && found->second >= m_timing.missesUntilSuspect;
+}
+
+bool GrantPlan::usable(const Servers& servers, const std::string& server) const
+{
+    const auto found = servers.find(server);
+    return found != servers.end() && !found->second.leaving && found->second.service == m_service && !isSilent(server);
+}
+
+std::string GrantPlan::bestTarget(const Servers& servers, const std::string& except) const
+{
+    std::map<std::string_view, uint32_t> keys;
+    for (const auto& item : m_items)
+        keys[item.range.moving() ? item.range.next : item.range.holder] += item.range.size();
+    std::string best;
+    double least = 0;
+    for (const auto& [id, server] : servers) {
+        if (id == except || !usable(servers, id))
+            continue;
+        const double load = keys[id] / static_cast<double>(std::max(1U, server.slots));
+        if (best.empty() || load < least) {
+            best = id;
+            least = load;
+        }
+    }
+    return best;
+}
+
+void GrantPlan::setNext(Item& item, const std::string& to, std::string why)
+{
+    item.range.next = to;
+    item.range.nextFence = ++m_highestFence;
+    item.range.holderLost = isSilent(item.range.holder) && !item.holderDone;
+    item.nextOrdered = false;
+    item.nextHoldsUntil = {};
+    touch(item);
+    note(item, "move-planned", std::move(why));
+}
+
+void GrantPlan::moveAway(Item& item, const Servers& servers, std::string why)
+{
+    const std::string target = bestTarget(servers, item.range.holder);
+    if (target.empty())
+        return; // nobody to take it; asked again at the next look
+    item.holderDone = false;
+    item.released = false;
+    item.handover.clear();
+    setNext(item, target, std::move(why));
+}
+
+void GrantPlan::spreadFirst(const Servers& servers)
+{
+    std::vector<const RegisteredServer*> usableServers;
+    uint32_t slots = 0;
+    for (const auto& [id, server] : servers) {
+        if (usable(servers, id)) {
+            usableServers.push_back(&server);
+            slots += std::max(1U, server.slots);
+        }
+    }
+    if (usableServers.empty())
+        return;
+    m_items.clear();
+    uint32_t before = 0;
+    uint32_t first = 0;
+    for (const auto* server : usableServers) {
+        before += std::max(1U, server->slots);
+        const auto end = static_cast<uint32_t>(uint64_t(numberedKeys) * before / slots);
+        if (end == first)
+            continue;
+        Item item;
+        item.id = m_nextId++;
+        item.range = { first, end - 1, server->id, ++m_highestFence };
+        touch(item);
+        note(item, "first-owner", {});
+        m_items.push_back(std::move(item));
+        first = end;
+    }
+}
+
+void GrantPlan::maintainMoving(Item& item, const Servers& servers)
+{
+    if (usable(servers, item.range.next) || item.outstanding)
+        return;
+    const std::string target = bestTarget(servers, item.range.next);
+    if (target.empty())
+        return;
+    if (item.nextOrdered) {
+        // It may have been granted the range: from now on it counts as the holder that must let go.
+        item.range.holder = item.range.next;
+        item.range.fence = item.range.nextFence;
+        item.confirmed = false;
+        item.holderDone = false;
+        item.released = false;
+        item.holdsUntil = {};
+        item.unansweredUntil = item.nextHoldsUntil;
+        item.formerUntil = {};
+    }
+    setNext(item, target, "the next owner is gone");
+}
+
+void GrantPlan::maintain(const Servers& servers, Instant)
+{
+    if (m_items.size() == 1 && m_items.front().range.holder.empty() && !m_items.front().range.moving()) {
+        spreadFirst(servers);
+        return;
+    }
+    std::erase_if(m_misses, [&](const auto& entry) {
+        return !servers.count(entry.first) && std::none_of(m_items.begin(), m_items.end(), [&](const Item& item) {
+            return item.range.holder == entry.first || item.range.next == entry.first;
+        });
+    });
+    const bool cutOff = mostAreSilent();
+    for (auto& item : m_items) {
+        if (item.range.moving()) {
+            maintainMoving(item, servers);
+            continue;
+        }
+        const auto holder = servers.find(item.range.holder);
+        if (holder == servers.end())
+            moveAway(item, servers, "the owner is no longer registered");
+        else if (holder->second.leaving)
+            moveAway(item, servers, "the owner is leaving");
+        else if (isSilent(item.range.holder) && !cutOff)
+            moveAway(item, servers, "the owner doesn't answer");
+    }
+    join();
+}
+
+void GrantPlan::join()
+{
+    for (size_t i = 0; i + 1 < m_items.size();) {
+        Item& left = m_items[i];
+        Item& right = m_items[i + 1];
+        const auto settled = [&](const Item& item) {
+            return !item.range.moving() && item.confirmed && !item.outstanding && announced(item);
+        };
+        if (!settled(left) || !settled(right) || left.range.holder != right.range.holder
+            || left.range.fence != right.range.fence) {
+            ++i;
+            continue;
+        }
+        left.range.last = right.range.last;
+        left.holdsUntil = std::max(left.holdsUntil, right.holdsUntil);
+        left.unansweredUntil = std::max(left.unansweredUntil, right.unansweredUntil);
+        left.orderedAt = std::min(left.orderedAt, right.orderedAt);
+        touch(left);
+        m_items.erase(m_items.begin() + static_cast<ptrdiff_t>(i) + 1);
+    }
+}
+
+bool GrantPlan::move(uint32_t first, uint32_t last, const std::string& to, std::string why)
+{
+    const auto found = std::find_if(m_items.begin(), m_items.end(),
+        [&](const Item& item) { return item.range.first <= first && last <= item.range.last; });
+    if (found == m_items.end() || found->range.moving() || found->outstanding || !found->confirmed || !announced(*found)
+        || found->range.holder == to)
+        return false;
+    // The parts keep the holder, the fence and what is known of the grant; only the middle one moves.
+    const Item whole = *found;
+    std::vector<Item> parts;
+    const auto addPart = [&](uint32_t from, uint32_t until) {
+        Item part = whole;
+        part.range.first = from;
+        part.range.last = until;
+        part.id = m_nextId++;
+        touch(part);
+        parts.push_back(std::move(part));
+        return parts.size() - 1;
+    };
+    if (whole.range.first < first)
+        addPart(whole.range.first, first - 1);
+    const size_t middle = addPart(first, last);
+    if (last < whole.range.last)
+        addPart(last + 1, whole.range.last);
+    parts[middle].holderDone = false;
+    parts[middle].released = false;
+    parts[middle].handover.clear();
+    setNext(parts[middle], to, std::move(why));
+    const auto at = m_items.erase(found);
+    m_items.insert(at, std::make_move_iterator(parts.begin()), std::make_move_iterator(parts.end()));
+    return true;
+}
+
+// --- Orders
+
+GrantOrder GrantPlan::makeOrder(
+    Item& item, GrantOrder::Kind kind, const std::string& server, uint64_t fence, Instant now)
+{
+    item.outstanding = m_nextOrder++;
+    item.outstandingKind = kind;
+    item.outstandingServer = server;
+    item.orderedAt = now;
+    GrantOrder order;
+    order.kind = kind;
+    order.range = item.id;
+    order.number = item.outstanding;
+    order.server = server;
+    order.first = item.range.first;
+    order.last = item.range.last;
+    order.fence = fence;
+    order.hold = m_timing.hold;
+    if (kind == GrantOrder::Kind::Grant)
+        order.handover = item.handover;
+    return order;
+}
+
+std::optional<GrantOrder> GrantPlan::steadyOrder(Item& item, Instant now)
+{
+    if (item.range.holder.empty() || item.outstanding)
+        return std::nullopt;
+    const bool quick = !item.confirmed || m_misses.count(item.range.holder);
+    if (now - item.orderedAt < (quick ? m_timing.retryEvery : m_timing.renewEvery) && item.orderedAt != Instant {})
+        return std::nullopt;
+    return makeOrder(item, GrantOrder::Kind::Grant, item.range.holder, item.range.fence, now);
+}
+
+std::optional<GrantOrder> GrantPlan::movingOrder(Item& item, Instant now)
+{
+    if (item.outstanding && item.outstandingKind == GrantOrder::Kind::Grant)
+        return std::nullopt; // its effects are not known yet
+    const bool pausing = now - item.orderedAt < m_timing.retryEvery && item.outstandingServer == item.range.holder;
+    if (!item.holderDone && now >= freeAt(item)) {
+        item.holderDone = true;
+        if (item.outstandingKind == GrantOrder::Kind::Release)
+            item.outstanding = 0; // the release is given up: what it would end has run out
+        note(item, "hold-ended", "without an answer from the owner");
+    }
+    if (item.outstanding)
+        return std::nullopt;
+    if (!item.holderDone) {
+        if (item.released || now < item.announcedAt + m_timing.announce || pausing)
+            return std::nullopt;
+        return makeOrder(item, GrantOrder::Kind::Release, item.range.holder, item.range.fence, now);
+    }
+    if (item.nextOrdered && now - item.orderedAt < m_timing.retryEvery)
+        return std::nullopt;
+    item.nextOrdered = true;
+    return makeOrder(item, GrantOrder::Kind::Grant, item.range.next, item.range.nextFence, now);
+}
+
+std::vector<GrantOrder> GrantPlan::due(Instant now)
+{
+    std::vector<GrantOrder> orders;
+    if (m_deposed)
+        return orders;
+    for (auto& item : m_items) {
+        std::optional<GrantOrder> order;
+        if (item.range.moving()) {
+            if (announced(item))
+                order = movingOrder(item, now);
+        } else if (announced(item) || item.confirmed) {
+            // A range that has just moved is renewed before its table is written: the move was announced, and with
+            // the store away the new owner must not lose it.
+            order = steadyOrder(item, now);
+        }
+        if (order)
+            orders.push_back(std::move(*order));
+    }
+    return orders;
+}
+
+GrantTable GrantPlan::table() const
+{
+    GrantTable table;
+    table.service = m_service;
+    table.edition = { m_term, m_edition };
+    table.highestFence = m_highestFence;
+    table.ranges.reserve(m_items.size());
+    for (const auto& item : m_items)
+        table.ranges.push_back(item.range);
+    return table;
+}
+
+void GrantPlan::onWritten(uint64_t edition, Instant now)
+{
+    for (auto& item : m_items) {
+        if (item.edition > m_written && item.edition <= edition)
+            item.announcedAt = now;
+    }
+    m_written = std::max(m_written, edition);
+}
+
+// --- Looking
+
+std::vector<GrantEvent> GrantPlan::takeEvents() { return std::exchange(m_events, {}); }
+
+size_t GrantPlan::movingCount() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_items.begin(), m_items.end(), [](const Item& item) { return item.range.moving(); }));
+}
+
+bool GrantPlan::mostAreSilent() const
+{
+    std::set<std::string_view> holders;
+    for (const auto& item : m_items)
+        holders.insert(item.range.holder);
+    const auto silent
+        = std::count_if(holders.begin(), holders.end(), [&](std::string_view holder) { return isSilent(holder); });
+    return holders.size() > 2 && static_cast<size_t>(silent) * 2 > holders.size();
+}
+
+}
--- /dev/null
+++ b/packages/decisions/GrantPlan.h
@@ -0,0 +1,171 @@
+// The coordinator's decisions for one service: which server holds which keys, and what to tell the servers next.
+//
+// Pure: it takes the registered servers, the answers to its orders and the time, and returns orders and tables to
+// write. How one holder at a time is kept:
+//
+// - Nothing is ordered before the table that announces it is in the store (GrantTable, written with a compare on the
+//   coordinator's office), so whoever takes over knows every server that may hold a key.
+// - A move is announced, then released at the holder; the next server is granted the range only when the release was
+//   answered, or when the last grant that may have reached the holder has run out. An order without an answer may
+//   still be carried out later; its time counts from its arrival, which was before the connection was reset.
+// - A new coordinator gives every range a fresh, higher fence. Once the holder has taken it, the former coordinator's
+//   orders are refused there. A holder that doesn't answer is waited for as long as the former coordinator may go on
+//   renewing plus one hold.
+// - A refusal for a higher fence means that another coordinator is at work: this one stops at once (deposed()).
+#pragma once
+
+#include "base/Time.h"
+#include "decisions/GrantTable.h"
+#include "decisions/RouteRules.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cumindale {
+
+struct GrantTiming {
+    Millis hold { 3'000 }; // a lost server's keys wait for it; a coordinator's loss must be over before (about 2 s)
+    Millis renewEvery { 600 }; // several tries within one hold
+    Millis retryEvery { 150 }; // after an order without an answer
+    Millis announce { 40 }; // between the write of a move and the release: hosts stop sending first
+    Millis margin { 150 }; // for timers that fire late, at the server and here
+    double slowClock = 1.02; // a server's clock may measure a hold so much longer
+    Millis orderTimeout { 400 }; // after it an order's connection is reset: it arrived before or never
+    unsigned missesUntilSuspect = 2; // orders in a row without an answer
+    // A coordinator that can't reach the store goes on renewing for so long (longer than the outages that hosts
+    // see), and a new one waits as long for holders that it can't reach.
+    Millis renewsWithoutStore { 12'000 };
+};
+
+// One call to a server.
+struct GrantOrder {
+    enum class Kind : uint8_t { Grant, Release };
+    Kind kind = Kind::Grant;
+    uint64_t range = 0; // id within the plan
+    uint64_t number = 0; // of this order; its answer names it
+    std::string server;
+    uint32_t first = 0;
+    uint32_t last = 0;
+    uint64_t fence = 0;
+    Millis hold { 0 };
+    std::string handover; // opaque, from the former holder
+};
+
+enum class OrderResult : uint8_t {
+    Done,
+    HigherFence, // refused: the server has seen a higher fence on one of the keys
+    OtherServer, // another server answers at this address: the one that was meant has ended
+    Rejected, // refused for another reason
+    Unanswered, // may have arrived
+    NotSent, // surely did not arrive
+};
+
+struct OrderAnswer {
+    uint64_t range = 0;
+    uint64_t number = 0;
+    OrderResult result = OrderResult::NotSent;
+    std::string handover; // of a release
+    Instant endedAt {}; // the order had arrived by then, or never will
+};
+
+// What a plan decided and why, for the log.
+struct GrantEvent {
+    std::string what;
+    uint32_t first = 0;
+    uint32_t last = 0;
+    std::string server;
+    std::string next;
+    uint64_t fence = 0;
+    std::string why;
+};
+
+class GrantPlan {
+public:
+    GrantPlan(std::string service, GrantTiming, int64_t term);
+
+    // --- Beginning. Either of the two, once.
+    void takeOver(const GrantTable&, Instant now);
+    void begin(Instant now); // no table yet: the first servers get equal parts
+
+    // --- What is known
+    using Servers = std::map<std::string, RegisteredServer, std::less<>>;
+    void maintain(const Servers&, Instant now); // plans moves away from servers that leave, are gone or don't answer
+    void onAnswer(const OrderAnswer&);
+    bool move(uint32_t first, uint32_t last, const std::string& to, std::string why); // cut out and moved; false: busy
+    // The former coordinator has stopped: holders that can't be reached are waited for no longer than one hold.
+    void formerStopped(Instant now);
+
+    // --- What to do
+    std::vector<GrantOrder> due(Instant now);
+    bool needsWrite() const { return m_edition > m_written; }
+    GrantTable table() const; // as it should be in the store
+    void onWritten(uint64_t edition, Instant now); // a table of this edition is in the store
+    bool deposed() const { return m_deposed; }
+
+    // --- Looking
+    std::vector<GrantEvent> takeEvents();
+    size_t rangeCount() const { return m_items.size(); }
+    size_t movingCount() const;
+    bool mostAreSilent() const; // of the servers that hold ranges: more likely this host is cut off than they
+    bool isSilent(std::string_view server) const;
+    const std::string& service() const { return m_service; }
+
+private:
+    struct Item {
+        KeyRange range;
+        uint64_t id = 0;
+        uint64_t edition = 0; // of the table that first shows it as it is
+        bool confirmed = false; // the holder took the present fence
+        bool holderDone = false; // moving: the former holder surely holds nothing any more
+        bool released = false; // moving: the holder answered a release
+        bool nextOrdered = false; // moving: the next server may have been granted the range
+        uint64_t outstanding = 0; // number of the order under way; 0: none
+        GrantOrder::Kind outstandingKind = GrantOrder::Kind::Grant;
+        std::string outstandingServer;
+        Instant orderedAt {};
+        Instant announcedAt {}; // when the present edition was in the store
+        Instant holdsUntil {}; // the holder may hold it until then, by orders of ours that were answered
+        Instant unansweredUntil {}; // by orders of ours without an answer
+        Instant formerUntil {}; // by orders of a former coordinator
+        Instant nextHoldsUntil {}; // the next server, likewise
+        std::string handover;
+    };
+
+    Instant lapseOf(Instant arrivedBy) const;
+    Instant freeAt(const Item&) const; // from then on the holder surely holds nothing
+    bool announced(const Item& item) const { return item.edition <= m_written; }
+    void touch(Item&); // it differs from what the store holds
+    void moveAway(Item&, const Servers&, std::string why);
+    void setNext(Item&, const std::string& to, std::string why);
+    bool usable(const Servers&, const std::string& server) const;
+    std::string bestTarget(const Servers&, const std::string& except) const;
+    void spreadFirst(const Servers&);
+    void maintainMoving(Item&, const Servers&);
+    void join(); // neighbours that are held by one server with one fence become one range
+    Item* find(uint64_t id);
+    std::optional<GrantOrder> steadyOrder(Item&, Instant now);
+    std::optional<GrantOrder> movingOrder(Item&, Instant now);
+    GrantOrder makeOrder(Item&, GrantOrder::Kind, const std::string& server, uint64_t fence, Instant now);
+    void onGrantAnswer(Item&, const OrderAnswer&);
+    void onReleaseAnswer(Item&, const OrderAnswer&);
+    void noteAnswer(const std::string& server, OrderResult);
+    void note(const Item&, std::string what, std::string why);
+
+    std::string m_service;
+    GrantTiming m_timing;
+    int64_t m_term;
+    std::vector<Item> m_items; // ascending
+    uint64_t m_nextId = 1;
+    uint64_t m_nextOrder = 1;
+    uint64_t m_highestFence = 0;
+    uint64_t m_edition = 0;
+    uint64_t m_written = 0;
+    std::map<std::string, unsigned, std::less<>> m_misses; // orders in a row without an answer, by server
+    bool m_deposed = false;
+    std::vector<GrantEvent> m_events;
+};
+
+}
--- /dev/null
+++ b/packages/decisions/GrantTable.h
@@ -0,0 +1,46 @@
+// Who holds which keys of a service whose servers enforce what they were granted.
+//
+// The keys are numbers from 0 to 65535. The table cuts them into ranges without gaps. One coordinator writes it to
+// the store before it acts on it; hosts route by it. It is a hint for hosts: the grant at the server decides.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cumindale {
+
+constexpr uint32_t numberedKeys = 65'536;
+
+struct KeyRange {
+    uint32_t first = 0;
+    uint32_t last = numberedKeys - 1; // included
+    std::string holder; // server id; empty: nobody yet
+    uint64_t fence = 0; // of the holder's grant
+    std::string next; // server id to which it moves; empty: it stays
+    uint64_t nextFence = 0;
+    bool holderLost = false; // moving, and the holder doesn't answer: it takes up to one hold
+
+    bool moving() const { return !next.empty(); }
+    uint32_t size() const { return last - first + 1; }
+};
+
+// Later terms are newer; within a term a higher edition is.
+struct TableEdition {
+    int64_t term = 0; // of the coordinator that made it
+    uint64_t edition = 0;
+
+    auto operator<=>(const TableEdition&) const = default;
+};
+
+struct GrantTable {
+    std::string service;
+    TableEdition edition;
+    uint64_t highestFence = 0; // no grant ever carried a higher one
+    std::vector<KeyRange> ranges; // ascending, without gaps
+
+    const KeyRange* find(uint32_t key) const; // null only in an empty table
+};
+
+}
--- /dev/null
+++ b/packages/decisions/KeyBalance.cpp
@@ -0,0 +1,185 @@
+#include "decisions/KeyBalance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cumindale {
+
+void KeyLoad::add(uint32_t key, double millis)
+{
+    if (m_load.empty())
+        m_load.resize(numberedKeys, 0);
+    if (key < numberedKeys)
+        m_load[key] += millis;
+}
+
+void KeyLoad::decay(double factor)
+{
+    for (double& load : m_load)
+        load *= factor;
+}
+
+void KeyLoad::index()
+{
+    m_sums.assign(numberedKeys + 1, 0);
+    if (m_load.empty())
+        return;
+    for (uint32_t key = 0; key < numberedKeys; ++key)
+        m_sums[key + 1] = m_sums[key] + m_load[key];
+}
+
+double KeyLoad::of(uint32_t first, uint32_t last) const
+{
+    return m_sums.empty() ? 0 : m_sums[last + 1] - m_sums[first];
+}
+
+namespace {
+
+    struct ServerState {
+        const ServerCapacity* server = nullptr;
+        double weight = 0; // load and share of the space, in units of the mean slot
+        double load = 0; // ms a second
+        uint32_t keys = 0;
+
+        double perSlot() const { return weight / server->slots; }
+    };
+
+    // The weight of a range: what it asks of a server, scaled so that all keys together weigh as many units as
+    // there are slots.
+    class Weigher {
+    public:
+        Weigher(const KeyLoad& load, double slots, double shareOfSpace)
+            : m_load(load)
+            , m_perMillis(load.total() > 0 ? (1 - shareOfSpace) * slots / load.total() : 0)
+            , m_perKey((load.total() > 0 ? shareOfSpace : 1) * slots / numberedKeys)
+        {
+        }
+
+        double of(uint32_t first, uint32_t last) const
+        {
+            return m_load.of(first, last) * m_perMillis + (last - first + 1) * m_perKey;
+        }
+
+    private:
+        const KeyLoad& m_load;
+        double m_perMillis;
+        double m_perKey;
+    };
+
+    struct Cut {
+        uint32_t first = 0;
+        uint32_t last = 0;
+        double weight = 0;
+    };
+
+    // The piece of a range, from its end or from beside a heavy key, that weighs closest to `wanted` without being
+    // more than `most`.
+    Cut cutFrom(const KeyRange& range, const Weigher& weigher, double wanted, double most)
+    {
+        // Longest prefix of [first, last] that weighs no more than `wanted`, found by bisection.
+        const auto reach = [&](uint32_t first) {
+            uint32_t low = first;
+            uint32_t high = range.last;
+            if (weigher.of(first, first) > most)
+                return Cut { first, first, 0 }; // a heavy key: not movable
+            while (low < high) {
+                const uint32_t middle = low + (high - low + 1) / 2;
+                if (weigher.of(first, middle) <= wanted)
+                    low = middle;
+                else
+                    high = middle - 1;
+            }
+            return Cut { first, low, weigher.of(first, low) };
+        };
+        Cut best;
+        uint32_t first = range.first;
+        constexpr int mostPieces = 64; // enough for the hot keys of one server; bounds the work
+        for (int pieces = 0; pieces < mostPieces && first <= range.last; ++pieces) {
+            const Cut cut = reach(first);
+            if (cut.weight > best.weight && cut.weight <= most)
+                best = cut;
+            if (cut.last >= range.last)
+                break;
+            first = cut.last + 1;
+        }
+        return best;
+    }
+
+}
+
+std::vector<BalanceMove> planBalance(std::span<const KeyRange> ranges, const KeyLoad& load,
+    std::span<const ServerCapacity> servers, const BalanceOptions& options)
+{
+    std::vector<BalanceMove> moves;
+    std::map<std::string_view, ServerState> states;
+    double slots = 0;
+    for (const auto& server : servers) {
+        states[server.id].server = &server;
+        slots += server.slots;
+    }
+    if (states.size() < 2)
+        return moves;
+    const Weigher weigher(load, slots, options.shareOfSpace);
+    size_t moving = 0;
+    for (const auto& range : ranges) {
+        moving += range.moving();
+        const auto found = states.find(range.moving() ? range.next : range.holder);
+        if (found == states.end())
+            continue;
+        found->second.weight += weigher.of(range.first, range.last);
+        found->second.load += load.of(range.first, range.last);
+        found->second.keys += range.size();
+    }
+
+    std::vector<ServerState*> order;
+    for (auto& [id, state] : states)
+        order.push_back(&state);
+    std::vector<const KeyRange*> taken; // a range is cut once in a plan
+    while (moving + moves.size() < options.movesAtOnce) {
+        std::sort(order.begin(), order.end(),
+            [](const ServerState* a, const ServerState* b) { return a->perSlot() < b->perSlot(); });
+        ServerState& low = *order.front();
+        const bool newcomer = !low.keys;
+        // The weights are scaled so that the mean is 1 for a slot.
+        const double room = (newcomer ? options.newcomerShare : 1 - low.perSlot()) * low.server->slots;
+        if (room <= 0)
+            break;
+        bool found = false;
+        for (auto it = order.rbegin(); it != order.rend() && !found; ++it) {
+            ServerState& high = **it;
+            const double busy = high.load / 1000 / high.server->slots;
+            const bool overloaded = high.perSlot() > options.tolerance && busy > options.busyEnough;
+            if (&high == &low || !(newcomer ? high.perSlot() > low.perSlot() : overloaded))
+                break;
+            const double surplus = newcomer ? room : (high.perSlot() - 1) * high.server->slots;
+            const double wanted = std::min(surplus, room);
+            Cut best;
+            const KeyRange* from = nullptr;
+            for (const auto& range : ranges) {
+                if (range.moving() || range.holder != high.server->id
+                    || std::find(taken.begin(), taken.end(), &range) != taken.end())
+                    continue;
+                const Cut cut = cutFrom(range, weigher, wanted, std::max(wanted, room));
+                if (cut.weight > best.weight) {
+                    best = cut;
+                    from = &range;
+                }
+            }
+            constexpr double worthMoving = 0.1; // of what is wanted
+            if (!from || best.weight < worthMoving * wanted)
+                continue;
+            taken.push_back(from);
+            moves.push_back({ best.first, best.last, low.server->id, newcomer });
+            high.weight -= best.weight;
+            high.keys -= best.last - best.first + 1;
+            low.weight += best.weight;
+            low.keys += best.last - best.first + 1;
+            found = true;
+        }
+        if (!found)
+            break;
+    }
+    return moves;
+}
+
+}
--- /dev/null
+++ b/packages/decisions/SlotShares.h
@@ -0,0 +1,39 @@
+// How the hosts share the slots of one server.
+//
+// A server works on a few requests at once and queues a few more for all hosts together; beyond that it may never
+// answer. The coordinator hears what each host has there and what waits, and gives each host its part of a total that
+// keeps the server busy without filling its queue.
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace cumindale {
+
+struct ShareOptions {
+    // Requests at the server for each of its slots, over all hosts: enough that a slot that becomes free is taken at
+    // once, few enough that an answer takes little longer than the work.
+    double perSlot = 1.5;
+    double smoothing = 0.5; // of the newest report against what was known
+};
+
+// One server's demand, by host.
+class SlotDemand {
+public:
+    explicit SlotDemand(ShareOptions options)
+        : m_options(options)
+    {
+    }
+
+    void report(std::string_view host, double inFlight, double waiting);
+    void forget(std::string_view host);
+    // The part of a host: by its demand, at least `least`. `hosts`: that share the server.
+    double shareOf(std::string_view host, unsigned slots, size_t hosts) const;
+
+private:
+    ShareOptions m_options;
+    std::map<std::string, double, std::less<>> m_wanted; // by host
+};
+
+}
--- /dev/null
+++ b/packages/gateway/Coordinator.cpp
@@ -0,0 +1,366 @@
+#include "gateway/Coordinator.h"
+
+#include "base/Log.h"
+#include "resources/GrantTableCodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cmath>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+// Sections: office, plans, orders, writes, balance, hosts.
+
+namespace {
+
+    constexpr Millis idleLook { 2'000 }; // out of office; the election wakes it
+    constexpr Millis cutOffAfter { 1'000 }; // most servers silent for so long: another host does it better
+    constexpr double centi = 100;
+
+}
+
+Coordinator::Coordinator(asio::any_io_executor executor, const Clock& clock, const PlatformAdapter& adapter,
+    CoordinatorOptions options, Store& store, PlatformView& view, Election& election, Metrics& metrics, TableSink sink)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_adapter(adapter)
+    , m_options(std::move(options))
+    , m_store(store)
+    , m_view(view)
+    , m_election(election)
+    , m_sink(std::move(sink))
+    , m_orders(metrics.counter("grant_orders"))
+    , m_ordersFailed(metrics.counter("grant_orders_failed"))
+    , m_writes(metrics.counter("store_writes_tables"))
+    , m_moves(metrics.counter("key_moves_planned"))
+    , m_changed(executor)
+{
+}
+
+// --- Office
+
+asio::awaitable<void> Coordinator::run()
+{
+    for (;;) {
+        if (!m_election.holds()) {
+            endTerm();
+            co_await m_changed.wait(idleLook);
+            continue;
+        }
+        if (m_term != m_election.term()) {
+            endTerm();
+            if (readyForTerm())
+                beginTerm();
+        }
+        if (m_term)
+            step();
+        co_await m_changed.wait(m_options.look);
+    }
+}
+
+bool Coordinator::readyForTerm() const { return m_view.revision() >= m_election.term() && m_view.rules(); }
+
+void Coordinator::beginTerm()
+{
+    m_term = m_election.term();
+    m_silentSince = m_clock.now();
+    m_lastBalance = m_clock.now();
+    logChange(LogLevel::Info, "coordination-begun", { { "term", m_term } });
+}
+
+void Coordinator::endTerm()
+{
+    if (!m_term)
+        return;
+    logChange(LogLevel::Info, "coordination-ended", { { "term", m_term } });
+    m_term = 0;
+    m_plans.clear();
+    m_published.clear();
+    m_loads.clear();
+    m_servers.clear();
+    m_hosts.clear();
+}
+
+void Coordinator::step()
+{
+    const Instant now = m_clock.now();
+    // Without the store's word another host may have been elected meanwhile. Renewals go on for a while, since the
+    // store may be away for all; a new coordinator waits as long for holders that it can't reach.
+    if (now - m_election.lastConfirmed() > m_options.grants.renewsWithoutStore)
+        return;
+    rememberServers();
+    ensurePlans();
+    std::vector<GrantTable> toWrite;
+    bool cutOff = false;
+    for (auto& [service, plan] : m_plans) {
+        plan->maintain(*m_view.servers(), now);
+        for (auto& order : plan->due(now))
+            asio::co_spawn(m_executor, carryOut(std::move(order), m_term, service), asio::detached);
+        logEvents(*plan);
+        if (plan->deposed()) {
+            logChange(LogLevel::Warning, "coordinator-refused", { { "term", m_term }, { "service", service } });
+            m_election.abandon();
+            endTerm();
+            return;
+        }
+        cutOff |= plan->mostAreSilent();
+        if (plan->needsWrite())
+            toWrite.push_back(plan->table());
+        publish(*plan);
+    }
+    if (!cutOff)
+        m_silentSince = now;
+    else if (now - m_silentSince > cutOffAfter) {
+        logChange(LogLevel::Warning, "coordinator-cut-off", { { "term", m_term } });
+        m_election.abandon();
+        endTerm();
+        return;
+    }
+    if (!toWrite.empty() && !m_writing) {
+        m_writing = true;
+        asio::co_spawn(m_executor, write(std::move(toWrite), m_term), asio::detached);
+    }
+    if (now - m_lastBalance >= m_options.balanceEvery)
+        balance();
+}
+
+// --- Plans
+
+void Coordinator::ensurePlans()
+{
+    const Instant now = m_clock.now();
+    for (const auto& [name, service] : m_view.rules()->services()) {
+        if (!service.keyed || m_plans.count(name))
+            continue;
+        auto plan = std::make_unique<GrantPlan>(name, m_options.grants, m_term);
+        if (const auto table = m_view.storedTable(name))
+            plan->takeOver(*table, now);
+        else
+            plan->begin(now);
+        m_plans.emplace(name, std::move(plan));
+    }
+}
+
+void Coordinator::publish(GrantPlan& plan)
+{
+    GrantTable table = plan.table();
+    if (table.ranges.empty() || table.ranges.front().holder.empty())
+        return;
+    TableEdition& published = m_published[table.service];
+    if (table.edition <= published)
+        return;
+    published = table.edition;
+    m_sink(std::move(table));
+}
+
+void Coordinator::logEvents(GrantPlan& plan)
+{
+    for (auto& event : plan.takeEvents()) {
+        m_moves.add(event.what == "move-planned");
+        logChange(LogLevel::Info, event.what,
+            { { "service", plan.service() }, { "first", event.first }, { "last", event.last },
+                { "server", event.server }, { "next", event.next }, { "fence", event.fence }, { "why", event.why },
+                { "term", m_term } });
+    }
+}
+
+// --- Orders
+
+void Coordinator::rememberServers()
+{
+    for (const auto& [id, server] : *m_view.servers()) {
+        ServerState& state = m_servers[id];
+        state.address = server.address;
+        state.port = server.port;
+    }
+}
+
+std::shared_ptr<HttpClient> Coordinator::clientFor(const std::string& server)
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return nullptr;
+    ServerState& state = found->second;
+    constexpr size_t mostIdle = 2; // renewals of its ranges in turn, and a release that waits for work to end
+    if (!state.client)
+        state.client = std::make_shared<HttpClient>(m_executor, state.address, state.port, mostIdle);
+    return state.client;
+}
+
+asio::awaitable<void> Coordinator::carryOut(GrantOrder order, int64_t term, std::string service)
+{
+    m_orders.add();
+    OrderAnswer answer { order.range, order.number };
+    // Held here: the end of the term drops the servers while this order may still wait for its answer.
+    const auto client = clientFor(order.server);
+    if (client) {
+        const bool release = order.kind == GrantOrder::Kind::Release;
+        const Millis timeout = release ? m_options.releaseTimeout : m_options.grants.orderTimeout;
+        const HttpReply reply = co_await client->send(m_adapter.callFor(order), timeout);
+        if (reply.arrived()) {
+            answer.result = m_adapter.resultOf(order, reply);
+            answer.handover = m_adapter.handoverIn(reply);
+        } else {
+            answer.result = reply.mayHaveArrived ? OrderResult::Unanswered : OrderResult::NotSent;
+        }
+    }
+    if (term != m_term)
+        co_return; // out of office meanwhile
+    answer.endedAt = m_clock.now();
+    if (answer.result != OrderResult::Done) {
+        m_ordersFailed.add();
+        logChange(LogLevel::Warning, "grant-order-failed",
+            { { "service", service }, { "server", order.server }, { "first", order.first }, { "last", order.last },
+                { "fence", order.fence }, { "kind", order.kind == GrantOrder::Kind::Grant ? "grant" : "release" },
+                { "result", static_cast<int>(answer.result) } });
+    }
+    const auto plan = m_plans.find(service);
+    if (plan == m_plans.end())
+        co_return;
+    plan->second->onAnswer(answer);
+    m_changed.notifyAll();
+}
+
+// --- Writes
+
+namespace {
+
+    // Built outside the coroutine: g++ 12 mishandles lists of temporaries inside one.
+    std::vector<WriteOperation> writesOf(const std::vector<GrantTable>& tables)
+    {
+        std::vector<WriteOperation> writes;
+        for (const auto& table : tables)
+            writes.push_back({ grantTableKey(table.service), encodeGrantTable(table) });
+        return writes;
+    }
+
+}
+
+asio::awaitable<void> Coordinator::write(std::vector<GrantTable> tables, int64_t term)
+{
+    std::vector<Compare> conditions { m_election.fence() };
+    for (const auto& table : tables) {
+        const std::string key = grantTableKey(table.service);
+        conditions.push_back({ key, m_view.modRevisionOf(key) });
+    }
+    const auto writes = writesOf(tables);
+    m_writes.add();
+    const TxnReply reply = co_await m_store.txn(conditions, writes, m_options.storeTimeout);
+    bool written = reply.status == StoreStatus::Ok && reply.succeeded;
+    int64_t revision = reply.revision;
+    if (!written) {
+        // The answer was lost, or a write whose answer was lost came through later: what lies there tells.
+        const RangeReply found = co_await m_store.range(writes.front().key, false, m_options.storeTimeout);
+        if (found.status == StoreStatus::Ok && !found.values.empty()) {
+            const auto& value = found.values.front();
+            written = value.value == writes.front().value;
+            revision = value.modRevision;
+            if (!written) {
+                if (const auto stored = decodeGrantTable(value.value))
+                    m_view.noteWritten(*stored, value.modRevision);
+            }
+        }
+    }
+    m_writing = false;
+    if (term != m_term || !written)
+        co_return;
+    const Instant now = m_clock.now();
+    for (const auto& table : tables) {
+        m_view.noteWritten(table, revision);
+        const auto plan = m_plans.find(table.service);
+        if (plan != m_plans.end())
+            plan->second->onWritten(table.edition.edition, now);
+    }
+    m_changed.notifyAll();
+}
+
+// --- Balance
+
+std::vector<ServerCapacity> Coordinator::capacities(const GrantPlan& plan) const
+{
+    double mean = 0;
+    size_t measured = 0;
+    std::vector<ServerCapacity> servers;
+    for (const auto& [id, server] : *m_view.servers()) {
+        if (server.service != plan.service() || server.leaving || plan.isSilent(id))
+            continue;
+        servers.push_back({ id, static_cast<double>(std::max(1U, server.slots)) });
+        const auto state = m_servers.find(id);
+        if (state != m_servers.end() && state->second.workMillis > 0) {
+            mean += state->second.workMillis;
+            ++measured;
+        }
+    }
+    return servers;
+}
+
+void Coordinator::balance()
+{
+    const Instant now = m_clock.now();
+    const double passed = static_cast<double>((now - m_lastBalance).count());
+    m_lastBalance = now;
+    for (auto& [service, plan] : m_plans) {
+        KeyLoad& load = m_loads[service];
+        load.index();
+        const auto ranges = plan->table().ranges;
+        for (const auto& move : planBalance(ranges, load, capacities(*plan), m_options.balance))
+            plan->move(move.first, move.last, move.to, move.newcomer ? "a new server" : "evenness");
+        load.decay(std::exp2(-passed / static_cast<double>(m_options.loadHalfLife.count())));
+    }
+    std::erase_if(m_hosts, [&](const auto& entry) {
+        if (now - entry.second.heard <= m_options.hostSilence)
+            return false;
+        for (auto& [id, server] : m_servers) {
+            if (server.demand)
+                server.demand->forget(entry.first);
+        }
+        return true;
+    });
+}
+
+// --- Hosts
+
+wire::HostAdvice Coordinator::onReport(const wire::HostReport& report)
+{
+    wire::HostAdvice advice;
+    advice.coordinates = m_term != 0;
+    advice.term = m_term;
+    advice.storeSilentMillis = m_storeSilence.count();
+    if (!m_term)
+        return advice;
+    m_hosts[report.sender] = { m_clock.now(), report.incarnation };
+    advice.hosts = static_cast<int32_t>(m_hosts.size());
+    // Loads decay with a half-life, so that a steady rate of r adds up to r times this.
+    const double meanLife = static_cast<double>(m_options.loadHalfLife.count()) / 1000 / std::log(2.0);
+    for (const auto& service : report.services) {
+        KeyLoad& load = m_loads[service.serviceName];
+        for (const auto& use : service.keys)
+            load.add(static_cast<uint32_t>(use.key), use.busyMicros / 1000.0 / meanLife);
+        const auto table = m_view.table(service.serviceName);
+        if (table && TableEdition { service.term, static_cast<uint64_t>(service.edition) } < table->edition)
+            advice.tables.push_back(encodeGrantTable(*table));
+    }
+    const auto servers = m_view.servers();
+    for (const auto& use : report.servers) {
+        const auto known = servers->find(use.server);
+        if (known == servers->end())
+            continue;
+        ServerState& state = m_servers[use.server];
+        if (!state.demand)
+            state.demand = std::make_unique<SlotDemand>(m_options.shares);
+        state.demand->report(report.sender, use.inFlightCenti / centi, use.waitingCenti / centi);
+        constexpr double newest = 0.1;
+        if (use.workMicros > 0)
+            state.workMillis += (state.workMillis > 0 ? newest : 1) * (use.workMicros / 1000.0 - state.workMillis);
+        wire::ServerShare share;
+        share.server = use.server;
+        share.slotsCenti = static_cast<int32_t>(
+            std::lround(centi * state.demand->shareOf(report.sender, known->second.slots, m_hosts.size())));
+        advice.shares.push_back(std::move(share));
+    }
+    return advice;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/Coordinator.h
@@ -0,0 +1,100 @@
+// Drives the grant plans of all keyed services while this host holds the office: writes their tables, calls the
+// servers, takes the hosts' reports in and advises them.
+//
+// The decisions are in decisions/GrantPlan.h, KeyBalance.h and SlotShares.h; here is what they need of the world.
+#pragma once
+
+#include "control/Election.h"
+#include "decisions/GrantPlan.h"
+#include "decisions/KeyBalance.h"
+#include "decisions/SlotShares.h"
+#include "gateway/PlatformAdapter.h"
+#include "gateway/PlatformView.h"
+#include "peers/Coordination.h"
+#include "web/HttpClient.h"
+#include "web/Signal.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cumindale {
+
+struct CoordinatorOptions {
+    std::string host;
+    GrantTiming grants;
+    BalanceOptions balance;
+    ShareOptions shares;
+    Millis look { 30 }; // between two looks at what is due, while in office
+    Millis releaseTimeout { 3'000 }; // a release is answered when the work under way has ended
+    Millis balanceEvery { 1'000 };
+    Millis loadHalfLife { 3'000 }; // of what is known of the keys' load: hot keys change within seconds
+    Millis hostSilence { 2'000 }; // a host that has not reported for so long no longer counts
+    Millis storeTimeout { 1'000 };
+};
+
+class Coordinator final : public CoordinationHandler {
+public:
+    using TableSink = std::function<void(GrantTable)>; // a table that is newer than the store's
+
+    Coordinator(boost::asio::any_io_executor, const Clock&, const PlatformAdapter&, CoordinatorOptions, Store&,
+        PlatformView&, Election&, Metrics&, TableSink);
+    boost::asio::awaitable<void> run(); // forever
+    void wake() { m_changed.notifyAll(); } // the office or the view changed
+    void setStoreSilence(Millis silence) { m_storeSilence = silence; }
+    wire::HostAdvice onReport(const wire::HostReport&) override;
+
+private:
+    struct HostState {
+        Instant heard {};
+        int64_t incarnation = 0;
+    };
+    struct ServerState {
+        std::string address; // also of a server that is no longer registered, to ask it to let go
+        uint16_t port = 0;
+        std::shared_ptr<HttpClient> client;
+        std::unique_ptr<SlotDemand> demand;
+        double workMillis = 0; // mean over hosts and time; 0: not known
+    };
+
+    bool readyForTerm() const; // the view has everything that was written before this host was elected
+    void beginTerm();
+    void endTerm();
+    void step();
+    void ensurePlans();
+    void publish(GrantPlan&);
+    void balance();
+    std::vector<ServerCapacity> capacities(const GrantPlan&) const;
+    boost::asio::awaitable<void> carryOut(GrantOrder, int64_t term, std::string service);
+    boost::asio::awaitable<void> write(std::vector<GrantTable>, int64_t term);
+    void logEvents(GrantPlan&);
+    void rememberServers();
+    std::shared_ptr<HttpClient> clientFor(const std::string& server); // null: never registered since the term began
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    const PlatformAdapter& m_adapter;
+    CoordinatorOptions m_options;
+    Store& m_store;
+    PlatformView& m_view;
+    Election& m_election;
+    TableSink m_sink;
+    Counter& m_orders;
+    Counter& m_ordersFailed;
+    Counter& m_writes;
+    Counter& m_moves;
+    Signal m_changed;
+    int64_t m_term = 0; // 0: not in office
+    std::map<std::string, std::unique_ptr<GrantPlan>> m_plans; // by service
+    std::map<std::string, TableEdition> m_published;
+    std::map<std::string, KeyLoad> m_loads; // by service
+    std::map<std::string, ServerState, std::less<>> m_servers;
+    std::map<std::string, HostState, std::less<>> m_hosts;
+    bool m_writing = false;
+    Instant m_lastBalance {};
+    Instant m_silentSince {}; // most servers don't answer
+    Millis m_storeSilence { 0 };
+};
+
+}
--- /dev/null
+++ b/packages/gateway/Gateway.cpp
@@ -0,0 +1,499 @@
+#include "gateway/Gateway.h"
+
+#include "base/Log.h"
+#include "base/Random.h"
+#include "decisions/ServerChoice.h"
+#include "routing/Refusals.h"
+#include "routing/RequestHeaders.h"
+
+#include <algorithm>
+#include <boost/beast/http.hpp>
+#include <boost/json/object.hpp>
+#include <charconv>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+// Sections: state, from control, requests, where to, one try, answers, reports.
+
+// --- State
+
+namespace {
+
+    constexpr Millis reportEvery { 250 };
+    constexpr Millis retryPause { 4 }; // at least, and up to as much again
+    constexpr Millis leaveMargin { 500 }; // for the way to the server, before it must get nothing new
+    constexpr double newestWork = 0.05; // weight of the newest request in a route's mean work
+    constexpr Millis firstWork { 100 }; // guess for a route's work until one has ended
+
+    PriorityClass classOf(const HostRoute& route)
+    {
+        // An answer that is of full use only within a second or less is waited for by somebody.
+        constexpr Millis patient { 1'000 };
+        switch (route.repeat) {
+        case RepeatRule::AtMostOnce:
+            return PriorityClass::Submission;
+        case RepeatRule::Upload:
+            return PriorityClass::Upload;
+        case RepeatRule::Idempotent:
+            return route.target > patient ? PriorityClass::Background : PriorityClass::Interactive;
+        }
+        return PriorityClass::Background;
+    }
+
+    std::string_view hostOf(std::string_view header) { return header.substr(0, header.find(':')); }
+
+    uint64_t numberIn(std::string_view text, uint64_t otherwise)
+    {
+        uint64_t number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        return error == std::errc() && end == text.data() + text.size() ? number : otherwise;
+    }
+
+}
+
+struct Gateway::Job {
+    CallerRequest& request;
+    CallerPresence& presence;
+    std::shared_ptr<const RouteRules> rules; // keeps `route` alive
+    const HostRoute* route = nullptr;
+    std::string service;
+    bool keyed = false;
+    uint32_t key = 0;
+    PriorityClass priority = PriorityClass::Background;
+    std::string id; // as the caller gave it
+    Instant arrived {};
+    Instant callerDeadline {};
+    Instant deadline {}; // the caller's or the route's, whichever is first
+    int64_t arrivedMicros = 0;
+    int64_t serverMicros = 0; // time spent in exchanges
+    unsigned sends = 0;
+    bool maybeRan = false; // an earlier try may have run
+    ErrorKind unknown = ErrorKind::None; // how the try ended of which that isn't known
+    std::vector<std::string> tried; // server ids
+    std::optional<CallerResponse> failure; // a server's own failure, delivered if no other try does better
+};
+
+Gateway::Gateway(asio::any_io_executor executor, const Clock& clock, const PlatformAdapter& adapter,
+    GatewayOptions options, Metrics& metrics, ReportSink report, BoundsSink bounds)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_adapter(adapter)
+    , m_names(adapter.headers())
+    , m_options(std::move(options))
+    , m_metrics(metrics)
+    , m_report(std::move(report))
+    , m_boundsSink(std::move(bounds))
+    , m_latency(metrics.distribution("request_total"))
+    , m_added(metrics.distribution("request_added"))
+    , m_answered(metrics.counter("requests_answered"))
+    , m_repeats(metrics.counter("requests_sent_again"))
+    , m_registered(std::make_shared<ServerMap>())
+    , m_changed(executor)
+{
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start()
+{
+    m_lastReport = m_clock.now();
+    spawnLoop(m_executor, "reports", reportLoop());
+}
+
+bool Gateway::ready() const { return m_rules != nullptr; }
+
+// --- From control
+
+void Gateway::apply(GatewayUpdate update)
+{
+    if (update.rules) {
+        m_rules = std::move(update.rules);
+        m_boundsSink(m_rules->bounds);
+    }
+    if (update.servers)
+        m_registered = std::move(update.servers);
+    if (update.shares)
+        m_shares = std::move(update.shares);
+    for (auto& table : update.tables) {
+        auto& held = m_tables[table->service];
+        if (!held || held->edition < table->edition)
+            held = std::move(table);
+    }
+    applyServers();
+    m_changed.notifyAll();
+}
+
+void Gateway::applyServers()
+{
+    std::erase_if(m_servers, [&](const auto& entry) { return !m_registered->count(entry.first); });
+    m_byService.clear();
+    const Instant now = m_clock.now();
+    for (const auto& [id, entry] : *m_registered) {
+        const RoutedService* service = m_rules ? m_rules->service(entry.service) : nullptr;
+        auto& server = m_servers[id];
+        if (!server)
+            server = std::make_shared<Upstream>(m_executor, m_clock, entry, service);
+        server->update(entry, service, *m_shares, now);
+        m_byService[entry.service].push_back(server);
+    }
+}
+
+// --- Requests
+
+BodyRule Gateway::bodyRule(const CallerHeader& header)
+{
+    if (!m_rules)
+        return { ErrorKind::NotFresh, 0 };
+    if (!m_rules->match(hostOf(header[http::field::host]), pathOf(header.target())))
+        return { ErrorKind::UnknownService, 0 };
+    return { ErrorKind::None, m_rules->bounds.bodyBytes };
+}
+
+CallerResponse Gateway::refusal(ErrorKind kind)
+{
+    return Refusals(m_metrics, RetryAfterForm::Fractions).make(kind, spread(m_options.moveWait), false);
+}
+
+RetryBudget& Gateway::budgetOf(const std::string& service)
+{
+    const auto found = m_budgets.find(service);
+    if (found != m_budgets.end())
+        return found->second;
+    // The budget is shared by all hosts; each spends its own requests' part of the ratio and an even part of the
+    // slack. Four fifths of it: hosts come and go, and the number of them is known late.
+    constexpr double used = 0.8;
+    const auto hosts = static_cast<double>(m_shares->hosts);
+    const RetryBudgetOptions options { used * m_options.settings.retryRatio,
+        std::max(1.0, used * m_options.settings.retrySlack / hosts) };
+    return m_budgets.emplace(service, RetryBudget(options)).first->second;
+}
+
+ErrorKind Gateway::prepare(Job& job)
+{
+    if (!m_rules)
+        return ErrorKind::NotFresh;
+    CallerRequest& request = job.request;
+    job.rules = m_rules;
+    job.route = m_rules->match(hostOf(request[http::field::host]), pathOf(request.target()));
+    job.id = request[m_names.requestId];
+    if (!job.route)
+        return ErrorKind::UnknownService;
+    job.priority = classOf(*job.route);
+    const auto timeLeft = numberIn(request[m_names.timeLeft], 0);
+    job.callerDeadline = timeLeft ? job.arrived + Millis(timeLeft) : job.arrived + job.route->timeout;
+    job.deadline = std::min(job.callerDeadline, job.arrived + job.route->timeout);
+    job.service = m_splits.next(*job.route);
+    const RoutedService* service = m_rules->service(job.service);
+    job.keyed = service && service->keyed;
+    // A request without a key may run wherever its key would be: any one does.
+    job.key = static_cast<uint32_t>(numberIn(request[m_names.key], randomNumber()) % numberedKeys);
+    stripForServer(request);
+    budgetOf(job.service).firstTry();
+    if (job.keyed)
+        m_keyUse[job.service][job.key] += static_cast<uint64_t>(firstWork.count()) * 1000;
+    return ErrorKind::None;
+}
+
+asio::awaitable<CallerResponse> Gateway::handle(CallerRequest& request, CallerPresence& presence)
+{
+    Job job { request, presence };
+    job.arrived = m_clock.now();
+    job.arrivedMicros = m_clock.monotonicMicros();
+    const ErrorKind fault = prepare(job);
+    if (fault != ErrorKind::None)
+        co_return refuse(job, fault);
+    CallerResponse response = co_await run(job);
+    const int64_t total = m_clock.monotonicMicros() - job.arrivedMicros;
+    m_latency.add(static_cast<double>(total));
+    m_added.add(static_cast<double>(total - job.serverMicros));
+    co_return response;
+}
+
+asio::awaitable<CallerResponse> Gateway::run(Job& job)
+{
+    for (;;) {
+        CallerResponse response;
+        const ErrorKind error = co_await tryOnce(job, response);
+        if (error == ErrorKind::None) {
+            m_answered.add();
+            co_return response;
+        }
+        if (job.presence.gone || !mayTryAgain(job, error))
+            co_return refuse(job, error);
+        if (job.sends)
+            co_await sleepFor(spread(retryPause)); // many that failed together don't come back together
+    }
+}
+
+bool Gateway::mayTryAgain(Job& job, ErrorKind error)
+{
+    const ErrorAnswer& answer = answerFor(error);
+    const Instant now = m_clock.now();
+    if (!answer.retryable || now >= job.deadline)
+        return false;
+    if (job.maybeRan && !job.route->idempotent())
+        return false;
+    // Waiting for an owner, or for a connection, is no send: only what reached for a server spends the budget.
+    if (error == ErrorKind::Moving || error == ErrorKind::NoOwner)
+        return now < job.arrived + m_options.moveWait;
+    if (error == ErrorKind::ServerUnreachable)
+        return !job.keyed && job.tried.size() < m_byService[job.service].size();
+    if (job.sends >= job.route->maxAttempts || !budgetOf(job.service).spend())
+        return false;
+    m_repeats.add();
+    logRequest(job, "request-again", error, job.tried.empty() ? std::string_view() : job.tried.back());
+    return true;
+}
+
+// --- Where to
+
+Gateway::Located Gateway::locate(const Job& job) { return job.keyed ? locateKey(job) : choose(job); }
+
+Gateway::Located Gateway::locateKey(const Job& job)
+{
+    const auto table = m_tables.find(job.service);
+    const KeyRange* range = table == m_tables.end() ? nullptr : table->second->find(job.key);
+    if (!range)
+        return { ErrorKind::NoOwner, nullptr, true };
+    if (range->moving())
+        return { ErrorKind::Moving, nullptr, !range->holderLost };
+    const auto server = m_servers.find(range->holder);
+    if (server == m_servers.end())
+        return { ErrorKind::NoOwner, nullptr, false };
+    const auto& upstream = server->second;
+    // Its keys are about to move; should that take long, nothing new may reach it in the end.
+    const bool left = upstream->entry.leaving
+        && m_clock.now() - upstream->leavingSince > m_options.settings.leaveWithin - leaveMargin;
+    if (left)
+        return { ErrorKind::NoOwner, nullptr, false };
+    return { ErrorKind::None, upstream };
+}
+
+Gateway::Located Gateway::choose(const Job& job)
+{
+    const auto found = m_byService.find(job.service);
+    if (found == m_byService.end())
+        return { ErrorKind::NoOwner, nullptr, false };
+    const Instant now = m_clock.now();
+    std::vector<ServerCandidate> candidates;
+    candidates.reserve(found->second.size());
+    for (const auto& server : found->second) {
+        const auto& admission = server->pool.admission();
+        ServerCandidate candidate;
+        candidate.usable = !server->entry.leaving
+            && std::find(job.tried.begin(), job.tried.end(), server->entry.id) == job.tried.end();
+        candidate.resting = server->resting(now);
+        candidate.sameCentre = server->entry.dataCentre == m_options.dataCentre;
+        candidate.busy = admission.inFlight();
+        candidate.waiting = static_cast<unsigned>(admission.queued());
+        candidate.limit = admission.limit();
+        candidate.workMillis = static_cast<double>(admission.meanWork(job.priority).count());
+        candidates.push_back(candidate);
+    }
+    const auto best = chooseServer(candidates, randomNumber());
+    if (!best)
+        return { ErrorKind::NoOwner, nullptr, false };
+    return { ErrorKind::None, found->second[*best] };
+}
+
+// --- One try
+
+asio::awaitable<ErrorKind> Gateway::tryOnce(Job& job, CallerResponse& response)
+{
+    Located at = locate(job);
+    if (at.error != ErrorKind::None) {
+        const Instant until = std::min(job.deadline, job.arrived + m_options.moveWait);
+        const Instant now = m_clock.now();
+        // What takes longer than a move is refused at once: waiting would only use up the caller's time.
+        if (!at.soon || now >= until) {
+            job.arrived -= m_options.moveWait; // no further wait
+            co_return at.error;
+        }
+        co_await m_changed.wait(until - now);
+        co_return at.error;
+    }
+    const auto server = at.server;
+    const Instant asked = m_clock.now();
+    server->count(asked);
+    const auto admitted = co_await server->pool.admit(job.priority, job.arrived, job.deadline);
+    if (admitted == ServerPool::Admitted::Refused)
+        co_return ErrorKind::Overloaded;
+    if (admitted == ServerPool::Admitted::TimedOut)
+        co_return ErrorKind::DeadlineBeforeSend;
+    const auto giveUp = [&] {
+        server->count(m_clock.now());
+        server->pool.release(job.priority, Millis(0));
+    };
+    auto connection = co_await server->pool.take(job.route->idempotent(), m_options.connectTimeout);
+    if (!connection) {
+        giveUp();
+        server->failed(m_clock.now());
+        job.tried.push_back(server->entry.id);
+        logRequest(job, "server-unreachable", ErrorKind::ServerUnreachable, server->entry.id);
+        co_return ErrorKind::ServerUnreachable;
+    }
+    // The wait for a slot or a connection may have outlived the table, the server or the caller.
+    const bool moved = job.keyed && locate(job).server != server;
+    const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
+    const bool late = m_clock.now() + leastTime >= job.deadline;
+    if (moved || late || job.presence.gone) {
+        giveUp();
+        server->pool.giveBack(std::move(connection));
+        co_return moved ? ErrorKind::Moving : ErrorKind::DeadlineBeforeSend;
+    }
+    co_return co_await exchange(job, *server, std::move(connection), response);
+}
+
+asio::awaitable<ErrorKind> Gateway::exchange(
+    Job& job, Upstream& target, ConnectionPointer connection, CallerResponse& response)
+{
+    const auto server = m_servers.find(target.entry.id);
+    const std::shared_ptr<Upstream> held = server == m_servers.end() ? nullptr : server->second;
+    if (!held)
+        co_return ErrorKind::NoOwner;
+    const std::string id = target.entry.id;
+    const Instant sentAt = m_clock.now();
+    const Millis timeout = job.deadline - sentAt;
+    CallerRequest& request = job.request;
+    request.set(m_names.wantedServer, id);
+    request.set(m_names.timeLeft, std::to_string(timeout.count()));
+    request.keep_alive(true);
+    request.prepare_payload();
+    ++job.sends;
+    job.tried.push_back(id);
+    if (job.route->idempotent())
+        job.presence.whenGone = [&connection] { connection->abandon(); };
+    ExchangeResult result = co_await connection->exchange(request, timeout, m_names.requestId);
+    job.presence.whenGone = nullptr;
+    const Instant endedAt = m_clock.now();
+    const Millis took = std::max(Millis(1), endedAt - sentAt);
+    job.serverMicros += took.count() * 1000;
+    const ErrorKind error = judge(job, result);
+    held->count(endedAt);
+    const bool worked = error == ErrorKind::None;
+    held->pool.release(job.priority, worked ? took : Millis(0));
+    if (worked) {
+        held->answered();
+        held->countWork(took);
+    } else if (error != ErrorKind::ServerRefused && !job.presence.gone) {
+        held->failed(endedAt);
+    }
+    if (!result.ended)
+        held->pool.giveBack(std::move(connection));
+    if (!worked) {
+        if (answerFor(error).ran != Ran::No) {
+            job.maybeRan = true;
+            job.unknown = error;
+        }
+        logRequest(job, "send-failed", error, id);
+        co_return error;
+    }
+    response = std::move(result.response);
+    stripForCaller(response);
+    constexpr unsigned firstFailure = 500;
+    // A server's own failure of a request that may be repeated: another server may do better.
+    if (response.result_int() >= firstFailure && job.route->idempotent() && job.sends < job.route->maxAttempts) {
+        held->failed(endedAt);
+        job.maybeRan = true;
+        job.unknown = ErrorKind::BadAnswer;
+        job.failure = std::move(response);
+        co_return ErrorKind::ServerFailed;
+    }
+    co_return ErrorKind::None;
+}
+
+ErrorKind Gateway::judge(const Job& job, const ExchangeResult& result) const
+{
+    if (result.error != ErrorKind::None)
+        return result.error;
+    const BackendResponse& answer = result.response;
+    const unsigned status = answer.result_int();
+    constexpr unsigned misdirected = 421;
+    if (status == misdirected || answer.count(m_names.notExecuted))
+        return ErrorKind::ServerRefused;
+    // Passed on, these would tell the caller that it did not run, and the server hasn't said so.
+    if (status == 503 || status == 429 || status == 408)
+        return ErrorKind::BadAnswer;
+    const std::string_view from = answer[m_names.server];
+    if (!from.empty() && from != job.tried.back())
+        return ErrorKind::BadAnswer;
+    const bool success = status >= 200 && status < 300;
+    const bool sealed = answer.count(m_names.signature) && !answer.count(http::field::content_encoding);
+    return success && !sealed ? ErrorKind::BadAnswer : ErrorKind::None;
+}
+
+// --- Answers
+
+CallerResponse Gateway::refuse(const Job& job, ErrorKind error)
+{
+    if (job.failure)
+        return *job.failure;
+    // The last try may surely not have run while an earlier one may have: the answer speaks for all of them, and
+    // 503 would promise that nothing ran.
+    const ErrorKind told = job.maybeRan && answerFor(error).ran == Ran::No ? job.unknown : error;
+    logRequest(job, "request-refused", told, job.tried.empty() ? std::string_view() : job.tried.back());
+    return Refusals(m_metrics, RetryAfterForm::Fractions).make(told, retryAfter(job, error), job.maybeRan);
+}
+
+Millis Gateway::retryAfter(const Job& job, ErrorKind error)
+{
+    constexpr Millis soon { 100 };
+    switch (error) {
+    case ErrorKind::Overloaded:
+    case ErrorKind::DeadlineBeforeSend: {
+        const Located at = locate(job);
+        return spread(std::max(soon, at.server ? at.server->pool.expectedWait(job.priority) : soon));
+    }
+    case ErrorKind::Moving:
+        return spread(soon);
+    default:
+        return spread(m_options.moveWait);
+    }
+}
+
+void Gateway::logRequest(const Job& job, std::string_view event, ErrorKind error, std::string_view server)
+{
+    const auto table = m_tables.find(job.service);
+    logChange(LogLevel::Info, event,
+        { { "request", job.id }, { "error", answerFor(error).name }, { "ran", toString(answerFor(error).ran) },
+            { "route", job.route ? job.route->name : std::string() }, { "service", job.service },
+            { "key", job.keyed ? static_cast<int64_t>(job.key) : -1 }, { "server", server }, { "sends", job.sends },
+            { "afterMs", (m_clock.now() - job.arrived).count() },
+            { "deadlineMs", (job.deadline - job.arrived).count() }, { "rules", job.rules ? job.rules->version : 0 },
+            { "edition", table == m_tables.end() ? 0 : table->second->edition.edition } });
+}
+
+// --- Reports
+
+GatewayReport Gateway::makeReport()
+{
+    const Instant now = m_clock.now();
+    GatewayReport report;
+    report.over = now - std::exchange(m_lastReport, now);
+    for (auto& [service, uses] : m_keyUse) {
+        auto& keys = report.keys[service];
+        for (const auto& [key, micros] : uses)
+            keys.push_back({ key, micros });
+    }
+    m_keyUse.clear();
+    for (const auto& [id, server] : m_servers) {
+        const ServerUse use = server->takeUse(now, report.over);
+        if (use.inFlight > 0 || use.waiting > 0)
+            report.servers.emplace(id, use);
+    }
+    return report;
+}
+
+asio::awaitable<void> Gateway::reportLoop()
+{
+    for (;;) {
+        co_await sleepFor(reportEvery);
+        m_report(makeReport());
+    }
+}
+
+}
--- /dev/null
+++ b/packages/gateway/Gateway.h
@@ -0,0 +1,105 @@
+// The routing duty of a gateway host: from a whole request to its answer.
+//
+// Finds the route by host name and path, the service by its split, and the server by the request's key (keyed
+// services) or by load (others); waits for a slot there, sends, and decides whether another try is allowed. What the
+// server answers is passed on byte for byte. Everything here runs on one thread.
+#pragma once
+
+#include "base/Metrics.h"
+#include "callers/CallerServer.h"
+#include "decisions/RetryBudget.h"
+#include "decisions/RouteRules.h"
+#include "gateway/Messages.h"
+#include "gateway/PlatformAdapter.h"
+#include "gateway/Upstream.h"
+#include "resources/Settings.h"
+#include "web/Signal.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace cumindale {
+
+struct GatewayOptions {
+    std::string host; // this host's name
+    std::string dataCentre;
+    GatewaySettings settings;
+    Millis moveWait { 500 }; // for a key that is between two owners; a move takes about half of it
+    Millis connectTimeout { 250 }; // hosts and servers are at most a few ms apart
+};
+
+class Gateway final : public RequestHandler {
+public:
+    using ReportSink = std::function<void(GatewayReport)>;
+    using BoundsSink = std::function<void(const CallerBounds&)>; // the operators' limits on callers have changed
+
+    Gateway(boost::asio::any_io_executor, const Clock&, const PlatformAdapter&, GatewayOptions, Metrics&, ReportSink,
+        BoundsSink);
+    ~Gateway() override;
+
+    // --- From control
+    void apply(GatewayUpdate);
+    void start(); // begins to report
+
+    // --- From callers
+    BodyRule bodyRule(const CallerHeader&) override;
+    boost::asio::awaitable<CallerResponse> handle(CallerRequest&, CallerPresence&) override;
+    CallerResponse refusal(ErrorKind) override;
+    bool ready() const override;
+
+private:
+    struct Job; // one request on its way
+
+    struct Located {
+        ErrorKind error = ErrorKind::None;
+        std::shared_ptr<Upstream> server;
+        bool soon = false; // the error passes within a move's time
+    };
+
+    void applyServers();
+    void applyShares();
+    ErrorKind prepare(Job&);
+    Located locate(const Job&);
+    Located locateKey(const Job&);
+    Located choose(const Job&);
+    boost::asio::awaitable<CallerResponse> run(Job&);
+    boost::asio::awaitable<ErrorKind> tryOnce(Job&, CallerResponse&);
+    boost::asio::awaitable<ErrorKind> exchange(Job&, Upstream&, ConnectionPointer, CallerResponse&);
+    ErrorKind judge(const Job&, const ExchangeResult&) const; // what the server's answer means for the request
+    bool mayTryAgain(Job&, ErrorKind);
+    CallerResponse refuse(const Job&, ErrorKind);
+    Millis retryAfter(const Job&, ErrorKind);
+    RetryBudget& budgetOf(const std::string& service);
+    void logRequest(const Job&, std::string_view event, ErrorKind, std::string_view server);
+
+    boost::asio::awaitable<void> reportLoop();
+    GatewayReport makeReport();
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    const PlatformAdapter& m_adapter;
+    const RequestHeaderNames& m_names;
+    GatewayOptions m_options;
+    Metrics& m_metrics;
+    ReportSink m_report;
+    BoundsSink m_boundsSink;
+    Distribution& m_latency;
+    Distribution& m_added;
+    Counter& m_answered;
+    Counter& m_repeats;
+
+    std::shared_ptr<const RouteRules> m_rules; // null until the first
+    std::shared_ptr<const ServerMap> m_registered;
+    std::shared_ptr<const SlotShares> m_shares = std::make_shared<SlotShares>();
+    std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_tables; // by service
+    std::map<std::string, std::shared_ptr<Upstream>, std::less<>> m_servers; // by id
+    std::map<std::string, std::vector<std::shared_ptr<Upstream>>, std::less<>> m_byService;
+    std::map<std::string, RetryBudget, std::less<>> m_budgets; // by service
+    SplitDealer m_splits;
+    std::map<std::string, std::unordered_map<uint32_t, uint64_t>> m_keyUse; // busy µs since the last report
+    Signal m_changed; // tables or servers
+    Instant m_lastReport {};
+};
+
+}
--- /dev/null
+++ b/packages/gateway/GatewayControl.cpp
@@ -0,0 +1,249 @@
+#include "gateway/GatewayControl.h"
+
+#include "base/Log.h"
+#include "base/Random.h"
+#include "resources/GrantTableCodec.h"
+
+#include <boost/json.hpp>
+#include <cmath>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+    constexpr Millis reportEvery { 250 }; // shares follow a burst within about half a second
+    constexpr Millis reportTimeout { 400 };
+    constexpr double centi = 100;
+
+    std::string textOf(const Endpoint& endpoint) { return endpoint.address + ":" + std::to_string(endpoint.port); }
+
+    int32_t inCenti(double value) { return static_cast<int32_t>(std::lround(value * centi)); }
+
+    CoordinatorOptions coordinatorOptions(const Settings& settings)
+    {
+        CoordinatorOptions options;
+        options.host = settings.host.name;
+        options.grants.hold = std::min(settings.gateway->longestHold, options.grants.hold);
+        return options;
+    }
+
+    ElectionOptions electionOptions(const Settings& settings, std::function<void()> whenChanged)
+    {
+        ElectionOptions options;
+        options.host = settings.host.name;
+        options.address = textOf(settings.host.peers);
+        options.lease = std::max(settings.gateway->leaderLease, settings.gateway->shortestLease);
+        options.callTimeout = Millis(800); // of a store that answers slowly; a lost answer is asked for again
+        options.whenChanged = std::move(whenChanged);
+        return options;
+    }
+
+    bool splitEndpoint(const std::string& text, Endpoint& endpoint)
+    {
+        const auto colon = text.rfind(':');
+        if (colon == std::string::npos)
+            return false;
+        endpoint.address = text.substr(0, colon);
+        endpoint.port = static_cast<uint16_t>(std::strtoul(text.c_str() + colon + 1, nullptr, 10));
+        return endpoint.port != 0;
+    }
+
+}
+
+GatewayControl::GatewayControl(asio::any_io_executor executor, const Clock& clock, const Settings& settings,
+    const PlatformAdapter& adapter, Store& store, Metrics& metrics, UpdateSink sink)
+    : m_executor(executor)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_sink(std::move(sink))
+    , m_peerBytes(metrics.counter("peers_bytes_sent"))
+    , m_reports(metrics.counter("reports_sent"))
+    , m_reportsFailed(metrics.counter("reports_failed"))
+    , m_view(adapter)
+    , m_follower(executor, clock, {}, store, m_view, metrics,
+          [this](const PlatformView::Change& change) { onViewChange(change); })
+    , m_election(executor, clock, electionOptions(settings, [this] { m_coordinator.wake(); }), store, m_view, metrics)
+    , m_coordinator(executor, clock, adapter, coordinatorOptions(settings), store, m_view, m_election, metrics,
+          [this](GrantTable table) { onViewChange(m_view.applyTable(std::move(table))); })
+    , m_server(makeCoordinationServer(
+          executor, settings.host.peers.address, settings.host.peers.port, m_coordinator, m_peerBytes))
+    , m_incarnation(static_cast<int64_t>(randomNumber() >> 1))
+{
+}
+
+void GatewayControl::start()
+{
+    spawnLoop(m_executor, "store-follower", m_follower.run());
+    spawnLoop(m_executor, "election", m_election.run());
+    spawnLoop(m_executor, "coordinator", m_coordinator.run());
+    spawnLoop(m_executor, "reports", reportLoop());
+}
+
+asio::awaitable<void> GatewayControl::leave() { co_await m_election.resign(); }
+
+// --- To the routing duty
+
+void GatewayControl::push(GatewayUpdate update)
+{
+    if (!m_sink(std::move(update)))
+        m_pushFailed = true; // sent whole with the next report
+}
+
+void GatewayControl::pushAll()
+{
+    m_pushFailed = false;
+    GatewayUpdate update;
+    update.rules = m_view.rules();
+    update.servers = m_view.servers();
+    for (const auto& [service, table] : m_view.tables())
+        update.tables.push_back(table);
+    push(std::move(update));
+}
+
+void GatewayControl::onViewChange(const PlatformView::Change& change)
+{
+    if (change.leader) {
+        m_election.onLeaderChange();
+        m_link.reset();
+    }
+    GatewayUpdate update;
+    if (change.rules)
+        update.rules = m_view.rules();
+    if (change.servers)
+        update.servers = m_view.servers();
+    for (const auto& service : change.tables)
+        update.tables.push_back(m_view.table(service));
+    if (change.rules || change.servers || !change.tables.empty())
+        push(std::move(update));
+    if (change.any())
+        m_coordinator.wake();
+}
+
+// --- Reports
+
+void GatewayControl::onReport(GatewayReport report)
+{
+    // Means over the last report's time; uses of keys add up until they are sent.
+    m_use.over += report.over;
+    m_use.servers = std::move(report.servers);
+    for (auto& [service, keys] : report.keys) {
+        auto& all = m_use.keys[service];
+        all.insert(all.end(), keys.begin(), keys.end());
+    }
+}
+
+wire::HostReport GatewayControl::makeReport()
+{
+    wire::HostReport report;
+    report.sender = m_settings.host.name;
+    report.incarnation = m_incarnation;
+    report.overMillis = static_cast<int32_t>(m_use.over.count());
+    report.storeSilentMillis = (m_clock.now() - m_follower.lastAnswer()).count();
+    for (const auto& [name, table] : m_view.tables()) {
+        wire::ServiceUse service;
+        service.serviceName = name;
+        service.term = table->edition.term;
+        service.edition = static_cast<int64_t>(table->edition.edition);
+        for (const auto& use : m_use.keys[name]) {
+            wire::KeyUse key;
+            key.key = static_cast<int32_t>(use.key);
+            key.busyMicros = static_cast<int32_t>(std::min<uint64_t>(use.busyMicros, INT32_MAX));
+            service.keys.push_back(key);
+        }
+        report.services.push_back(std::move(service));
+    }
+    for (const auto& [id, use] : m_use.servers) {
+        wire::ServerUse server;
+        server.server = id;
+        server.inFlightCenti = inCenti(use.inFlight);
+        server.waitingCenti = inCenti(use.waiting);
+        server.workMicros = static_cast<int32_t>(use.meanWork.count() * 1000);
+        report.servers.push_back(std::move(server));
+    }
+    m_use = {};
+    return report;
+}
+
+void GatewayControl::takeAdvice(const wire::HostAdvice& advice)
+{
+    for (const auto& text : advice.tables) {
+        auto table = decodeGrantTable(text);
+        if (table)
+            onViewChange(m_view.applyTable(std::move(*table)));
+    }
+    const auto shares = std::make_shared<SlotShares>();
+    shares->hosts = static_cast<size_t>(std::max(1, advice.hosts));
+    for (const auto& share : advice.shares)
+        shares->slots[share.server] = share.slotsCenti / centi;
+    GatewayUpdate update;
+    update.shares = shares;
+    push(std::move(update));
+}
+
+asio::awaitable<void> GatewayControl::reportOnce()
+{
+    const LeaderView leader = m_view.leader(); // a copy: it may change while the report is under way
+    Endpoint endpoint;
+    std::optional<wire::HostAdvice> advice;
+    if (leader.host == m_settings.host.name) {
+        m_linkAddress.clear();
+        advice = m_coordinator.onReport(makeReport());
+    } else if (splitEndpoint(leader.address, endpoint)) {
+        if (!m_link || m_linkAddress != leader.address)
+            m_link = std::make_unique<CoordinationLink>(m_executor, endpoint.address, endpoint.port, m_peerBytes);
+        m_linkAddress = leader.address;
+        m_reports.add();
+        // Taken out while it is in use: a change of the leader drops the member.
+        auto link = std::move(m_link);
+        advice = co_await link->report(makeReport(), reportTimeout);
+        if (!advice)
+            m_reportsFailed.add();
+        else if (!m_link && m_linkAddress == leader.address)
+            m_link = std::move(link);
+    }
+    const bool answers = advice && advice->coordinates;
+    if (answers != m_coordinatorAnswers)
+        logChange(answers ? LogLevel::Info : LogLevel::Warning, answers ? "coordinator-answers" : "coordinator-silent",
+            { { "coordinator", leader.host }, { "term", leader.modRevision } });
+    m_coordinatorAnswers = answers;
+    if (answers)
+        takeAdvice(*advice);
+}
+
+asio::awaitable<void> GatewayControl::reportLoop()
+{
+    for (;;) {
+        co_await sleepFor(reportEvery);
+        m_coordinator.setStoreSilence(m_clock.now() - m_follower.lastAnswer());
+        co_await reportOnce();
+        if (m_pushFailed)
+            pushAll();
+    }
+}
+
+std::string GatewayControl::statusText() const
+{
+    json::object status;
+    status["host"] = m_settings.host.name;
+    status["rulesVersion"] = m_view.rules() ? m_view.rules()->version : 0;
+    status["storeRevision"] = m_view.revision();
+    status["coordinator"] = m_view.leader().host;
+    status["term"] = m_view.leader().modRevision;
+    status["coordinates"] = m_election.holds();
+    json::array servers;
+    for (const auto& [id, server] : *m_view.servers())
+        servers.push_back(json::object { { "id", id }, { "service", server.service }, { "leaving", server.leaving } });
+    status["servers"] = std::move(servers);
+    json::array tables;
+    for (const auto& [service, table] : m_view.tables()) {
+        const auto parsed = json::parse(encodeGrantTable(*table));
+        tables.push_back(parsed);
+    }
+    status["tables"] = std::move(tables);
+    return json::serialize(status);
+}
+
+}
--- /dev/null
+++ b/packages/gateway/GatewayControl.h
@@ -0,0 +1,56 @@
+// The control duty of a gateway host: follows the store, stands for the coordinator's office, reports to whoever holds
+// it, and tells the routing duty what has changed.
+#pragma once
+
+#include "gateway/Coordinator.h"
+#include "gateway/Messages.h"
+#include "gateway/PlatformFollower.h"
+#include "peers/Coordination.h"
+#include "resources/Settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace cumindale {
+
+class GatewayControl {
+public:
+    using UpdateSink = std::function<bool(GatewayUpdate)>; // false: the ring is full
+
+    GatewayControl(boost::asio::any_io_executor, const Clock&, const Settings&, const PlatformAdapter&, Store&,
+        Metrics&, UpdateSink);
+    void start();
+    void onReport(GatewayReport); // from the routing duty
+    boost::asio::awaitable<void> leave(); // gives the office up
+    std::string statusText() const; // JSON, for operators
+
+private:
+    void onViewChange(const PlatformView::Change&);
+    void push(GatewayUpdate);
+    void pushAll();
+    boost::asio::awaitable<void> reportLoop();
+    boost::asio::awaitable<void> reportOnce();
+    wire::HostReport makeReport();
+    void takeAdvice(const wire::HostAdvice&);
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    const Settings& m_settings;
+    UpdateSink m_sink;
+    Counter& m_peerBytes;
+    Counter& m_reports;
+    Counter& m_reportsFailed;
+    PlatformView m_view;
+    PlatformFollower m_follower;
+    Election m_election;
+    Coordinator m_coordinator;
+    std::unique_ptr<FrameServer> m_server;
+    std::unique_ptr<CoordinationLink> m_link; // to the coordinator
+    std::string m_linkAddress;
+    GatewayReport m_use; // since the last report
+    int64_t m_incarnation;
+    bool m_coordinatorAnswers = false;
+    bool m_pushFailed = false;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/PlatformAdapter.h
@@ -0,0 +1,54 @@
+// What a deployment's platform says in its own words, in ours. One implementation for each platform; it only
+// translates and decides nothing.
+#pragma once
+
+#include "decisions/GrantPlan.h"
+#include "decisions/RouteRules.h"
+#include "store/Store.h"
+#include "web/HttpClient.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/leaf/result.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cumindale {
+
+// Headers by which callers, hosts and servers speak of a request.
+struct RequestHeaderNames {
+    std::string requestId; // of one try of a caller; servers echo it
+    std::string timeLeft; // whole milliseconds that the caller goes on waiting
+    std::string signature; // on what a server itself answered
+    std::string wantedServer; // the server that is meant; any other refuses with 421
+    std::string notExecuted; // on answers: the server did not run the request
+    std::string server; // on answers: the server's id
+    std::string key; // number of the request's key, in decimals
+};
+
+// Which item of the store an entry is.
+enum class StoreItem : uint8_t { Rules, Server, Other };
+
+class PlatformAdapter {
+public:
+    virtual ~PlatformAdapter() = default;
+
+    virtual std::unique_ptr<Store> makeStore(
+        boost::asio::any_io_executor, std::string address, uint16_t port) const = 0;
+    virtual const RequestHeaderNames& headers() const = 0;
+    virtual std::string_view readinessPath() const = 0; // asked by the balancer
+
+    // --- What the store holds besides our own keys
+    virtual StoreItem itemOf(std::string_view key) const = 0;
+    virtual std::string serverIdOf(std::string_view key) const = 0;
+    // Each fails with a FieldFault.
+    virtual boost::leaf::result<RouteRules> parseRules(std::string_view text) const = 0;
+    virtual boost::leaf::result<RegisteredServer> parseServer(std::string_view id, std::string_view text) const = 0;
+
+    // --- Orders to servers
+    virtual HttpCall callFor(const GrantOrder&) const = 0;
+    virtual OrderResult resultOf(const GrantOrder&, const HttpReply&) const = 0; // of an answer that arrived
+    virtual std::string handoverIn(const HttpReply&) const = 0;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/PlatformFollower.cpp
@@ -0,0 +1,107 @@
+#include "gateway/PlatformFollower.h"
+
+#include "base/Log.h"
+#include "base/Random.h"
+#include "web/Signal.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Millis firstPause { 50 }; // after a failed read; most failures are one lost connection
+    constexpr Millis longestPause { 400 }; // recovery within half a second of the store's return
+    constexpr std::string_view everything; // one watch for all keys costs as much as one for a few
+
+}
+
+PlatformFollower::PlatformFollower(asio::any_io_executor executor, const Clock& clock, FollowerOptions options,
+    Store& store, PlatformView& view, Metrics& metrics, ChangeSink sink)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_options(options)
+    , m_store(store)
+    , m_view(view)
+    , m_sink(std::move(sink))
+    , m_reads(metrics.counter("store_reads"))
+    , m_watches(metrics.counter("store_watches"))
+    , m_failures(metrics.counter("store_failures"))
+{
+}
+
+void PlatformFollower::noteAnswer(bool answers)
+{
+    if (answers != m_answers)
+        logChange(answers ? LogLevel::Info : LogLevel::Warning, answers ? "store-answers" : "store-silent",
+            { { "silentMs", (m_clock.now() - m_lastAnswer).count() } });
+    m_answers = answers;
+    if (answers)
+        m_lastAnswer = m_clock.now();
+    else
+        m_failures.add();
+}
+
+asio::awaitable<bool> PlatformFollower::readAll()
+{
+    m_reads.add();
+    const RangeReply reply = co_await m_store.range(std::string(everything), true, m_options.callTimeout);
+    if (reply.status != StoreStatus::Ok) {
+        noteAnswer(false);
+        co_return false;
+    }
+    const bool afterOutage = m_hasRead && m_clock.now() - m_lastAnswer > m_options.shortOutage;
+    noteAnswer(true);
+    m_hasRead = true;
+    const auto change = m_view.applySnapshot(reply, afterOutage);
+    ++m_reading;
+    if (m_view.missingAny())
+        asio::co_spawn(m_executor, dropMissingLater(m_reading), asio::detached);
+    m_sink(change);
+    co_return true;
+}
+
+asio::awaitable<void> PlatformFollower::dropMissingLater(uint64_t reading)
+{
+    co_await sleepFor(m_options.entriesReturnWithin);
+    // A later reading has looked again, and waits again if the store was away again.
+    if (reading != m_reading)
+        co_return;
+    const auto change = m_view.dropMissing();
+    if (change.any())
+        m_sink(change);
+}
+
+asio::awaitable<void> PlatformFollower::run()
+{
+    Millis pause = firstPause;
+    for (;;) {
+        if (!co_await readAll()) {
+            co_await sleepFor(pause / 2 + randomBelow(pause));
+            pause = std::min(longestPause, pause * 2);
+            continue;
+        }
+        const Instant startedAt = m_clock.now();
+        m_watches.add();
+        co_await m_store.watch(std::string(everything), m_view.revision() + 1, m_options.watchFor,
+            [this](int64_t revision, const std::vector<WatchEvent>& events) {
+                m_watches.add();
+                noteAnswer(true);
+                const auto change = m_view.applyEvents(revision, events);
+                if (change.any())
+                    m_sink(change);
+                return true;
+            });
+        // A watch that ends at once must not turn this into a busy loop of reads.
+        if (m_clock.now() - startedAt > m_options.watchFor)
+            pause = firstPause;
+        else
+            pause = std::min(longestPause, pause * 2);
+        co_await sleepFor(randomBelow(pause));
+    }
+}
+
+}
--- /dev/null
+++ b/packages/gateway/PlatformView.h
@@ -0,0 +1,71 @@
+// What this host knows of the platform's store: route rules, servers, grant tables, leader. Each part only moves
+// forward, however often and in which order the same writes are heard of.
+#pragma once
+
+#include "control/LeaderSource.h"
+#include "decisions/GrantTable.h"
+#include "gateway/Messages.h"
+#include "gateway/PlatformAdapter.h"
+#include "store/Store.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cumindale {
+
+class PlatformView final : public LeaderSource {
+public:
+    // Which parts changed.
+    struct Change {
+        bool rules = false;
+        bool servers = false;
+        bool leader = false;
+        std::set<std::string> tables; // services
+
+        bool any() const { return rules || servers || leader || !tables.empty(); }
+    };
+
+    explicit PlatformView(const PlatformAdapter&);
+
+    // --- Writing
+    Change applyEvents(int64_t revision, const std::vector<WatchEvent>&);
+    // `afterOutage`: servers that are missing may only have lapsed while the store was away. They stay until
+    // dropMissing(), and live ones are back by then.
+    Change applySnapshot(const RangeReply&, bool afterOutage);
+    Change dropMissing();
+    Change applyTable(GrantTable); // from the coordinator: perhaps newer than the store's
+
+    // --- Reading
+    int64_t revision() const override { return m_revision; }
+    const LeaderView& leader() const override { return m_leader; }
+    const std::shared_ptr<const RouteRules>& rules() const { return m_rules; } // null: none yet
+    std::shared_ptr<const ServerMap> servers() const { return m_servers; }
+    bool missingAny() const { return !m_missing.empty(); }
+    std::shared_ptr<const GrantTable> table(std::string_view service) const; // the newest; null: none
+    std::shared_ptr<const GrantTable> storedTable(std::string_view service) const; // as in the store
+    const std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>>& tables() const { return m_tables; }
+    int64_t modRevisionOf(const std::string& key) const; // of a table's key; 0: absent
+    void noteWritten(const GrantTable&, int64_t modRevision); // this host wrote it
+
+private:
+    void applyValue(const KeyValue&, Change&);
+    void applyErased(const std::string& key, int64_t revision, Change&);
+    void applyRules(const KeyValue&, Change&);
+    void applyServer(const KeyValue&, Change&);
+    ServerMap& changeServers(Change&);
+
+    const PlatformAdapter& m_adapter;
+    int64_t m_revision = 0;
+    std::shared_ptr<const RouteRules> m_rules;
+    std::shared_ptr<ServerMap> m_servers = std::make_shared<ServerMap>(); // copied before it changes
+    std::map<std::string, int64_t> m_serverRevisions; // of each entry's last write or erasure
+    std::set<std::string> m_missing; // servers that lapsed, perhaps only while the store was away
+    std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_tables;
+    std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_stored;
+    std::map<std::string, int64_t> m_tableRevisions; // by key
+    LeaderView m_leader;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/Upstream.h
@@ -0,0 +1,40 @@
+// What the routing duty keeps for one registered server.
+#pragma once
+
+#include "backends/ServerPool.h"
+#include "decisions/RouteRules.h"
+#include "gateway/Messages.h"
+
+namespace cumindale {
+
+struct Upstream {
+    Upstream(boost::asio::any_io_executor, const Clock&, const RegisteredServer&, const RoutedService*);
+
+    void update(const RegisteredServer&, const RoutedService*, const SlotShares&, Instant now);
+    unsigned load() const { return pool.admission().inFlight() + static_cast<unsigned>(pool.admission().queued()); }
+
+    // --- Health, from real answers only
+    void answered() { failures = 0; }
+    void failed(Instant now);
+    bool resting(Instant now) const { return now < restUntil; } // gets no new work for the moment
+
+    // --- Use, for reports
+    void count(Instant now); // before each change of the numbers at work or waiting
+    ServerUse takeUse(Instant now, Millis over);
+    void countWork(Millis took);
+
+    RegisteredServer entry;
+    ServerPool pool;
+    Instant leavingSince {}; // when this host learned that it leaves
+    unsigned failures = 0; // in a row
+    Instant restUntil {};
+
+private:
+    Instant m_countedAt {};
+    double m_busyMillis = 0; // requests there x time
+    double m_waitingMillis = 0;
+    int64_t m_workMillis = 0;
+    int64_t m_workCount = 0;
+};
+
+}
--- a/packages/operators/ResourceWriter.h
+++ b/packages/operators/ResourceWriter.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "base/Metrics.h"
-#include "platform/Store.h"
 #include "resources/ResourceCodec.h"
+#include "store/Store.h"
 
 #include <optional>
 
--- /dev/null
+++ b/packages/peers/Coordination.h
@@ -0,0 +1,42 @@
+// Reports of hosts to the coordinator, and its advice: see coordination.thrift.
+#pragma once
+
+#include "peers/FrameLink.h"
+#include "peers/FrameServer.h"
+#include <coordination_types.h>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cumindale::wire {
+class CoordinationClient;
+}
+
+namespace cumindale {
+
+class CoordinationLink {
+public:
+    CoordinationLink(boost::asio::any_io_executor, std::string address, uint16_t port, Counter& bytesSent);
+    ~CoordinationLink();
+
+    boost::asio::awaitable<std::optional<wire::HostAdvice>> report(wire::HostReport, Millis timeout);
+
+private:
+    struct Codec;
+    std::unique_ptr<Codec> m_codec;
+};
+
+// Who answers. Called on the executor's thread; must not block.
+class CoordinationHandler {
+public:
+    virtual ~CoordinationHandler() = default;
+    virtual wire::HostAdvice onReport(const wire::HostReport&) = 0;
+};
+
+std::unique_ptr<FrameServer> makeCoordinationServer(
+    boost::asio::any_io_executor, std::string address, uint16_t port, CoordinationHandler&, Counter& bytesSent);
+
+}
--- a/packages/peers/PeerLink.cpp
+++ b/packages/peers/PeerLink.cpp
@@ -1,12 +1,9 @@
 #include "peers/PeerLink.h"
 
-#include "peers/Frame.h"
-#include "web/Sockets.h"
+#include "peers/FrameLink.h"
 #include <Peers.h>
 
-#include <boost/beast/core/tcp_stream.hpp>
 #include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace cumindale {
 
@@ -16,56 +13,28 @@
 using apache::thrift::transport::TMemoryBuffer;
 
 struct PeerLink::Codec {
-    asio::any_io_executor executor;
-    std::string address;
-    uint16_t port;
-    Counter& bytesSent;
+    FrameLink link;
     std::shared_ptr<TMemoryBuffer> out = std::make_shared<TMemoryBuffer>();
     std::shared_ptr<TMemoryBuffer> in = std::make_shared<TMemoryBuffer>();
     wire::PeersClient client { std::make_shared<TCompactProtocol>(in), std::make_shared<TCompactProtocol>(out) };
-    std::unique_ptr<boost::beast::tcp_stream> stream;
 };
 
 PeerLink::PeerLink(asio::any_io_executor executor, std::string address, uint16_t port, Counter& bytesSent)
-    : m_codec(new Codec { std::move(executor), std::move(address), port, bytesSent })
+    : m_codec(new Codec { { std::move(executor), std::move(address), port, bytesSent } })
 {
 }
 
 PeerLink::~PeerLink() = default;
 
-asio::awaitable<bool> PeerLink::exchange(Millis timeout)
-{
-    // The connection is put back only after a whole answer.
-    auto stream = std::move(m_codec->stream);
-    const std::string question = m_codec->out->getBufferAsString();
-    m_codec->out->resetBuffer();
-    if (!stream) {
-        stream = std::make_unique<boost::beast::tcp_stream>(m_codec->executor);
-        if (!co_await connectTo(*stream, m_codec->address, m_codec->port, timeout))
-            co_return false;
-    }
-    stream->expires_after(timeout);
-    m_codec->bytesSent.add(question.size() + sizeof(uint32_t));
-    if (!co_await writeFrame(*stream, question))
-        co_return false;
-    std::string answer;
-    if (!co_await readFrame(*stream, answer))
-        co_return false;
-    m_codec->in->resetBuffer();
-    m_codec->in->write(reinterpret_cast<const uint8_t*>(answer.data()), static_cast<uint32_t>(answer.size()));
-    m_codec->stream = std::move(stream);
-    co_return true;
-}
-
 template <typename Receive> asio::awaitable<bool> PeerLink::ask(Millis timeout, Receive receive)
 {
-    if (!co_await exchange(timeout))
+    if (!co_await m_codec->link.exchange(*m_codec->out, *m_codec->in, timeout))
         co_return false;
     try {
         receive();
         co_return true;
     } catch (const TException&) {
-        m_codec->stream.reset(); // not our protocol: nothing more can be expected of it
+        m_codec->link.drop();
     }
     co_return false;
 }
--- a/packages/peers/PeerLink.h
+++ b/packages/peers/PeerLink.h
@@ -32,7 +32,6 @@
 
 private:
     struct Codec;
-    boost::asio::awaitable<bool> exchange(Millis timeout); // sends what the codec holds, reads the answer into it
     template <typename Receive>
     boost::asio::awaitable<bool> ask(Millis timeout, Receive); // exchange, then take the answer
     boost::asio::awaitable<std::optional<std::string>> askText(
--- a/packages/peers/PeerServer.cpp
+++ b/packages/peers/PeerServer.cpp
@@ -1,27 +1,13 @@
 #include "peers/PeerServer.h"
 
-#include "peers/Frame.h"
-#include "web/Sockets.h"
 #include <Peers.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 namespace cumindale {
 
 namespace asio = boost::asio;
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-using asio::ip::tcp;
 
 namespace {
 
-    constexpr std::chrono::seconds idleTimeout { 60 };
-
     class Adapter final : public wire::PeersIf {
     public:
         explicit Adapter(PeerHandler& handler)
@@ -41,63 +27,11 @@
 
 }
 
-struct PeerServer::Shared {
-    tcp::acceptor acceptor;
-    wire::PeersProcessor processor;
-    Counter& bytesSent;
-
-    bool answer(const std::string& question, std::string& reply)
-    {
-        const auto in = std::make_shared<TMemoryBuffer>();
-        const auto out = std::make_shared<TMemoryBuffer>();
-        in->write(reinterpret_cast<const uint8_t*>(question.data()), static_cast<uint32_t>(question.size()));
-        try {
-            processor.process(std::make_shared<TCompactProtocol>(in), std::make_shared<TCompactProtocol>(out), nullptr);
-        } catch (const apache::thrift::TException&) {
-            return false; // not our protocol
-        }
-        reply = out->getBufferAsString();
-        bytesSent.add(reply.size() + sizeof(uint32_t));
-        return true;
-    }
-
-    static asio::awaitable<void> serve(std::shared_ptr<Shared> shared, tcp::socket socket)
-    {
-        boost::beast::tcp_stream stream(std::move(socket));
-        std::string question;
-        std::string reply;
-        for (;;) {
-            stream.expires_after(idleTimeout);
-            if (!co_await readFrame(stream, question) || !shared->answer(question, reply))
-                co_return;
-            if (!co_await writeFrame(stream, reply))
-                co_return;
-        }
-    }
-
-    static asio::awaitable<void> acceptAll(std::shared_ptr<Shared> shared)
-    {
-        for (;;) {
-            auto socket = co_await acceptFrom(shared->acceptor);
-            if (!socket)
-                co_return;
-            asio::co_spawn(shared->acceptor.get_executor(), serve(shared, std::move(*socket)), asio::detached);
-        }
-    }
-};
-
 PeerServer::PeerServer(
     asio::any_io_executor executor, std::string address, uint16_t port, PeerHandler& handler, Counter& bytesSent)
-    : m_shared(new Shared { tcp::acceptor(executor, { asio::ip::make_address(address), port }),
-        wire::PeersProcessor(std::make_shared<Adapter>(handler)), bytesSent })
-{
-    asio::co_spawn(executor, Shared::acceptAll(m_shared), asio::detached);
-}
-
-PeerServer::~PeerServer()
+    : m_server(std::move(executor), std::move(address), port,
+        std::make_shared<wire::PeersProcessor>(std::make_shared<Adapter>(handler)), bytesSent)
 {
-    boost::system::error_code ignored;
-    m_shared->acceptor.close(ignored);
 }
 
 }
--- a/packages/peers/PeerServer.h
+++ b/packages/peers/PeerServer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Metrics.h"
+#include "peers/FrameServer.h"
 #include <peers_types.h>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -24,11 +25,9 @@
 class PeerServer {
 public:
     PeerServer(boost::asio::any_io_executor, std::string address, uint16_t port, PeerHandler&, Counter& bytesSent);
-    ~PeerServer();
 
 private:
-    struct Shared;
-    std::shared_ptr<Shared> m_shared;
+    FrameServer m_server;
 };
 
 }
--- /dev/null
+++ b/packages/peers/coordination.thrift
@@ -0,0 +1,49 @@
+// From every host to the one that coordinates the owners of keys, and back. Framed transport, compact protocol.
+// The generated code in gen/ is committed; after a change run `make thrift`.
+namespace cpp cumindale.wire
+
+struct KeyUse {
+    1: i32 key
+    2: i32 busyMicros // of server time, since the last report
+}
+
+struct ServiceUse {
+    1: string serviceName
+    2: list<KeyUse> keys
+    3: i64 term // of the table that the host routes by
+    4: i64 edition
+}
+
+struct ServerUse {
+    1: string server
+    2: i32 inFlightCenti // mean number of requests there at once, in hundredths
+    3: i32 waitingCenti // mean number of requests that wait here for it, in hundredths
+    4: i32 workMicros // mean time of one request; 0: none ended
+}
+
+struct HostReport {
+    1: string sender
+    2: i64 incarnation
+    3: i32 overMillis // the time that the uses were measured over
+    4: list<ServiceUse> services
+    5: list<ServerUse> servers
+    6: i64 storeSilentMillis // since the store last answered this host
+}
+
+struct ServerShare {
+    1: string server
+    2: i32 slotsCenti // requests that the host may have there at once, in hundredths
+}
+
+struct HostAdvice {
+    1: bool coordinates // false: the host that was asked doesn't hold the office
+    2: i64 term
+    3: i32 hosts // that report
+    4: list<ServerShare> shares
+    5: list<string> tables // newer ones than the host routes by, encoded
+    6: i64 storeSilentMillis // since the store last answered the coordinator
+}
+
+service Coordination {
+    HostAdvice report(1: HostReport report)
+}
--- a/packages/resources/FieldReader.cpp
+++ b/packages/resources/FieldReader.cpp
@@ -30,7 +30,15 @@
 const json::value* FieldReader::find(std::string_view name)
 {
     m_known.insert(std::string(name));
-    return m_object.if_contains(name);
+    const json::value* value = m_object.if_contains(name);
+    return value && value->is_null() ? nullptr : value;
+}
+
+std::optional<std::string> FieldReader::textIfAny(std::string_view name)
+{
+    const json::value* value = find(name);
+    const auto* found = value ? value->if_string() : nullptr;
+    return found ? std::optional<std::string>(std::in_place, *found) : std::nullopt;
 }
 
 std::string FieldReader::text(std::string_view name, bool required, std::string_view otherwise, size_t longest)
--- a/packages/resources/FieldReader.h
+++ b/packages/resources/FieldReader.h
@@ -1,11 +1,12 @@
 // Checked reading of JSON objects: every fault names the field's path and what is allowed there.
 //
 // Reads take a default, note the first fault and go on, so that a caller reads all fields in a row and asks
-// for the fault once. finish() refuses fields that nobody read.
+// for the fault once. finish() refuses fields that nobody read. A field that is null counts as absent.
 #pragma once
 
 #include <boost/json/object.hpp>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,6 +28,7 @@
     FieldReader(const boost::json::object&, std::string path, FieldFault&);
 
     std::string text(std::string_view name, bool required, std::string_view otherwise = {}, size_t longest = 253);
+    std::optional<std::string> textIfAny(std::string_view name); // nothing: absent or no text, which is no fault yet
     std::string oneOf(std::string_view name, const std::vector<std::string_view>& allowed, std::string_view otherwise);
     std::string address(std::string_view name, std::string_view otherwise = {}); // IP number; required if no default
     int64_t number(std::string_view name, int64_t least, int64_t most, int64_t otherwise);
--- /dev/null
+++ b/packages/resources/GrantTableCodec.cpp
@@ -0,0 +1,102 @@
+#include "resources/GrantTableCodec.h"
+
+#include "resources/ResourceCodec.h"
+
+#include <boost/json.hpp>
+
+namespace cumindale {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr size_t steadyFields = 4;
+    constexpr size_t movingFields = 7;
+
+    const std::string& prefix()
+    {
+        static const std::string text = std::string(storePrefix) + "grants/";
+        return text;
+    }
+
+    json::array encodeRange(const KeyRange& range)
+    {
+        json::array fields { range.first, range.last, range.holder, range.fence };
+        if (range.moving()) {
+            fields.emplace_back(range.next);
+            fields.emplace_back(range.nextFence);
+            fields.emplace_back(range.holderLost ? 1 : 0);
+        }
+        return fields;
+    }
+
+    KeyRange decodeRange(const json::array& fields)
+    {
+        KeyRange range;
+        range.first = fields.at(0).to_number<uint32_t>();
+        range.last = fields.at(1).to_number<uint32_t>();
+        range.holder = fields.at(2).as_string();
+        range.fence = fields.at(3).to_number<uint64_t>();
+        if (fields.size() >= movingFields) {
+            range.next = fields.at(steadyFields).as_string();
+            range.nextFence = fields.at(steadyFields + 1).to_number<uint64_t>();
+            range.holderLost = fields.at(steadyFields + 2).to_number<int>() != 0;
+        }
+        return range;
+    }
+
+    bool coversAllKeys(const GrantTable& table)
+    {
+        uint32_t expected = 0;
+        for (const auto& range : table.ranges) {
+            if (range.first != expected || range.last < range.first || range.last >= numberedKeys)
+                return false;
+            expected = range.last + 1;
+        }
+        return expected == numberedKeys;
+    }
+
+}
+
+std::string encodeGrantTable(const GrantTable& table)
+{
+    json::array ranges;
+    for (const auto& range : table.ranges)
+        ranges.push_back(encodeRange(range));
+    json::object object;
+    object["service"] = table.service;
+    object["term"] = table.edition.term;
+    object["edition"] = table.edition.edition;
+    object["highestFence"] = table.highestFence;
+    object["ranges"] = std::move(ranges);
+    return json::serialize(object);
+}
+
+std::optional<GrantTable> decodeGrantTable(std::string_view text)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(text, error);
+    if (error)
+        return std::nullopt;
+    try {
+        const json::object& object = value.as_object();
+        GrantTable table;
+        table.service = object.at("service").as_string();
+        table.edition.term = object.at("term").to_number<int64_t>();
+        table.edition.edition = object.at("edition").to_number<uint64_t>();
+        table.highestFence = object.at("highestFence").to_number<uint64_t>();
+        for (const auto& range : object.at("ranges").as_array())
+            table.ranges.push_back(decodeRange(range.as_array()));
+        if (coversAllKeys(table))
+            return table;
+    } catch (const std::exception&) {
+        return std::nullopt; // a field is missing or has another type
+    }
+    return std::nullopt;
+}
+
+std::string grantTableKey(std::string_view service) { return prefix() + std::string(service); }
+
+bool isGrantTableKey(std::string_view key) { return key.starts_with(prefix()); }
+
+}
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -7,6 +7,7 @@
 
 #include <boost/leaf/result.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,8 @@
     uint16_t port = 0;
 };
 
+constexpr std::string_view metadataStorePlatform = "metadata-store"; // the one platform that is known
+
 struct HostSettings {
     std::string name; // unique among the entry hosts
     std::string dataCentre;
@@ -28,6 +31,20 @@
     Endpoint hostList; // the platform's list of hosts
 };
 
+// Routes by host name and path, on a platform that declares services in a document of its own and whose servers
+// enforce what they were granted. Without it a host serves the resources that operators apply.
+struct GatewaySettings {
+    std::string platform; // which platform's words: metadataStorePlatform
+    Endpoint readiness; // the balancer asks here whether new callers should come
+    Millis longestHold { 10'000 }; // of one grant, as servers allow it
+    Millis leaderLease { 1'500 }; // of the coordinator's election; a lost one is replaced within about this time
+    Millis shortestLease { 1'000 }; // that the store allows
+    Millis leaveWithin { 2'000 }; // after a server has announced that it leaves, nothing new may reach it
+    Millis grace { 6'000 }; // between the request to stop and the end
+    double retryRatio = 0.2; // sends beyond the first, over all hosts: so many for each request ...
+    double retrySlack = 60; // ... and so many more in a window
+};
+
 struct TimingSettings {
     Millis beat { 250 }; // between two beats to a peer
     Millis lease { 600 }; // routing lease
@@ -53,6 +70,7 @@
     HostSettings host;
     TimingSettings timing;
     LimitSettings limits;
+    std::optional<GatewaySettings> gateway;
 };
 
 boost::leaf::result<Settings> parseSettings(std::string_view text); // fails with a FieldFault
--- a/packages/routing/Refusals.cpp
+++ b/packages/routing/Refusals.cpp
@@ -9,6 +9,19 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+    std::string retryAfterText(RetryAfterForm form, Millis time)
+    {
+        if (form == RetryAfterForm::WholeSeconds)
+            return std::to_string((time.count() + 999) / 1000);
+        std::string millis = std::to_string(time.count() % 1000);
+        millis.insert(0, 3 - millis.size(), '0');
+        return std::to_string(time.count() / 1000) + "." + millis;
+    }
+
+}
+
 Millis spread(Millis time) { return time + randomBelow(time); }
 
 CallerResponse Refusals::make(ErrorKind kind, Millis retryAfter, bool maybeRan) const
@@ -23,7 +36,7 @@
     response.set(ranHeader, ran);
     response.set(http::field::content_type, "application/json");
     if (row.retryAfter) {
-        response.set(http::field::retry_after, std::to_string((retryAfter.count() + 999) / 1000));
+        response.set(http::field::retry_after, retryAfterText(m_form, retryAfter));
         response.set("Cumindale-Retry-After-Ms", std::to_string(retryAfter.count()));
     }
     response.body() = R"({"error":")" + name + R"(","ran":")" + ran + "\"}\n";
--- a/packages/routing/Refusals.h
+++ b/packages/routing/Refusals.h
@@ -7,10 +7,14 @@
 
 namespace cumindale {
 
+// Whole seconds are what RFC 9110 allows; some platforms' clients also read fractions.
+enum class RetryAfterForm : uint8_t { WholeSeconds, Fractions };
+
 class Refusals {
 public:
-    explicit Refusals(Metrics& metrics)
+    explicit Refusals(Metrics& metrics, RetryAfterForm form = RetryAfterForm::WholeSeconds)
         : m_metrics(metrics)
+        , m_form(form)
     {
     }
 
@@ -19,6 +23,7 @@
 
 private:
     Metrics& m_metrics;
+    RetryAfterForm m_form;
 };
 
 // At least the time, at most twice it: callers that were refused together don't come back together.
--- /dev/null
+++ b/packages/store/Base64.h
@@ -0,0 +1,12 @@
+// Keys and values in the stores' JSON bodies (RFC 4648, section 4, with padding).
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace cumindale {
+
+std::string toBase64(std::string_view);
+std::string fromBase64(std::string_view); // empty if malformed
+
+}
--- a/packages/platform/EtcdStore.h
+++ b/packages/store/EtcdStore.h
@@ -2,7 +2,7 @@
 // keys and values in base64, 64-bit numbers as texts).
 #pragma once
 
-#include "platform/Store.h"
+#include "store/Store.h"
 #include "web/HttpClient.h"
 
 namespace cumindale {
@@ -24,9 +24,6 @@
     HttpClient m_client;
 };
 
-// Codec of the mapping, shared with the stand-in.
-std::string toBase64(std::string_view);
-std::string fromBase64(std::string_view); // empty if malformed
-std::string prefixEnd(std::string_view prefix); // first key after all keys with the prefix
+std::string prefixEnd(std::string_view prefix); // first key after all keys with the prefix; shared with the stand-in
 
 }
--- a/packages/platform/HostList.cpp
+++ b/packages/store/HostList.cpp
@@ -1,4 +1,4 @@
-#include "platform/HostList.h"
+#include "store/HostList.h"
 
 #include "resources/FieldReader.h"
 
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -76,17 +76,21 @@
     const auto request = makeRequest(call, m_address);
     stream->expires_after(timeout);
     const auto [writeError, written] = co_await http::async_write(*stream, request, token);
-    if (writeError)
-        co_return HttpReply {};
+    if (writeError) {
+        resetConnection(*stream);
+        co_return HttpReply { 0, {}, {}, true };
+    }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(largestReply);
     const auto [readError, got] = co_await http::async_read(*stream, buffer, parser, token);
-    if (readError)
-        co_return HttpReply {};
+    if (readError) {
+        resetConnection(*stream);
+        co_return HttpReply { 0, {}, {}, true };
+    }
 
     auto response = parser.release();
-    HttpReply reply { response.result_int(), std::move(response.body()), {} };
+    HttpReply reply { response.result_int(), std::move(response.body()), {}, true };
     for (const auto& field : response)
         reply.headers.emplace_back(field.name_string(), field.value());
     if (response.keep_alive() && m_idle.size() < m_mostIdle && !buffer.size())
--- a/packages/web/HttpClient.h
+++ b/packages/web/HttpClient.h
@@ -23,6 +23,7 @@
     unsigned status = 0; // 0: no answer; the request may or may not have taken effect
     std::string body;
     HeaderList headers; // names as received
+    bool mayHaveArrived = false; // the request, or a part of it
 
     bool arrived() const { return status; }
     std::string_view header(std::string_view name) const; // empty if absent; the name's case does not matter
--- a/packages/web/Sockets.cpp
+++ b/packages/web/Sockets.cpp
@@ -56,6 +56,13 @@
     }
 }
 
+void resetConnection(boost::beast::tcp_stream& stream)
+{
+    boost::system::error_code ignored; // it may be closed already
+    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream.socket().close(ignored);
+}
+
 bool hasInput(boost::beast::tcp_stream& stream) { return peek(stream) >= 0; }
 
 bool hasEnded(boost::beast::tcp_stream& stream) { return peek(stream) == 0; }
--- a/packages/web/Sockets.h
+++ b/packages/web/Sockets.h
@@ -16,6 +16,10 @@
 // The next connection; nothing once the acceptor is closed. Other errors are waited out.
 boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>> acceptFrom(boost::asio::ip::tcp::acceptor&);
 
+// Closes the connection so that bytes still on their way are dropped (RST): after a timeout a request must not linger
+// in a socket buffer behind a cut path, and arrive when its answer no longer matters.
+void resetConnection(boost::beast::tcp_stream&);
+
 // Of a connection on which nothing is expected.
 bool hasInput(boost::beast::tcp_stream&); // an end, or bytes that nobody asked for
 bool hasEnded(boost::beast::tcp_stream&); // the other side has closed it
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -5,7 +5,8 @@
 //     GET     /standin/calls    {"reads", "writes", "watches", "other"}
 //     POST    /standin/faults   {"down": bool, "delayMs": n, "loseAnswers": n, "muteWatches": bool}
 //     POST    /standin/rollback {"revision": n}  goes back in time
-#include "platform/EtcdStore.h"
+#include "store/Base64.h"
+#include "store/EtcdStore.h"
 #include "web/HttpServer.h"
 #include "web/Signal.h"
 
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -1,7 +1,7 @@
 // The store as a map in memory, for one thread. Faults are scripted call by call.
 #pragma once
 
-#include "platform/Store.h"
+#include "store/Store.h"
 
 #include <deque>
 #include <map>
