--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -146,9 +146,9 @@
     startWaiting();
 }
 
-void ServerPool::setLimit(unsigned limit)
+void ServerPool::setLimit(double limit)
 {
-    m_admission->setLimit(static_cast<unsigned>(std::min<size_t>(m_mostIdle, limit)));
+    m_admission->setLimit(std::min(static_cast<double>(m_mostIdle), limit));
     startWaiting();
 }
 
@@ -176,7 +176,11 @@
     }
     Waiting waiting { Signal(m_executor) };
     m_waiting.emplace(ticket, &waiting);
-    co_await waiting.signal.wait(m_admission->giveUpAt(request) - now);
+    const Instant giveUpAt = m_admission->giveUpAt(request);
+    for (Instant time = now; !waiting.admitted && !waiting.evicted && time < giveUpAt; time = m_clock.now()) {
+        co_await waiting.signal.wait(std::min(giveUpAt, m_admission->nextStart(time)) - time);
+        startWaiting();
+    }
     m_waiting.erase(ticket);
     if (waiting.admitted)
         co_return Admitted::Yes;
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -68,7 +68,7 @@
 
     const ServerResource& server() const { return m_server; }
     void update(const ServerResource&, size_t hosts); // new settings, and how many hosts share the server
-    void setLimit(unsigned); // requests at once from this host, where it is not an even share
+    void setLimit(double); // requests at once from this host, where it is not an even share
     ServerWatch& watch() { return m_watch; }
     const ServerWatch& watch() const { return m_watch; }
 
--- a/packages/control/Election.h
+++ b/packages/control/Election.h
@@ -20,6 +20,7 @@
     Millis lease { 2'000 };
     Millis callTimeout { 1'500 }; // of one call to the store
     std::function<void()> whenChanged; // the office was won or lost
+    std::function<Millis()> standDelay; // before this host stands for a vacant office; none: a few ms at random
 };
 
 class Election {
--- a/packages/decisions/Admission.h
+++ b/packages/decisions/Admission.h
@@ -44,7 +44,7 @@
 public:
     explicit Admission(AdmissionOptions);
 
-    void setLimit(unsigned limit) override { m_limit = limit ? limit : 1; }
+    void setLimit(double limit) override { m_limit = limit < 1 ? 1 : static_cast<unsigned>(limit); }
     unsigned limit() const override { return m_limit; }
     unsigned inFlight() const override { return m_inFlight; }
     size_t queued() const override { return m_places.size(); }
--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -242,10 +242,12 @@
         return;
     m_items.clear();
     // Several small parts for each, dealt in turn: a stretch of busy keys then lies on several servers at once.
-    const uint64_t units = uint64_t(slots) * m_timing.firstParts;
+    const auto affordable = static_cast<unsigned>(m_timing.firstRanges / usableServers.size());
+    const unsigned parts = std::clamp(affordable, 1U, m_timing.firstParts);
+    const uint64_t units = uint64_t(slots) * parts;
     uint64_t before = 0;
     uint32_t first = 0;
-    for (unsigned part = 0; part < m_timing.firstParts; ++part) {
+    for (unsigned part = 0; part < parts; ++part) {
         for (const auto* server : usableServers) {
             before += std::max(1U, server->slots);
             const auto end = static_cast<uint32_t>(numberedKeys * before / units);
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -32,7 +32,10 @@
     Millis retryEvery { 150 }; // after an order without an answer
     Millis announce { 40 }; // between the write of a move and the release: hosts stop sending first
     Millis lazyWrite { 1'500 }; // an ended move is written so late, or with the next announcement
-    unsigned firstParts = 4; // ranges for each server at first: busy keys lie close together and spread so
+    // Ranges for each server at first: busy keys lie close together and spread so. Each range is renewed by a call of
+    // its own, so a large service gets fewer for each server.
+    unsigned firstParts = 4;
+    unsigned firstRanges = 200;
     Millis margin { 150 }; // for timers that fire late, at the server and here
     double slowClock = 1.02; // a server's clock may measure a hold so much longer
     Millis orderTimeout { 400 }; // after it an order's connection is reset: it arrived before or never
@@ -111,6 +114,7 @@
 
     // --- Looking
     std::vector<GrantEvent> takeEvents();
+    uint64_t edition() const { return m_edition; } // of table()
     size_t rangeCount() const { return m_items.size(); }
     size_t movingCount() const;
     bool mostAreSilent() const; // of the servers that hold ranges: more likely this host is cut off than they
--- a/packages/decisions/GrantTable.cpp
+++ b/packages/decisions/GrantTable.cpp
@@ -11,4 +11,38 @@
     return after == ranges.begin() ? nullptr : &*std::prev(after);
 }
 
+GrantTableChange changeBetween(const GrantTable& earlier, const GrantTable& later)
+{
+    GrantTableChange change { later.service, earlier.edition, later.edition, {} };
+    auto old = earlier.ranges.begin();
+    for (const auto& range : later.ranges) {
+        while (old != earlier.ranges.end() && old->first < range.first)
+            ++old;
+        if (old == earlier.ranges.end() || !(*old == range))
+            change.ranges.push_back(range);
+    }
+    return change;
+}
+
+GrantTable applyChange(const GrantTable& table, const GrantTableChange& change)
+{
+    GrantTable result;
+    result.service = table.service;
+    result.edition = change.to;
+    result.highestFence = table.highestFence;
+    result.ranges.reserve(table.ranges.size() + change.ranges.size());
+    auto news = change.ranges.begin();
+    for (const auto& range : table.ranges) {
+        // The spans of a change begin and end where ranges of one of the two editions do, so what is left of an old
+        // range is a range of the later edition as well: it lies wholly inside or outside of each span.
+        while (news != change.ranges.end() && news->first <= range.first)
+            result.ranges.push_back(*news++);
+        const bool replaced = !result.ranges.empty() && result.ranges.back().last >= range.last;
+        if (!replaced && (result.ranges.empty() || result.ranges.back().last < range.first))
+            result.ranges.push_back(range);
+    }
+    result.ranges.insert(result.ranges.end(), news, change.ranges.end());
+    return result;
+}
+
 }
--- a/packages/decisions/GrantTable.h
+++ b/packages/decisions/GrantTable.h
@@ -22,6 +22,7 @@
     uint64_t nextFence = 0;
     bool holderLost = false; // moving, and the holder doesn't answer: it takes up to one hold
 
+    bool operator==(const KeyRange&) const = default;
     bool moving() const { return !next.empty(); }
     uint32_t size() const { return last - first + 1; }
 };
@@ -43,4 +44,15 @@
     const KeyRange* find(uint32_t key) const; // null only in an empty table
 };
 
+// What differs between two editions of a table: the ranges of the later one that the earlier one doesn't have.
+struct GrantTableChange {
+    std::string service;
+    TableEdition from;
+    TableEdition to;
+    std::vector<KeyRange> ranges; // ascending; each replaces whatever lies in its span
+};
+
+GrantTableChange changeBetween(const GrantTable& earlier, const GrantTable& later);
+GrantTable applyChange(const GrantTable&, const GrantTableChange&); // of the edition that the change is from
+
 }
--- a/packages/decisions/SlotQueue.h
+++ b/packages/decisions/SlotQueue.h
@@ -29,7 +29,8 @@
 public:
     virtual ~SlotQueue() = default;
 
-    virtual void setLimit(unsigned) = 0;
+    // Requests at once. Below 1 there is one at the most, and after each a pause, so that on average there are so many.
+    virtual void setLimit(double) = 0;
     virtual unsigned limit() const = 0;
     virtual unsigned inFlight() const = 0;
     virtual size_t queued() const = 0;
@@ -44,6 +45,8 @@
     virtual void finished(PriorityClass, Millis took, Instant now) = 0; // 0: it was not used
     virtual std::optional<TicketId> startNext(Instant now) = 0; // now counted in flight; call until empty
 
+    virtual Instant nextStart(Instant) const { return Instant::max(); } // what waits may start then without a slot's end
+
     virtual Millis meanWork(PriorityClass) const = 0; // of the class at this server, from the moment it is sent
     virtual Millis expectedWait(PriorityClass) const = 0; // of a request that would join the queue now
 };
--- a/packages/decisions/SlotShares.h
+++ b/packages/decisions/SlotShares.h
@@ -12,11 +12,15 @@
 namespace cumindale {
 
 struct ShareOptions {
-    // Requests at the server for each of its slots, over all hosts. While it has room they are generous: a host must
-    // not hold a request back from a free slot because it has had its part. Once more is asked for than the slots,
-    // the total is just enough that a slot that becomes free is taken at once.
-    double perSlotWithRoom = 3;
-    double perSlot = 1.5;
+    // Below so many requests for each slot, at work or waiting, the server has room and nobody needs a share: a host
+    // must not hold a request back from a free slot because it has had its part.
+    double pressedFrom = 0.75;
+    // Above, the requests at the server for each of its slots, over all hosts: enough that a slot that becomes free
+    // is taken at once, few enough that an answer takes little longer than the work.
+    double perSlot = 1.8;
+    // A host always has its even part of so many for each slot, up to one request: the server's queue holds them, and
+    // what comes to a host by chance is not held back from a slot that is free.
+    double evenPerSlot = 3;
     double smoothing = 0.5; // of the newest report against what was known
 };
 
@@ -29,6 +33,7 @@
     }
 
     void report(std::string_view host, double inFlight, double waiting);
+    bool pressed(unsigned slots) const;
     void forget(std::string_view host);
     // The part of a host: by its demand, at least `least`. `hosts`: that share the server.
     double shareOf(std::string_view host, unsigned slots, size_t hosts) const;
--- a/packages/decisions/ValueQueue.cpp
+++ b/packages/decisions/ValueQueue.cpp
@@ -48,18 +48,36 @@
     return m_inFlight >= m_limit && now - m_lastSign > std::max(m_options.leastHanging, patience);
 }
 
+void ValueQueue::setLimit(double limit)
+{
+    constexpr double leastPart = 0.01; // a pause of a hundred times the work: as good as none
+    m_limit = limit < 1 ? 1 : static_cast<unsigned>(limit);
+    m_part = std::clamp(limit, leastPart, 1.0);
+    if (m_part >= 1)
+        m_notBefore = {};
+}
+
+double ValueQueue::millisPerStart() const { return meanOfAll() / (m_part < 1 ? m_part : m_limit); }
+
 void ValueQueue::start(Instant now)
 {
     if (!m_inFlight)
         m_lastSign = now;
     ++m_inFlight;
+    if (m_part < 1)
+        m_notBefore = now + Millis(std::llround(millisPerStart()));
+}
+
+Instant ValueQueue::nextStart(Instant now) const
+{
+    return m_waiting.empty() || m_inFlight >= m_limit || m_notBefore <= now ? Instant::max() : m_notBefore;
 }
 
 SlotQueue::Verdict ValueQueue::ask(const SlotRequest& request, Instant now)
 {
     if (now >= giveUpAt(request))
         return Verdict::Refused;
-    if (m_inFlight < m_limit && m_waiting.empty()) {
+    if (mayStart(now) && m_waiting.empty()) {
         start(now);
         return Verdict::Started;
     }
@@ -69,14 +87,13 @@
     const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [&](const SlotRequest& other) {
         return other.rank < request.rank || (other.rank == request.rank && other.target <= request.target);
     });
-    const double wait = meanOfAll() * static_cast<double>(ahead + 1) / m_limit;
+    const double wait = millisPerStart() * static_cast<double>(ahead + 1);
     const Instant start = now + Millis(std::llround(wait));
     if (start >= giveUpAt(request))
         return Verdict::Refused;
     if (!inTarget(request, start)) {
-        const auto late = std::count_if(
-            m_waiting.begin(), m_waiting.end(), [&](const SlotRequest& other) { return !inTarget(other, now); });
-        if (static_cast<double>(late) >= m_options.lateWaiters * m_limit)
+        const Instant lateStart = now + Millis(std::llround(wait * m_options.lateFactor));
+        if (lateStart >= giveUpAt(request))
             return Verdict::Refused;
     }
     m_waiting.push_back(request);
@@ -102,7 +119,7 @@
 
 std::optional<TicketId> ValueQueue::startNext(Instant now)
 {
-    if (m_inFlight >= m_limit || m_waiting.empty())
+    if (!mayStart(now) || m_waiting.empty())
         return std::nullopt;
     const bool oldestFirst = ++m_starts % m_options.turnOfLowerRanks == 0;
     const auto better = [&](const SlotRequest& a, const SlotRequest& b) {
@@ -127,7 +144,7 @@
 {
     if (m_inFlight < m_limit)
         return Millis(0);
-    return Millis(std::llround(meanOfAll() * static_cast<double>(m_waiting.size() + 1) / m_limit));
+    return Millis(std::llround(millisPerStart() * static_cast<double>(m_waiting.size() + 1)));
 }
 
 }
--- a/packages/decisions/ValueQueue.h
+++ b/packages/decisions/ValueQueue.h
@@ -6,9 +6,9 @@
 // - What can still be answered within its target goes first, by rank, then by target. What is late anyway goes in
 //   the gaps: an answer that comes late is worth something, but not another one's target.
 // - A lower rank is never shut out: each `turnOfLowerRanks`th slot goes to whoever has waited longest.
-// - A request is refused at once if by the work ahead of it the server would not answer before its deadline, or only
-//   late while as many late ones wait as there are slots. Its caller can come back in time; held to the end it could
-//   not.
+// - A request is refused at once if by the work ahead of it the server would not answer before its deadline. Its
+//   caller can come back in time; held to the end it could not. One that would be late must count on those that come
+//   after it and go first.
 // - A server that has all its slots taken and has answered nothing for several times its usual work is taken for
 //   hanging: what asks for it is refused until it answers again.
 #pragma once
@@ -26,7 +26,7 @@
     double newestWeight = 0.1; // of the newest work in the moving average
     double leastTime = 0.7; // of the mean work must be left before the deadline, or it most likely ends in vain
     unsigned turnOfLowerRanks = 4;
-    double lateWaiters = 1.0; // late requests that may wait, for each slot
+    double lateFactor = 1.6; // a late request waits so many times as long as what is ahead of it suggests
     double hangingAfter = 5; // times the mean work without any answer
     Millis leastHanging { 600 };
 };
@@ -35,7 +35,7 @@
 public:
     explicit ValueQueue(ValueQueueOptions options = {});
 
-    void setLimit(unsigned limit) override { m_limit = limit ? limit : 1; }
+    void setLimit(double) override;
     unsigned limit() const override { return m_limit; }
     unsigned inFlight() const override { return m_inFlight; }
     size_t queued() const override { return m_waiting.size(); }
@@ -45,6 +45,7 @@
     Instant giveUpAt(const SlotRequest&) const override;
     void finished(PriorityClass, Millis took, Instant now) override;
     std::optional<TicketId> startNext(Instant now) override;
+    Instant nextStart(Instant now) const override;
     Millis meanWork(PriorityClass) const override;
     Millis expectedWait(PriorityClass) const override;
     bool hanging(Instant now) const; // all slots taken, and no answer for too long
@@ -53,10 +54,14 @@
     Millis needed(const SlotRequest&) const; // time that must be left for its work
     bool inTarget(const SlotRequest& request, Instant start) const;
     double meanOfAll() const;
+    bool mayStart(Instant now) const { return m_inFlight < m_limit && now >= m_notBefore; }
     void start(Instant now);
+    double millisPerStart() const; // between two starts, while all that this host may have there is in use
 
     ValueQueueOptions m_options;
     unsigned m_limit = 1;
+    double m_part = 1; // of one request at once, if the limit is below 1
+    Instant m_notBefore {}; // the next start, then
     unsigned m_inFlight = 0;
     std::vector<SlotRequest> m_waiting; // in order of asking
     std::array<double, priorityClassCount> m_meanMillis {}; // 0: none ended yet
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <algorithm>
 #include <cmath>
 
 namespace cumindale {
@@ -147,38 +148,70 @@
 
 void Coordinator::publish(GrantPlan& plan)
 {
+    const auto published = m_published.find(plan.service());
+    if (published != m_published.end() && published->second.edition.edition >= plan.edition())
+        return;
     GrantTable table = plan.table();
     if (table.ranges.empty() || table.ranges.front().holder.empty())
         return;
-    TableEdition& published = m_published[table.service];
-    if (table.edition <= published)
-        return;
-    published = table.edition;
-    const std::string text = encodeGrantTable(table);
+    if (published != m_published.end()) {
+        const std::string text = encodeGrantChange(changeBetween(published->second, table));
+        for (auto& [name, host] : m_hosts) {
+            host->unsent.tables.push_back(text);
+            tell(host);
+        }
+    }
+    m_published[plan.service()] = table;
     m_sink(std::move(table));
+}
+
+void Coordinator::onEvents(int64_t afterChange, const std::vector<WatchEvent>& events)
+{
+    if (!m_term)
+        return;
+    std::vector<wire::StoreItem> items;
+    for (const auto& event : events) {
+        if (!m_view.isOthers(event.value.key))
+            continue; // tables and the office are told in other ways
+        wire::StoreItem item;
+        item.key = event.value.key;
+        item.value = event.value.value;
+        item.revision = event.value.modRevision;
+        item.erased = event.erased;
+        items.push_back(std::move(item));
+    }
+    if (items.empty())
+        return;
     for (auto& [name, host] : m_hosts) {
-        if (!host->link)
-            continue;
-        host->unsent[plan.service()] = text;
-        if (!host->sending)
-            asio::co_spawn(m_executor, pushTables(host), asio::detached);
+        wire::News& news = host->unsent;
+        if (news.items.empty())
+            news.afterChange = afterChange;
+        news.items.insert(news.items.end(), items.begin(), items.end());
+        news.lastChange = m_view.lastChange();
+        tell(host);
     }
 }
 
-// A table reaches the hosts within a few ms, at no cost to the store; a host that misses one gets it with the advice
-// to its next report.
-asio::awaitable<void> Coordinator::pushTables(std::shared_ptr<HostState> host)
+void Coordinator::tell(const std::shared_ptr<HostState>& host)
+{
+    host->anyUnsent = host->link != nullptr;
+    if (host->anyUnsent && !host->sending)
+        asio::co_spawn(m_executor, sendNews(host), asio::detached);
+}
+
+// News reach the hosts within a few ms, at no cost to the store; a host that misses some gets them with the advice to
+// its next report, or reads the store.
+asio::awaitable<void> Coordinator::sendNews(std::shared_ptr<HostState> host)
 {
     host->sending = true;
-    while (!host->unsent.empty()) {
-        std::vector<std::string> tables;
-        for (auto& [service, text] : host->unsent)
-            tables.push_back(std::move(text));
-        host->unsent.clear();
-        if (!co_await host->link->adopt(std::move(tables), pushTimeout))
+    while (host->anyUnsent) {
+        host->anyUnsent = false;
+        wire::News news = std::exchange(host->unsent, {});
+        if (!co_await host->link->adopt(std::move(news), pushTimeout))
             break;
     }
-    host->unsent.clear();
+    host->unsent = {};
+    host->anyUnsent = false;
     host->sending = false;
 }
 
@@ -354,6 +387,7 @@
         const auto ranges = plan->table().ranges;
         BalanceOptions options = m_options.balance;
         options.rememberedSeconds = meanLifeSeconds();
+        options.movesAtOnce = std::max(options.movesAtOnce, m_view.servers()->size() / m_options.serversPerMove);
         for (const auto& move : planBalance(ranges, load, capacities(*plan), options))
             plan->move(move.first, move.last, move.to, move.newcomer ? "a new server" : "evenness");
         load.decay(std::exp2(-passed / static_cast<double>(m_options.loadHalfLife.count())));
@@ -371,6 +405,27 @@
 
 // --- Hosts
 
+bool Coordinator::standsBy(std::string_view host) const
+{
+    // The strongest ones; among equals the order of names, so that it is always the same ones.
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end() || host == m_options.host)
+        return false;
+    size_t before = 0;
+    for (const auto& [name, other] : m_hosts) {
+        const bool first = other->strength > found->second->strength
+            || (other->strength == found->second->strength && name < host);
+        before += name != m_options.host && first;
+    }
+    return before < m_options.standbys;
+}
+
+Millis Coordinator::reportInterval() const
+{
+    const double factor = static_cast<double>(m_hosts.size()) / static_cast<double>(m_options.hostsAtThat);
+    return Millis(std::llround(static_cast<double>(m_options.reportEvery.count()) * std::max(1.0, factor)));
+}
+
 wire::HostAdvice Coordinator::onReport(const wire::HostReport& report)
 {
     wire::HostAdvice advice;
@@ -387,6 +442,9 @@
     if (host->address != report.address && report.sender != m_options.host)
         host->link = makeCoordinationLink(m_executor, report.address, m_peerBytes);
     host->address = report.address;
+    host->strength = report.strengthCenti / centi;
+    advice.standsBy = standsBy(report.sender);
+    advice.reportMillis = static_cast<int32_t>(reportInterval().count());
     advice.hosts = static_cast<int32_t>(m_hosts.size());
     // Loads decay with a half-life, so that a steady rate of r adds up to r times this.
     const double meanLife = meanLifeSeconds();
@@ -394,8 +452,14 @@
         KeyLoad& load = m_loads[service.serviceName];
         for (const auto& use : service.keys)
             load.add(static_cast<uint32_t>(use.key), use.busyMicros / 1000.0 / meanLife);
-        const auto table = m_view.table(service.serviceName);
-        if (table && TableEdition { service.term, static_cast<uint64_t>(service.edition) } < table->edition)
+    }
+    for (const auto& [name, table] : m_view.tables()) {
+        const auto held = std::find_if(report.services.begin(), report.services.end(),
+            [&](const wire::ServiceUse& service) { return service.serviceName == name; });
+        const TableEdition edition = held == report.services.end()
+            ? TableEdition {}
+            : TableEdition { held->term, static_cast<uint64_t>(held->edition) };
+        if (edition < table->edition)
             advice.tables.push_back(encodeGrantTable(*table));
     }
     const auto servers = m_view.servers();
@@ -410,6 +474,8 @@
         constexpr double newest = 0.1;
         if (use.workMicros > 0)
             state.workMillis += (state.workMillis > 0 ? newest : 1) * (use.workMicros / 1000.0 - state.workMillis);
+        if (!state.demand->pressed(known->second.slots))
+            continue; // there is room: the host needs no share
         wire::ServerShare share;
         share.server = use.server;
         share.slotsCenti = static_cast<int32_t>(
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -30,7 +30,11 @@
     Millis releaseTimeout { 3'000 }; // a release is answered when the work under way has ended
     Millis balanceEvery { 400 }; // one write a round at the most, and each wakes every host's watch
     Millis loadHalfLife { 2'000 }; // of what is known of the keys' load: hot keys change within seconds
-    Millis hostSilence { 2'000 }; // a host that has not reported for so long no longer counts
+    Millis reportEvery { 250 }; // shares follow a burst within about half a second
+    size_t hostsAtThat = 40; // with more, each reports less often, so that the coordinator's work stays bounded
+    size_t standbys = 2; // hosts that follow the store as well, to take over at once
+    size_t serversPerMove = 6; // moves at once: one for so many servers
+    Millis hostSilence { 3'000 }; // a host that has not reported for so long no longer counts
     Millis storeTimeout { 1'000 };
 };
 
@@ -44,13 +48,16 @@
     void wake() { m_changed.notifyAll(); } // the office or the view changed
     void setStoreSilence(Millis silence) { m_storeSilence = silence; }
     wire::HostAdvice onReport(const wire::HostReport&);
+    void onEvents(int64_t afterChange, const std::vector<WatchEvent>&); // from the store: told to all hosts
 
 private:
     struct HostState {
         Instant heard {};
         std::string address; // "IP:port" of its peer port
         std::unique_ptr<CoordinationLink> link; // null: this host itself
-        std::map<std::string, std::string> unsent; // newest table of each service, encoded
+        double strength = 0; // cores
+        wire::News unsent;
+        bool anyUnsent = false;
         bool sending = false;
     };
     struct ServerState {
@@ -67,7 +74,10 @@
     void step();
     void ensurePlans();
     void publish(GrantPlan&);
-    boost::asio::awaitable<void> pushTables(std::shared_ptr<HostState>);
+    void tell(const std::shared_ptr<HostState>&);
+    boost::asio::awaitable<void> sendNews(std::shared_ptr<HostState>);
+    bool standsBy(std::string_view host) const;
+    Millis reportInterval() const;
     void balance();
     double meanLifeSeconds() const; // of what is known of the keys' load
     std::vector<ServerCapacity> capacities(const GrantPlan&) const;
@@ -93,7 +103,7 @@
     Signal m_changed;
     int64_t m_term = 0; // 0: not in office
     std::map<std::string, std::unique_ptr<GrantPlan>> m_plans; // by service
-    std::map<std::string, TableEdition> m_published;
+    std::map<std::string, GrantTable> m_published; // by service, as the hosts were told
     std::map<std::string, KeyLoad> m_loads; // by service
     std::map<std::string, ServerState, std::less<>> m_servers;
     std::map<std::string, std::shared_ptr<HostState>, std::less<>> m_hosts;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -313,7 +313,12 @@
         candidate.workMillis = static_cast<double>(admission.meanWork(job.priority).count());
         candidates.push_back(candidate);
     }
-    const auto best = chooseServer(candidates, randomNumber());
+    // Bytes between data centres cost more than a little waiting: a large body stays near unless all near are full.
+    constexpr size_t largeBody = 16'384;
+    constexpr double farForLarge = 3;
+    constexpr double farForSmall = 1.4;
+    const bool large = job.request.body().size() > largeBody;
+    const auto best = chooseServer(candidates, randomNumber(), large ? farForLarge : farForSmall);
     if (!best)
         return { ErrorKind::NoOwner, nullptr, false };
     return { ErrorKind::None, found->second[*best] };
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-    constexpr Millis reportEvery { 250 }; // shares follow a burst within about half a second
+    constexpr Millis shortestReport { 100 };
+    constexpr Millis longestReport { 2'000 };
+    constexpr Millis storeSilentTooLong { 1'500 }; // at the coordinator: this host looks for itself
     constexpr Millis reportTimeout { 400 };
     constexpr double centi = 100;
 
@@ -30,7 +32,8 @@
         return options;
     }
 
-    ElectionOptions electionOptions(const Settings& settings, std::function<void()> whenChanged)
+    ElectionOptions electionOptions(
+        const Settings& settings, std::function<void()> whenChanged, std::function<Millis()> standDelay)
     {
         ElectionOptions options;
         options.host = settings.host.name;
@@ -38,6 +41,7 @@
         options.lease = std::max(settings.gateway->leaderLease, settings.gateway->shortestLease);
         options.callTimeout = Millis(800); // of a store that answers slowly; a lost answer is asked for again
         options.whenChanged = std::move(whenChanged);
+        options.standDelay = std::move(standDelay);
         return options;
     }
 
@@ -54,8 +58,11 @@
     , m_reportsFailed(metrics.counter("reports_failed"))
     , m_view(adapter)
     , m_follower(executor, clock, {}, store, m_view, metrics,
-          [this](const PlatformView::Change& change) { onViewChange(change); })
-    , m_election(executor, clock, electionOptions(settings, [this] { m_coordinator.wake(); }), store, m_view, metrics)
+          [this](const PlatformView::Change& change) { onViewChange(change); },
+          [this](int64_t afterChange, const std::vector<WatchEvent>& events) {
+              m_coordinator.onEvents(afterChange, events);
+          })
+    , m_election(executor, clock, electionOptions(settings, [this] { m_coordinator.wake(); }, [this] { return standDelay(); }), store, m_view, metrics)
     , m_coordinator(executor, clock, adapter, coordinatorOptions(settings), store, m_view, m_election, metrics,
           [this](GrantTable table) { onViewChange(m_view.applyTable(std::move(table))); })
     , m_server(
@@ -115,16 +122,51 @@
 
 wire::HostAdvice GatewayControl::onReport(const wire::HostReport& report) { return m_coordinator.onReport(report); }
 
-void GatewayControl::onAdopt(const std::vector<std::string>& tables)
+void GatewayControl::onAdopt(const wire::News& news)
 {
-    for (const auto& text : tables) {
-        if (auto table = decodeGrantTable(text))
-            onViewChange(m_view.applyTable(std::move(*table)));
-        else
-            logChange(LogLevel::Error, "table-refused", { { "from", "coordinator" } });
+    std::vector<WatchEvent> events;
+    for (const auto& item : news.items) {
+        WatchEvent event;
+        event.erased = item.erased;
+        event.value.key = item.key;
+        event.value.value = item.value;
+        event.value.modRevision = item.revision;
+        events.push_back(std::move(event));
+    }
+    if (!events.empty()) {
+        // With a gap nothing is applied: the advice to the next report tells that something is missing.
+        if (const auto change = m_view.applyNews(news.afterChange, news.lastChange, events))
+            onViewChange(*change);
+    }
+    for (const auto& text : news.tables) {
+        const auto change = decodeGrantChange(text);
+        const auto held = change ? m_view.table(change->service) : nullptr;
+        if (held && held->edition == change->from)
+            onViewChange(m_view.applyTable(applyChange(*held, *change)));
     }
 }
 
+void GatewayControl::takeTable(const std::string& text)
+{
+    if (auto table = decodeGrantTable(text))
+        onViewChange(m_view.applyTable(std::move(*table)));
+    else
+        logChange(LogLevel::Error, "table-refused", { { "from", "coordinator" } });
+}
+
+// The strong hosts first, then those that stand by, then the others: one that wins with little processor time serves
+// its callers worse, and each that stands costs the store two writes.
+Millis GatewayControl::standDelay() const
+{
+    constexpr double strong = 0.5; // cores
+    constexpr Millis weakest { 150 };
+    constexpr Millis notStandingBy { 250 };
+    constexpr Millis spreadOfEquals { 60 };
+    const double weakness = std::clamp(1 - m_settings.gateway->strength / strong, 0.0, 1.0);
+    const Millis weak(std::llround(weakness * static_cast<double>(weakest.count())));
+    return weak + (m_standsBy ? Millis(0) : notStandingBy) + randomBelow(spreadOfEquals);
+}
+
 void GatewayControl::onUse(GatewayReport report)
 {
     // Means over the last report's time; uses of keys add up until they are sent.
@@ -142,6 +184,8 @@
     report.sender = m_settings.host.name;
     report.address = textOf(m_settings.host.peers);
     report.overMillis = static_cast<int32_t>(m_use.over.count());
+    report.lastChange = m_view.lastChange();
+    report.strengthCenti = inCenti(m_settings.gateway->strength);
     report.storeSilentMillis = (m_clock.now() - m_follower.lastAnswer()).count();
     for (const auto& [name, table] : m_view.tables()) {
         wire::ServiceUse service;
@@ -170,7 +214,10 @@
 
 void GatewayControl::takeAdvice(const wire::HostAdvice& advice)
 {
-    onAdopt(advice.tables);
+    for (const auto& text : advice.tables)
+        takeTable(text);
+    m_standsBy = advice.standsBy;
+    m_reportEvery = std::clamp(Millis(advice.reportMillis), shortestReport, longestReport);
     const auto shares = std::make_shared<SlotShares>();
     shares->hosts = static_cast<size_t>(std::max(1, advice.hosts));
     for (const auto& share : advice.shares)
@@ -207,18 +254,18 @@
         logChange(answers ? LogLevel::Info : LogLevel::Warning, answers ? "coordinator-answers" : "coordinator-silent",
             { { "coordinator", leader.host }, { "term", leader.modRevision } });
     m_coordinatorAnswers = answers;
-    if (!answers || m_election.holds())
-        m_follower.onItsOwn();
-    else
-        m_follower.othersHaveSeen(advice->lastChange);
     if (answers)
         takeAdvice(*advice);
+    if (!answers || m_election.holds() || m_standsBy || Millis(advice->storeSilentMillis) > storeSilentTooLong)
+        m_follower.onItsOwn();
+    else
+        m_follower.fed(advice->lastChange);
 }
 
 asio::awaitable<void> GatewayControl::reportLoop()
 {
     for (;;) {
-        co_await sleepFor(reportEvery);
+        co_await sleepFor(m_reportEvery);
         m_coordinator.setStoreSilence(m_clock.now() - m_follower.lastAnswer());
         co_await reportOnce();
         if (m_pushFailed)
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -22,7 +22,7 @@
     void start();
     void onUse(GatewayReport); // from the routing duty
     wire::HostAdvice onReport(const wire::HostReport&) override; // from a host
-    void onAdopt(const std::vector<std::string>& tables) override; // from the coordinator
+    void onAdopt(const wire::News&) override; // from the coordinator
     boost::asio::awaitable<void> leave(); // gives the office up
     std::string statusText() const; // JSON, for operators
 
@@ -34,6 +34,8 @@
     boost::asio::awaitable<void> reportOnce();
     wire::HostReport makeReport();
     void takeAdvice(const wire::HostAdvice&);
+    void takeTable(const std::string& text);
+    Millis standDelay() const;
 
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
@@ -51,6 +53,8 @@
     std::string m_linkAddress;
     GatewayReport m_use; // since the last report
     bool m_coordinatorAnswers = false;
+    bool m_standsBy = true; // until a coordinator says otherwise
+    Millis m_reportEvery { 250 };
     bool m_pushFailed = false;
 };
 
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -20,16 +20,18 @@
 }
 
 PlatformFollower::PlatformFollower(asio::any_io_executor executor, const Clock& clock, FollowerOptions options,
-    Store& store, PlatformView& view, Metrics& metrics, ChangeSink sink)
+    Store& store, PlatformView& view, Metrics& metrics, ChangeSink sink, EventSink eventSink)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_options(options)
     , m_store(store)
     , m_view(view)
     , m_sink(std::move(sink))
+    , m_eventSink(std::move(eventSink))
     , m_reads(metrics.counter("store_reads"))
     , m_watches(metrics.counter("store_watches"))
     , m_failures(metrics.counter("store_failures"))
+    , m_changed(m_executor)
 {
 }
 
@@ -79,13 +81,19 @@
 {
     Millis pause = firstPause;
     for (;;) {
+        if (m_fed && m_hasRead) {
+            co_await m_changed.wait(m_options.fedPause);
+            continue;
+        }
         if (!co_await readAll()) {
             co_await sleepFor(pause / 2 + randomBelow(pause));
             pause = std::min(longestPause, pause * 2);
             continue;
         }
-        while (co_await watchOnce())
+        while (!m_fed && co_await watchOnce())
             pause = firstPause;
+        if (m_fed)
+            continue;
         // A watch that fails at once must not turn this into a busy loop of reads.
         pause = std::min(longestPause, pause * 2);
         co_await sleepFor(randomBelow(pause));
@@ -97,29 +105,32 @@
     bool heard = false;
     bool changed = false;
     m_watches.add();
-    const Millis wait = m_othersWatch ? m_options.longWatch : m_options.shortWatch;
-    co_await m_store.watch(std::string(everything), m_view.revision() + 1, wait,
+    co_await m_store.watch(std::string(everything), m_view.revision() + 1, m_options.watchFor,
         [&](int64_t revision, const std::vector<WatchEvent>& events) {
             heard = true;
             changed = !events.empty();
             noteAnswer(true);
+            const int64_t before = m_view.lastChange();
             const auto change = m_view.applyEvents(revision, events);
             if (change.any())
                 m_sink(change);
-            return false; // each watch is asked anew, so that its length may change
+            if (changed)
+                m_eventSink(before, events);
+            return false; // asked anew, unless this host is fed by then
         });
     if (changed)
         co_await sleepFor(m_options.gather);
     co_return heard;
 }
 
-void PlatformFollower::othersHaveSeen(int64_t change)
+void PlatformFollower::fed(int64_t coordinatorsChange)
 {
-    m_othersWatch = true;
-    const bool behind = change > m_view.lastChange();
-    // Twice in a row: the first time the same news may be on its way here as well.
+    m_fed = true;
+    const bool behind = coordinatorsChange > m_view.lastChange();
+    // Twice in a row: the first time the news may be on its way here.
     if (behind && std::exchange(m_behind, true)) {
-        logChange(LogLevel::Warning, "watch-deaf", { { "lastChange", m_view.lastChange() }, { "others", change } });
+        logChange(LogLevel::Warning, "news-missed",
+            { { "lastChange", m_view.lastChange() }, { "coordinators", coordinatorsChange } });
         spawnLoop(m_executor, "catch-up", catchUp());
         m_behind = false;
     }
@@ -127,6 +138,12 @@
         m_behind = false;
 }
 
+void PlatformFollower::onItsOwn()
+{
+    if (std::exchange(m_fed, false))
+        m_changed.notifyAll();
+}
+
 asio::awaitable<void> PlatformFollower::catchUp() { co_await readAll(); }
 
 }
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -5,6 +5,7 @@
 #include "base/Metrics.h"
 #include "gateway/PlatformView.h"
 #include "store/Store.h"
+#include "web/Signal.h"
 
 #include <functional>
 
@@ -12,11 +13,10 @@
 
 struct FollowerOptions {
     Millis callTimeout { 1'500 }; // a slow store still answers
-    // A waiting watch may go deaf: it hears nothing of what is written, and isn't cut. The next one hears. Only the
-    // coordinator asks anew that often; the others hear from it whether they have missed anything (othersHaveSeen), and
-    // each question costs as much as a read.
-    Millis shortWatch { 900 };
-    Millis longWatch { 8'000 };
+    // A waiting watch may go deaf: it hears nothing of what is written, and isn't cut. The next one hears. So it is
+    // asked anew that often, well within the time in which a configuration must be in force.
+    Millis watchFor { 900 };
+    Millis fedPause { 1'000 }; // between two looks at whether this host is still told of changes
     // After a batch of changes: those that follow soon come together in the next answer, instead of one question each.
     Millis gather { 120 };
     // Servers' entries lapse after a few missed heartbeats; a store that was away for less can't have lost any.
@@ -28,13 +28,15 @@
 class PlatformFollower {
 public:
     using ChangeSink = std::function<void(const PlatformView::Change&)>;
+    using EventSink = std::function<void(int64_t afterChange, const std::vector<WatchEvent>&)>; // as they came
 
     PlatformFollower(
-        boost::asio::any_io_executor, const Clock&, FollowerOptions, Store&, PlatformView&, Metrics&, ChangeSink);
+        boost::asio::any_io_executor, const Clock&, FollowerOptions, Store&, PlatformView&, Metrics&, ChangeSink, EventSink);
     boost::asio::awaitable<void> run(); // forever
-    // Another host has seen a change of this revision in the store, and asks the store often.
-    void othersHaveSeen(int64_t change);
-    void onItsOwn() { m_othersWatch = false; } // no other host tells what it has seen
+    // The coordinator follows the store and tells this host of every change: it needn't ask itself. A change that the
+    // coordinator knows of and this host doesn't is read after all.
+    void fed(int64_t coordinatorsChange);
+    void onItsOwn(); // nobody tells this host of changes, or it stands by to coordinate
     bool hasRead() const { return m_hasRead; }
     Instant lastAnswer() const { return m_lastAnswer; }
 
@@ -51,6 +53,7 @@
     Store& m_store;
     PlatformView& m_view;
     ChangeSink m_sink;
+    EventSink m_eventSink;
     Counter& m_reads;
     Counter& m_watches;
     Counter& m_failures;
@@ -58,8 +61,9 @@
     uint64_t m_reading = 0;
     bool m_answers = true;
     bool m_hasRead = false;
-    bool m_othersWatch = false;
-    bool m_behind = false; // as of the last word of another host
+    bool m_fed = false;
+    bool m_behind = false; // as of the coordinator's last word
+    Signal m_changed; // between being fed and not
 };
 
 }
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -15,7 +15,8 @@
 {
     Change change;
     for (const auto& event : events) {
-        m_lastChange = std::max(m_lastChange, event.value.modRevision);
+        if (isOthers(event.value.key))
+            m_lastChange = std::max(m_lastChange, event.value.modRevision);
         if (event.erased)
             applyErased(event.value.key, event.value.modRevision, change);
         else
@@ -31,7 +32,6 @@
     std::set<std::string> present;
     for (const auto& value : reply.values) {
         present.insert(value.key);
-        m_lastChange = std::max(m_lastChange, value.modRevision);
         applyValue(value, change);
     }
     if (!present.count(leaderKey()))
@@ -55,6 +55,17 @@
     return change;
 }
 
+std::optional<PlatformView::Change> PlatformView::applyNews(
+    int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>& events)
+{
+    if (afterChange > m_lastChange)
+        return std::nullopt;
+    const int64_t revision = m_revision; // a watch of this host's own must go on from where it was
+    const Change change = applyEvents(revision, events);
+    m_lastChange = std::max(m_lastChange, lastChange);
+    return change;
+}
+
 PlatformView::Change PlatformView::dropMissing()
 {
     Change change;
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -35,12 +36,15 @@
     // dropMissing(), and live ones are back by then.
     Change applySnapshot(const RangeReply&, bool afterOutage);
     Change dropMissing();
+    // From the coordinator: items that follow `afterChange` without a gap. Nothing: there is a gap.
+    std::optional<Change> applyNews(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>&);
+    bool isOthers(std::string_view key) const { return m_adapter.itemOf(key) != StoreItem::Other; }
     Change applyTable(GrantTable); // from the coordinator: perhaps newer than the store's
 
     // --- Reading
     int64_t revision() const override { return m_revision; }
     const LeaderView& leader() const override { return m_leader; }
-    int64_t lastChange() const { return m_lastChange; } // revision of the newest write that this host has seen
+    int64_t lastChange() const { return m_lastChange; } // revision of the newest write of others that it knows of
     const std::shared_ptr<const RouteRules>& rules() const { return m_rules; } // null: none yet
     std::shared_ptr<const ServerMap> servers() const { return m_servers; }
     bool missingAny() const { return !m_missing.empty(); }
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -47,9 +47,10 @@
     }
     entry = registered;
     pool.update(resourceOf(registered, service), shares.hosts);
+    // While the server has room this host may have as many as come; its queue takes what several hosts send at once.
+    constexpr double withRoom = 1.5; // of the slots
     const auto share = shares.slots.find(registered.id);
-    if (share != shares.slots.end())
-        pool.setLimit(static_cast<unsigned>(std::max(1.0, share->second + 0.5)));
+    pool.setLimit(share != shares.slots.end() ? share->second : std::max(1.0, withRoom * registered.slots));
 }
 
 void Upstream::failed(Instant now)
--- a/packages/peers/Coordination.cpp
+++ b/packages/peers/Coordination.cpp
@@ -25,7 +25,7 @@
             advice = m_handler.onReport(report);
         }
 
-        void adopt(const std::vector<std::string>& tables) override { m_handler.onAdopt(tables); }
+        void adopt(const wire::News& news) override { m_handler.onAdopt(news); }
 
     private:
         CoordinationHandler& m_handler;
@@ -63,9 +63,9 @@
     co_return advice;
 }
 
-asio::awaitable<bool> CoordinationLink::adopt(std::vector<std::string> tables, Millis timeout)
+asio::awaitable<bool> CoordinationLink::adopt(wire::News news, Millis timeout)
 {
-    m_codec->client.send_adopt(tables);
+    m_codec->client.send_adopt(news);
     co_return co_await m_codec->link.exchange(*m_codec->out, *m_codec->in, timeout);
 }
 
--- a/packages/peers/Coordination.h
+++ b/packages/peers/Coordination.h
@@ -23,7 +23,7 @@
     ~CoordinationLink();
 
     boost::asio::awaitable<std::optional<wire::HostAdvice>> report(wire::HostReport, Millis timeout);
-    boost::asio::awaitable<bool> adopt(std::vector<std::string> tables, Millis timeout);
+    boost::asio::awaitable<bool> adopt(wire::News, Millis timeout);
 
 private:
     struct Codec;
@@ -39,7 +39,7 @@
 public:
     virtual ~CoordinationHandler() = default;
     virtual wire::HostAdvice onReport(const wire::HostReport&) = 0;
-    virtual void onAdopt(const std::vector<std::string>& tables) = 0;
+    virtual void onAdopt(const wire::News&) = 0;
 };
 
 std::unique_ptr<FrameServer> makeCoordinationServer(
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -28,6 +28,8 @@
     4: list<ServiceUse> services
     5: list<ServerUse> servers
     6: i64 storeSilentMillis // since the store last answered this host
+    7: i64 lastChange // revision of the newest write of others that the host knows of
+    8: i32 strengthCenti // processor time that the host has, in hundredths of a core
 }
 
 struct ServerShare {
@@ -42,10 +44,28 @@
     4: list<ServerShare> shares
     5: list<string> tables // newer ones than the host routes by, encoded
     6: i64 storeSilentMillis // since the store last answered the coordinator
-    7: i64 lastChange // revision of the newest write to the store that the coordinator has seen
+    7: i64 lastChange // revision of the newest write of others that the coordinator has seen
+    8: bool standsBy // the host is to follow the store itself, to take over at once
+    9: i32 reportMillis // until the next report
+}
+
+// An item of the store as it was written by others, or its erasure.
+struct StoreItem {
+    1: string key
+    2: binary value
+    3: i64 revision
+    4: bool erased
+}
+
+// What has changed, from the coordinator to each host that doesn't follow the store itself.
+struct News {
+    1: i64 afterChange // the items follow this change without a gap
+    2: i64 lastChange
+    3: list<StoreItem> items
+    4: list<string> tables // changes of tables, encoded
 }
 
 service Coordination {
     HostAdvice report(1: HostReport report)
-    void adopt(1: list<string> tables) // from the coordinator: newer tables, encoded
+    void adopt(1: News news)
 }
--- a/packages/peers/gen/Coordination.cpp
+++ b/packages/peers/gen/Coordination.cpp
@@ -222,21 +222,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->tables.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->tables.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
-            {
-              xfer += iprot->readString(this->tables[_i46]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.tables = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->news.read(iprot);
+          this->__isset.news = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -258,16 +246,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Coordination_adopt_args");
 
-  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter47;
-    for (_iter47 = this->tables.begin(); _iter47 != this->tables.end(); ++_iter47)
-    {
-      xfer += oprot->writeString((*_iter47));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->news.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -285,16 +265,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Coordination_adopt_pargs");
 
-  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>((*(this->tables)).size()));
-    std::vector<std::string> ::const_iterator _iter48;
-    for (_iter48 = (*(this->tables)).begin(); _iter48 != (*(this->tables)).end(); ++_iter48)
-    {
-      xfer += oprot->writeString((*_iter48));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->news)).write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -437,19 +409,19 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "report failed: unknown result");
 }
 
-void CoordinationClient::adopt(const std::vector<std::string> & tables)
+void CoordinationClient::adopt(const News& news)
 {
-  send_adopt(tables);
+  send_adopt(news);
   recv_adopt();
 }
 
-void CoordinationClient::send_adopt(const std::vector<std::string> & tables)
+void CoordinationClient::send_adopt(const News& news)
 {
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("adopt", ::apache::thrift::protocol::T_CALL, cseqid);
 
   Coordination_adopt_pargs args;
-  args.tables = &tables;
+  args.news = &news;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -586,7 +558,7 @@
 
   Coordination_adopt_result result;
   try {
-    iface_->adopt(args.tables);
+    iface_->adopt(args.news);
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
       this->eventHandler_->handlerError(ctx, "Coordination.adopt");
@@ -707,20 +679,20 @@
   } // end while(true)
 }
 
-void CoordinationConcurrentClient::adopt(const std::vector<std::string> & tables)
+void CoordinationConcurrentClient::adopt(const News& news)
 {
-  int32_t seqid = send_adopt(tables);
+  int32_t seqid = send_adopt(news);
   recv_adopt(seqid);
 }
 
-int32_t CoordinationConcurrentClient::send_adopt(const std::vector<std::string> & tables)
+int32_t CoordinationConcurrentClient::send_adopt(const News& news)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
   oprot_->writeMessageBegin("adopt", ::apache::thrift::protocol::T_CALL, cseqid);
 
   Coordination_adopt_pargs args;
-  args.tables = &tables;
+  args.news = &news;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
--- a/packages/peers/gen/Coordination.h
+++ b/packages/peers/gen/Coordination.h
@@ -23,7 +23,7 @@
  public:
   virtual ~CoordinationIf() {}
   virtual void report(HostAdvice& _return, const HostReport& report) = 0;
-  virtual void adopt(const std::vector<std::string> & tables) = 0;
+  virtual void adopt(const News& news) = 0;
 };
 
 class CoordinationIfFactory {
@@ -56,7 +56,7 @@
   void report(HostAdvice& /* _return */, const HostReport& /* report */) override {
     return;
   }
-  void adopt(const std::vector<std::string> & /* tables */) override {
+  void adopt(const News& /* news */) override {
     return;
   }
 };
@@ -166,8 +166,8 @@
 };
 
 typedef struct _Coordination_adopt_args__isset {
-  _Coordination_adopt_args__isset() : tables(false) {}
-  bool tables :1;
+  _Coordination_adopt_args__isset() : news(false) {}
+  bool news :1;
 } _Coordination_adopt_args__isset;
 
 class Coordination_adopt_args {
@@ -179,15 +179,15 @@
   }
 
   virtual ~Coordination_adopt_args() noexcept;
-  std::vector<std::string>  tables;
+  News news;
 
   _Coordination_adopt_args__isset __isset;
 
-  void __set_tables(const std::vector<std::string> & val);
+  void __set_news(const News& val);
 
   bool operator == (const Coordination_adopt_args & rhs) const
   {
-    if (!(tables == rhs.tables))
+    if (!(news == rhs.news))
       return false;
     return true;
   }
@@ -208,7 +208,7 @@
 
 
   virtual ~Coordination_adopt_pargs() noexcept;
-  const std::vector<std::string> * tables;
+  const News* news;
 
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
@@ -279,8 +279,8 @@
   void report(HostAdvice& _return, const HostReport& report) override;
   void send_report(const HostReport& report);
   void recv_report(HostAdvice& _return);
-  void adopt(const std::vector<std::string> & tables) override;
-  void send_adopt(const std::vector<std::string> & tables);
+  void adopt(const News& news) override;
+  void send_adopt(const News& news);
   void recv_adopt();
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
@@ -342,13 +342,13 @@
     return;
   }
 
-  void adopt(const std::vector<std::string> & tables) override {
+  void adopt(const News& news) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
-      ifaces_[i]->adopt(tables);
+      ifaces_[i]->adopt(news);
     }
-    ifaces_[i]->adopt(tables);
+    ifaces_[i]->adopt(news);
   }
 
 };
@@ -386,8 +386,8 @@
   void report(HostAdvice& _return, const HostReport& report) override;
   int32_t send_report(const HostReport& report);
   void recv_report(HostAdvice& _return, const int32_t seqid);
-  void adopt(const std::vector<std::string> & tables) override;
-  int32_t send_adopt(const std::vector<std::string> & tables);
+  void adopt(const News& news) override;
+  int32_t send_adopt(const News& news);
   void recv_adopt(const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -477,6 +477,14 @@
 void HostReport::__set_storeSilentMillis(const int64_t val) {
   this->storeSilentMillis = val;
 }
+
+void HostReport::__set_lastChange(const int64_t val) {
+  this->lastChange = val;
+}
+
+void HostReport::__set_strengthCenti(const int32_t val) {
+  this->strengthCenti = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -577,6 +585,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastChange);
+          this->__isset.lastChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->strengthCenti);
+          this->__isset.strengthCenti = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -634,6 +658,14 @@
   xfer += oprot->writeI64(this->storeSilentMillis);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lastChange", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->lastChange);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("strengthCenti", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->strengthCenti);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -647,6 +679,8 @@
   swap(a.services, b.services);
   swap(a.servers, b.servers);
   swap(a.storeSilentMillis, b.storeSilentMillis);
+  swap(a.lastChange, b.lastChange);
+  swap(a.strengthCenti, b.strengthCenti);
   swap(a.__isset, b.__isset);
 }
 
@@ -657,6 +691,8 @@
   services = other24.services;
   servers = other24.servers;
   storeSilentMillis = other24.storeSilentMillis;
+  lastChange = other24.lastChange;
+  strengthCenti = other24.strengthCenti;
   __isset = other24.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other25) {
@@ -666,6 +702,8 @@
   services = other25.services;
   servers = other25.servers;
   storeSilentMillis = other25.storeSilentMillis;
+  lastChange = other25.lastChange;
+  strengthCenti = other25.strengthCenti;
   __isset = other25.__isset;
   return *this;
 }
@@ -678,6 +716,8 @@
   out << ", " << "services=" << to_string(services);
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "storeSilentMillis=" << to_string(storeSilentMillis);
+  out << ", " << "lastChange=" << to_string(lastChange);
+  out << ", " << "strengthCenti=" << to_string(strengthCenti);
   out << ")";
 }
 
@@ -825,6 +865,14 @@
 void HostAdvice::__set_lastChange(const int64_t val) {
   this->lastChange = val;
 }
+
+void HostAdvice::__set_standsBy(const bool val) {
+  this->standsBy = val;
+}
+
+void HostAdvice::__set_reportMillis(const int32_t val) {
+  this->reportMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostAdvice& obj)
 {
   obj.printTo(out);
@@ -933,6 +981,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->standsBy);
+          this->__isset.standsBy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reportMillis);
+          this->__isset.reportMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -994,6 +1058,14 @@
   xfer += oprot->writeI64(this->lastChange);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("standsBy", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->standsBy);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reportMillis", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->reportMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1008,6 +1080,8 @@
   swap(a.tables, b.tables);
   swap(a.storeSilentMillis, b.storeSilentMillis);
   swap(a.lastChange, b.lastChange);
+  swap(a.standsBy, b.standsBy);
+  swap(a.reportMillis, b.reportMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -1019,6 +1093,8 @@
   tables = other40.tables;
   storeSilentMillis = other40.storeSilentMillis;
   lastChange = other40.lastChange;
+  standsBy = other40.standsBy;
+  reportMillis = other40.reportMillis;
   __isset = other40.__isset;
 }
 HostAdvice& HostAdvice::operator=(const HostAdvice& other41) {
@@ -1029,6 +1105,8 @@
   tables = other41.tables;
   storeSilentMillis = other41.storeSilentMillis;
   lastChange = other41.lastChange;
+  standsBy = other41.standsBy;
+  reportMillis = other41.reportMillis;
   __isset = other41.__isset;
   return *this;
 }
@@ -1042,6 +1120,352 @@
   out << ", " << "tables=" << to_string(tables);
   out << ", " << "storeSilentMillis=" << to_string(storeSilentMillis);
   out << ", " << "lastChange=" << to_string(lastChange);
+  out << ", " << "standsBy=" << to_string(standsBy);
+  out << ", " << "reportMillis=" << to_string(reportMillis);
+  out << ")";
+}
+
+
+StoreItem::~StoreItem() noexcept {
+}
+
+
+void StoreItem::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void StoreItem::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void StoreItem::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void StoreItem::__set_erased(const bool val) {
+  this->erased = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreItem& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->erased);
+          this->__isset.erased = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreItem");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("erased", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->erased);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreItem &a, StoreItem &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.revision, b.revision);
+  swap(a.erased, b.erased);
+  swap(a.__isset, b.__isset);
+}
+
+StoreItem::StoreItem(const StoreItem& other42) {
+  key = other42.key;
+  value = other42.value;
+  revision = other42.revision;
+  erased = other42.erased;
+  __isset = other42.__isset;
+}
+StoreItem& StoreItem::operator=(const StoreItem& other43) {
+  key = other43.key;
+  value = other43.value;
+  revision = other43.revision;
+  erased = other43.erased;
+  __isset = other43.__isset;
+  return *this;
+}
+void StoreItem::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreItem(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "erased=" << to_string(erased);
+  out << ")";
+}
+
+
+News::~News() noexcept {
+}
+
+
+void News::__set_afterChange(const int64_t val) {
+  this->afterChange = val;
+}
+
+void News::__set_lastChange(const int64_t val) {
+  this->lastChange = val;
+}
+
+void News::__set_items(const std::vector<StoreItem> & val) {
+  this->items = val;
+}
+
+void News::__set_tables(const std::vector<std::string> & val) {
+  this->tables = val;
+}
+std::ostream& operator<<(std::ostream& out, const News& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t News::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->afterChange);
+          this->__isset.afterChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastChange);
+          this->__isset.lastChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->items.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->items[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tables.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->tables.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += iprot->readString(this->tables[_i53]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t News::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("News");
+
+  xfer += oprot->writeFieldBegin("afterChange", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->afterChange);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastChange", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lastChange);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<StoreItem> ::const_iterator _iter54;
+    for (_iter54 = this->items.begin(); _iter54 != this->items.end(); ++_iter54)
+    {
+      xfer += (*_iter54).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
+    std::vector<std::string> ::const_iterator _iter55;
+    for (_iter55 = this->tables.begin(); _iter55 != this->tables.end(); ++_iter55)
+    {
+      xfer += oprot->writeString((*_iter55));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(News &a, News &b) {
+  using ::std::swap;
+  swap(a.afterChange, b.afterChange);
+  swap(a.lastChange, b.lastChange);
+  swap(a.items, b.items);
+  swap(a.tables, b.tables);
+  swap(a.__isset, b.__isset);
+}
+
+News::News(const News& other56) {
+  afterChange = other56.afterChange;
+  lastChange = other56.lastChange;
+  items = other56.items;
+  tables = other56.tables;
+  __isset = other56.__isset;
+}
+News& News::operator=(const News& other57) {
+  afterChange = other57.afterChange;
+  lastChange = other57.lastChange;
+  items = other57.items;
+  tables = other57.tables;
+  __isset = other57.__isset;
+  return *this;
+}
+void News::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "News(";
+  out << "afterChange=" << to_string(afterChange);
+  out << ", " << "lastChange=" << to_string(lastChange);
+  out << ", " << "items=" << to_string(items);
+  out << ", " << "tables=" << to_string(tables);
   out << ")";
 }
 
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -33,6 +33,10 @@
 
 class HostAdvice;
 
+class StoreItem;
+
+class News;
+
 typedef struct _KeyUse__isset {
   _KeyUse__isset() : key(false), busyMicros(false) {}
   bool key :1;
@@ -211,13 +215,15 @@
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), overMillis(false), services(false), servers(false), storeSilentMillis(false) {}
+  _HostReport__isset() : sender(false), address(false), overMillis(false), services(false), servers(false), storeSilentMillis(false), lastChange(false), strengthCenti(false) {}
   bool sender :1;
   bool address :1;
   bool overMillis :1;
   bool services :1;
   bool servers :1;
   bool storeSilentMillis :1;
+  bool lastChange :1;
+  bool strengthCenti :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -229,7 +235,9 @@
              : sender(),
                address(),
                overMillis(0),
-               storeSilentMillis(0) {
+               storeSilentMillis(0),
+               lastChange(0),
+               strengthCenti(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -239,6 +247,8 @@
   std::vector<ServiceUse>  services;
   std::vector<ServerUse>  servers;
   int64_t storeSilentMillis;
+  int64_t lastChange;
+  int32_t strengthCenti;
 
   _HostReport__isset __isset;
 
@@ -254,6 +264,10 @@
 
   void __set_storeSilentMillis(const int64_t val);
 
+  void __set_lastChange(const int64_t val);
+
+  void __set_strengthCenti(const int32_t val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -268,6 +282,10 @@
       return false;
     if (!(storeSilentMillis == rhs.storeSilentMillis))
       return false;
+    if (!(lastChange == rhs.lastChange))
+      return false;
+    if (!(strengthCenti == rhs.strengthCenti))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -337,7 +355,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerShare& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -345,6 +363,8 @@
   bool tables :1;
   bool storeSilentMillis :1;
   bool lastChange :1;
+  bool standsBy :1;
+  bool reportMillis :1;
 } _HostAdvice__isset;
 
 class HostAdvice : public virtual ::apache::thrift::TBase {
@@ -357,7 +377,9 @@
                term(0),
                hosts(0),
                storeSilentMillis(0),
-               lastChange(0) {
+               lastChange(0),
+               standsBy(0),
+               reportMillis(0) {
   }
 
   virtual ~HostAdvice() noexcept;
@@ -368,6 +390,8 @@
   std::vector<std::string>  tables;
   int64_t storeSilentMillis;
   int64_t lastChange;
+  bool standsBy;
+  int32_t reportMillis;
 
   _HostAdvice__isset __isset;
 
@@ -385,6 +409,10 @@
 
   void __set_lastChange(const int64_t val);
 
+  void __set_standsBy(const bool val);
+
+  void __set_reportMillis(const int32_t val);
+
   bool operator == (const HostAdvice & rhs) const
   {
     if (!(coordinates == rhs.coordinates))
@@ -401,6 +429,10 @@
       return false;
     if (!(lastChange == rhs.lastChange))
       return false;
+    if (!(standsBy == rhs.standsBy))
+      return false;
+    if (!(reportMillis == rhs.reportMillis))
+      return false;
     return true;
   }
   bool operator != (const HostAdvice &rhs) const {
@@ -419,6 +451,132 @@
 
 std::ostream& operator<<(std::ostream& out, const HostAdvice& obj);
 
+typedef struct _StoreItem__isset {
+  _StoreItem__isset() : key(false), value(false), revision(false), erased(false) {}
+  bool key :1;
+  bool value :1;
+  bool revision :1;
+  bool erased :1;
+} _StoreItem__isset;
+
+class StoreItem : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreItem(const StoreItem&);
+  StoreItem& operator=(const StoreItem&);
+  StoreItem() noexcept
+            : key(),
+              value(),
+              revision(0),
+              erased(0) {
+  }
+
+  virtual ~StoreItem() noexcept;
+  std::string key;
+  std::string value;
+  int64_t revision;
+  bool erased;
+
+  _StoreItem__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_erased(const bool val);
+
+  bool operator == (const StoreItem & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(erased == rhs.erased))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreItem &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreItem & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreItem &a, StoreItem &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreItem& obj);
+
+typedef struct _News__isset {
+  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false) {}
+  bool afterChange :1;
+  bool lastChange :1;
+  bool items :1;
+  bool tables :1;
+} _News__isset;
+
+class News : public virtual ::apache::thrift::TBase {
+ public:
+
+  News(const News&);
+  News& operator=(const News&);
+  News() noexcept
+       : afterChange(0),
+         lastChange(0) {
+  }
+
+  virtual ~News() noexcept;
+  int64_t afterChange;
+  int64_t lastChange;
+  std::vector<StoreItem>  items;
+  std::vector<std::string>  tables;
+
+  _News__isset __isset;
+
+  void __set_afterChange(const int64_t val);
+
+  void __set_lastChange(const int64_t val);
+
+  void __set_items(const std::vector<StoreItem> & val);
+
+  void __set_tables(const std::vector<std::string> & val);
+
+  bool operator == (const News & rhs) const
+  {
+    if (!(afterChange == rhs.afterChange))
+      return false;
+    if (!(lastChange == rhs.lastChange))
+      return false;
+    if (!(items == rhs.items))
+      return false;
+    if (!(tables == rhs.tables))
+      return false;
+    return true;
+  }
+  bool operator != (const News &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const News & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(News &a, News &b);
+
+std::ostream& operator<<(std::ostream& out, const News& obj);
+
 }} // namespace
 
 #endif
--- a/packages/resources/GrantTableCodec.cpp
+++ b/packages/resources/GrantTableCodec.cpp
@@ -95,6 +95,43 @@
     return std::nullopt;
 }
 
+std::string encodeGrantChange(const GrantTableChange& change)
+{
+    json::array ranges;
+    for (const auto& range : change.ranges)
+        ranges.push_back(encodeRange(range));
+    json::object object;
+    object["service"] = change.service;
+    object["term"] = change.to.term;
+    object["edition"] = change.to.edition;
+    object["fromTerm"] = change.from.term;
+    object["fromEdition"] = change.from.edition;
+    object["ranges"] = std::move(ranges);
+    return json::serialize(object);
+}
+
+std::optional<GrantTableChange> decodeGrantChange(std::string_view text)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(text, error);
+    if (error)
+        return std::nullopt;
+    try {
+        const json::object& object = value.as_object();
+        GrantTableChange change;
+        change.service = object.at("service").as_string();
+        change.to.term = object.at("term").to_number<int64_t>();
+        change.to.edition = object.at("edition").to_number<uint64_t>();
+        change.from.term = object.at("fromTerm").to_number<int64_t>();
+        change.from.edition = object.at("fromEdition").to_number<uint64_t>();
+        for (const auto& range : object.at("ranges").as_array())
+            change.ranges.push_back(decodeRange(range.as_array()));
+        return change;
+    } catch (const std::exception&) {
+        return std::nullopt; // a field is missing or has another type
+    }
+}
+
 std::string grantTableKey(std::string_view service) { return prefix() + std::string(service); }
 
 bool isGrantTableKey(std::string_view key) { return key.starts_with(prefix()); }
--- a/packages/resources/GrantTableCodec.h
+++ b/packages/resources/GrantTableCodec.h
@@ -14,6 +14,8 @@
 
 std::string encodeGrantTable(const GrantTable&);
 std::optional<GrantTable> decodeGrantTable(std::string_view); // nothing: malformed, or ranges with gaps
+std::string encodeGrantChange(const GrantTableChange&); // as a table, with "fromTerm" and "fromEdition"
+std::optional<GrantTableChange> decodeGrantChange(std::string_view); // nothing: malformed
 std::string grantTableKey(std::string_view service); // in the store
 bool isGrantTableKey(std::string_view key);
 
--- a/packages/resources/Settings.cpp
+++ b/packages/resources/Settings.cpp
@@ -95,6 +95,8 @@
         GatewaySettings gateway;
         gateway.platform = reader.oneOf("platform", { metadataStorePlatform }, {});
         gateway.readiness = readEndpoint(reader, "readiness", fault);
+        constexpr double mostCores = 1'024;
+        gateway.strength = reader.ratio("strength", 0, mostCores, gateway.strength);
         gateway.longestHold = readSeconds(reader, "longestHoldSeconds", 1, gateway.longestHold);
         gateway.leaderLease = readSeconds(reader, "leaderLeaseSeconds", 1, gateway.leaderLease);
         gateway.shortestLease = readSeconds(reader, "shortestLeaseSeconds", 0, gateway.shortestLease);
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -36,6 +36,7 @@
 struct GatewaySettings {
     std::string platform; // which platform's words: metadataStorePlatform
     Endpoint readiness; // the balancer asks here whether new callers should come
+    double strength = 0.2; // cores that this host may use; the stronger ones coordinate where they can
     Millis longestHold { 10'000 }; // of one grant, as servers allow it
     Millis leaderLease { 1'500 }; // of the coordinator's election; a lost one is replaced within about this time
     Millis shortestLease { 1'000 }; // that the store allows
