--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -76,15 +76,20 @@
     return found == m_items.end() ? nullptr : &*found;
 }
 
-void GrantPlan::noteAnswer(const std::string& server, OrderResult result)
-{
-    const bool silent = result == OrderResult::Unanswered || result == OrderResult::NotSent;
-    if (result == OrderResult::OtherServer)
-        m_misses[server] = m_timing.missesUntilSuspect;
-    else if (silent)
-        ++m_misses[server];
-    else
-        m_misses.erase(server);
+void GrantPlan::noteAnswer(const std::string& server, OrderResult result, Instant endedAt)
+{
+    Answers& answers = m_answers[server];
+    const bool missed = result == OrderResult::Unanswered || result == OrderResult::NotSent;
+    if (result == OrderResult::OtherServer) {
+        answers.silent = true; // it has ended
+    } else if (missed) {
+        if (answers.last == Instant {})
+            answers.last = endedAt; // counted from the first order
+        ++answers.misses;
+        answers.silent = answers.misses >= m_timing.missesUntilSuspect && endedAt - answers.last >= m_timing.silence;
+    } else {
+        answers = { 0, endedAt, false };
+    }
 }
 
 void GrantPlan::onAnswer(const OrderAnswer& answer)
@@ -93,7 +98,7 @@
     if (!item || item->outstanding != answer.number)
         return; // an order that was given up: its effects were counted when it was
     item->outstanding = 0;
-    noteAnswer(item->outstandingServer, answer.result);
+    noteAnswer(item->outstandingServer, answer.result, answer.endedAt);
     if (answer.result == OrderResult::HigherFence) {
         m_deposed = true;
         note(*item, "coordinator-refused", "a server has seen a higher fence");
@@ -177,8 +182,8 @@
 
 bool GrantPlan::isSilent(std::string_view server) const
 {
-    const auto found = m_misses.find(server);
-    return found != m_misses.end() && found->second >= m_timing.missesUntilSuspect;
+    const auto found = m_answers.find(server);
+    return found != m_answers.end() && found->second.silent;
 }
 
 bool GrantPlan::usable(const Servers& servers, const std::string& server) const
@@ -291,7 +296,7 @@
         spreadFirst(servers);
         return;
     }
-    std::erase_if(m_misses, [&](const auto& entry) {
+    std::erase_if(m_answers, [&](const auto& entry) {
         return !servers.count(entry.first) && std::none_of(m_items.begin(), m_items.end(), [&](const Item& item) {
             return item.range.holder == entry.first || item.range.next == entry.first;
         });
@@ -395,7 +400,8 @@
 {
     if (item.range.holder.empty() || item.outstanding)
         return std::nullopt;
-    const bool quick = !item.confirmed || m_misses.count(item.range.holder);
+    const auto answers = m_answers.find(item.range.holder);
+    const bool quick = !item.confirmed || (answers != m_answers.end() && answers->second.misses);
     if (now - item.orderedAt < (quick ? m_timing.retryEvery : m_timing.renewEvery) && item.orderedAt != Instant {})
         return std::nullopt;
     return makeOrder(item, GrantOrder::Kind::Grant, item.range.holder, item.range.fence, now);
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -39,7 +39,10 @@
     Millis margin { 150 }; // for timers that fire late, at the server and here
     double slowClock = 1.02; // a server's clock may measure a hold so much longer
     Millis orderTimeout { 400 }; // after it an order's connection is reset: it arrived before or never
-    unsigned missesUntilSuspect = 2; // orders in a row without an answer
+    // A server is silent after so many orders in a row without an answer, and so long without any: one that is
+    // overloaded resets connections now and then.
+    unsigned missesUntilSuspect = 2;
+    Millis silence { 800 };
     // A coordinator that can't reach the store goes on renewing for so long (longer than the outages that hosts
     // see), and a new one waits as long for holders that it can't reach.
     Millis renewsWithoutStore { 12'000 };
@@ -160,7 +163,7 @@
     GrantOrder makeOrder(Item&, GrantOrder::Kind, const std::string& server, uint64_t fence, Instant now);
     void onGrantAnswer(Item&, const OrderAnswer&);
     void onReleaseAnswer(Item&, const OrderAnswer&);
-    void noteAnswer(const std::string& server, OrderResult);
+    void noteAnswer(const std::string& server, OrderResult, Instant endedAt);
     void note(const Item&, std::string what, std::string why);
 
     std::string m_service;
@@ -174,7 +177,13 @@
     uint64_t m_written = 0;
     uint64_t m_announcing = 0; // highest edition with an announcement
     Instant m_lastWrite {};
-    std::map<std::string, unsigned, std::less<>> m_misses; // orders in a row without an answer, by server
+    struct Answers {
+        unsigned misses = 0; // orders in a row without an answer
+        Instant last {}; // when it last answered
+        bool silent = false;
+    };
+
+    std::map<std::string, Answers, std::less<>> m_answers; // by server
     bool m_deposed = false;
     std::vector<GrantEvent> m_events;
 };
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -80,6 +80,7 @@
     logChange(LogLevel::Info, "coordination-ended", { { "term", m_term } });
     m_term = 0;
     m_plans.clear();
+    m_registrations.clear();
     m_published.clear();
     m_loads.clear();
     m_servers.clear();
@@ -137,8 +138,11 @@
     for (const auto& [name, service] : m_view.rules()->services()) {
         if (!service.keyed || m_plans.count(name))
             continue;
+        const auto table = m_view.storedTable(name);
+        if (!table && !allRegistered(name))
+            continue;
         auto plan = std::make_unique<GrantPlan>(name, m_options.grants, m_term);
-        if (const auto table = m_view.storedTable(name))
+        if (table)
             plan->takeOver(*table, now);
         else
             plan->begin(now);
@@ -146,6 +150,20 @@
     }
 }
 
+// When everything starts at once, servers register one after the other. Dealt to the first ones alone, the keys would
+// have to move again at once, away from servers that are overloaded by then.
+bool Coordinator::allRegistered(const std::string& service)
+{
+    const Instant now = m_clock.now();
+    size_t count = 0;
+    for (const auto& [id, server] : *m_view.servers())
+        count += server.service == service;
+    auto& seen = m_registrations[service];
+    if (seen.count != count)
+        seen = { count, now };
+    return count && now - seen.since >= m_options.registrationPause;
+}
+
 void Coordinator::publish(GrantPlan& plan)
 {
     const auto published = m_published.find(plan.service());
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -26,6 +26,7 @@
     GrantTiming grants;
     BalanceOptions balance;
     ShareOptions shares;
+    Millis registrationPause { 700 }; // without a new server, before a new service's keys are dealt
     Millis look { 30 }; // between two looks at what is due, while in office
     Millis releaseTimeout { 3'000 }; // a release is answered when the work under way has ended
     Millis balanceEvery { 400 }; // one write a round at the most, and each wakes every host's watch
@@ -68,11 +69,17 @@
         double workMillis = 0; // mean over hosts and time; 0: not known
     };
 
+    struct Registrations {
+        size_t count = 0;
+        Instant since {};
+    };
+
     bool readyForTerm() const; // the view has everything that was written before this host was elected
     void beginTerm();
     void endTerm();
     void step();
     void ensurePlans();
+    bool allRegistered(const std::string& service);
     void publish(GrantPlan&);
     void tell(const std::shared_ptr<HostState>&);
     boost::asio::awaitable<void> sendNews(std::shared_ptr<HostState>);
@@ -103,6 +110,7 @@
     Signal m_changed;
     int64_t m_term = 0; // 0: not in office
     std::map<std::string, std::unique_ptr<GrantPlan>> m_plans; // by service
+    std::map<std::string, Registrations> m_registrations; // of services without a plan
     std::map<std::string, GrantTable> m_published; // by service, as the hosts were told
     std::map<std::string, KeyLoad> m_loads; // by service
     std::map<std::string, ServerState, std::less<>> m_servers;
