A former coordinator that has lost half of the hosts is waited for only so long

Change: OfficeRules: without the store's word a coordinator goes on only while more than half of the hosts listed in the store report to it; a new one that half of them report to waits for their freshness (1.2 s) and one hold.

--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -48,12 +48,13 @@
     m_items.push_back(std::move(item));
 }
 
-void GrantPlan::formerStopped(Instant now)
+void GrantPlan::formerStopped(Instant at)
 {
+    const Instant lapse = lapseOf(at + m_timing.orderTimeout);
     for (auto& item : m_items) {
-        item.formerUntil = std::min(item.formerUntil, lapseOf(now));
+        item.formerUntil = std::min(item.formerUntil, lapse);
         if (item.nextOrdered && item.orderedAt == Instant {})
-            item.nextHoldsUntil = std::min(item.nextHoldsUntil, lapseOf(now));
+            item.nextHoldsUntil = std::min(item.nextHoldsUntil, lapse);
     }
 }
 
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -103,8 +103,9 @@
     void maintain(const Servers&, Instant now); // plans moves away from servers that leave, are gone or don't answer
     void onAnswer(const OrderAnswer&);
     bool move(uint32_t first, uint32_t last, const std::string& to, std::string why); // cut out and moved; false: busy
-    // The former coordinator has stopped: holders that can't be reached are waited for no longer than one hold.
-    void formerStopped(Instant now);
+    // The former coordinator sends nothing after `at`: holders that can't be reached are waited for no longer than one
+    // hold from then.
+    void formerStopped(Instant at);
 
     // --- What to do
     std::vector<GrantOrder> due(Instant now);
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -39,6 +39,7 @@
     , m_writes(metrics.counter("store_writes_tables"))
     , m_moves(metrics.counter("key_moves_planned"))
     , m_changed(executor)
+    , m_office(m_options.office)
 {
 }
 
@@ -49,6 +50,8 @@
     for (;;) {
         if (!m_election.holds()) {
             endTerm();
+            if (!m_view.leader().host.empty())
+                m_lastLeader = m_view.leader();
             co_await m_changed.wait(idleLook);
             continue;
         }
@@ -70,7 +73,12 @@
     m_term = m_election.term();
     m_silentSince = m_clock.now();
     m_lastBalance = m_clock.now();
-    logChange(LogLevel::Info, "coordination-begun", { { "term", m_term } });
+    m_listedAt = m_clock.now();
+    m_office = OfficeRules(m_options.office);
+    m_office.setListed(m_view.listedHosts());
+    m_former = m_lastLeader.host;
+    logChange(LogLevel::Info, "coordination-begun",
+        { { "term", m_term }, { "former", m_former }, { "listedHosts", m_office.listed().size() } });
 }
 
 void Coordinator::endTerm()
@@ -92,11 +100,10 @@
     const Instant now = m_clock.now();
     // Without the store's word another host may have been elected meanwhile. Renewals go on for a while, since the
     // store may be away for all; a new coordinator waits as long for holders that it can't reach.
-    if (now - m_election.lastConfirmed() > m_options.grants.renewsWithoutStore)
+    if (!m_office.mayAct(m_election.lastConfirmed(), now))
         return;
     rememberServers();
     ensurePlans();
-    std::vector<GrantTable> toWrite;
     bool cutOff = false;
     for (auto& [service, plan] : m_plans) {
         plan->maintain(*m_view.servers(), now);
@@ -110,8 +117,6 @@
             return;
         }
         cutOff |= plan->mostAreSilent();
-        if (plan->needsWrite(now))
-            toWrite.push_back(plan->table());
         publish(*plan);
     }
     if (!cutOff)
@@ -122,10 +127,7 @@
         endTerm();
         return;
     }
-    if (!toWrite.empty() && !m_writing) {
-        m_writing = true;
-        asio::co_spawn(m_executor, write(std::move(toWrite), m_term), asio::detached);
-    }
+    writeWhatChanged();
     if (now - m_lastBalance >= m_options.balanceEvery)
         balance();
 }
@@ -306,7 +308,7 @@
 
 namespace {
 
-    // Both are built outside the coroutine: g++ 12 destroys lists of temporaries inside one twice.
+    // Built outside the coroutine: g++ 12 destroys lists of temporaries inside one twice.
     std::vector<Compare> conditionsFor(
         const Compare& office, const std::vector<GrantTable>& tables, const PlatformView& view)
     {
@@ -318,20 +320,55 @@
         return conditions;
     }
 
-    std::vector<WriteOperation> writesOf(const std::vector<GrantTable>& tables)
+    std::vector<WriteOperation> writesOf(
+        const std::vector<GrantTable>& tables, const std::set<std::string, std::less<>>& hosts)
     {
         std::vector<WriteOperation> writes;
         for (const auto& table : tables)
             writes.push_back({ grantTableKey(table.service), encodeGrantTable(table) });
+        if (!hosts.empty())
+            writes.push_back({ listedHostsKey(), encodeListedHosts(hosts) });
         return writes;
     }
 
 }
 
-asio::awaitable<void> Coordinator::write(std::vector<GrantTable> tables, int64_t term)
+std::set<std::string, std::less<>> Coordinator::hostsToList() const
+{
+    std::set<std::string, std::less<>> hosts;
+    for (const auto& [name, host] : m_hosts)
+        hosts.insert(name);
+    if (hosts == m_office.listed())
+        hosts.clear();
+    return hosts;
+}
+
+void Coordinator::writeWhatChanged()
+{
+    if (m_writing)
+        return;
+    const Instant now = m_clock.now();
+    Writing writing;
+    for (const auto& [service, plan] : m_plans) {
+        if (plan->needsWrite(now))
+            writing.tables.push_back(plan->table());
+    }
+    // Hosts come in one after the other: their list is written with a table, or alone after a while.
+    const bool overdue = now - m_listedAt >= m_options.listEvery;
+    if (!writing.tables.empty() || overdue)
+        writing.hosts = hostsToList();
+    if (overdue)
+        m_listedAt = now;
+    if (writing.tables.empty() && writing.hosts.empty())
+        return;
+    m_writing = true;
+    asio::co_spawn(m_executor, write(std::move(writing), m_term), asio::detached);
+}
+
+asio::awaitable<void> Coordinator::write(Writing writing, int64_t term)
 {
-    const auto conditions = conditionsFor(m_election.fence(), tables, m_view);
-    const auto writes = writesOf(tables);
+    const auto conditions = conditionsFor(m_election.fence(), writing.tables, m_view);
+    const auto writes = writesOf(writing.tables, writing.hosts);
     m_writes.add();
     const TxnReply reply = co_await m_store.txn(conditions, writes, m_options.storeTimeout);
     bool written = reply.status == StoreStatus::Ok && reply.succeeded;
@@ -343,22 +380,25 @@
             const auto& value = found.values.front();
             written = value.value == writes.front().value;
             revision = value.modRevision;
-            if (!written) {
-                if (const auto stored = decodeGrantTable(value.value))
-                    m_view.noteWritten(*stored, value.modRevision);
-            }
+            const auto stored = written ? std::nullopt : decodeGrantTable(value.value);
+            if (stored)
+                m_view.noteWritten(*stored, value.modRevision);
         }
     }
     m_writing = false;
     if (term != m_term || !written)
         co_return;
     const Instant now = m_clock.now();
-    for (const auto& table : tables) {
+    for (const auto& table : writing.tables) {
         m_view.noteWritten(table, revision);
         const auto plan = m_plans.find(table.service);
         if (plan != m_plans.end())
             plan->second->onWritten(table.edition.edition, now);
     }
+    if (!writing.hosts.empty()) {
+        m_view.noteListed(writing.hosts, revision);
+        m_office.setListed(std::move(writing.hosts));
+    }
     m_changed.notifyAll();
 }
 
@@ -444,6 +484,22 @@
     return Millis(std::llround(static_cast<double>(m_options.reportEvery.count()) * std::max(1.0, factor)));
 }
 
+void Coordinator::noteFormer(std::string_view reporter)
+{
+    if (m_former.empty() || m_plans.empty())
+        return;
+    const Instant now = m_clock.now();
+    // A report from the former coordinator's own host: it knows of this one, or has begun anew.
+    const bool itself = reporter == m_former;
+    if (!itself && !m_office.formerIsAlone())
+        return;
+    logChange(LogLevel::Info, "former-coordinator-stopped",
+        { { "former", m_former }, { "why", itself ? "its host reports here" : "half of the hosts report here" } });
+    for (auto& [service, plan] : m_plans)
+        plan->formerStopped(itself ? now : m_office.formerEnd(now));
+    m_former.clear();
+}
+
 wire::HostAdvice Coordinator::onReport(const wire::HostReport& report)
 {
     wire::HostAdvice advice;
@@ -457,6 +513,8 @@
     if (!host)
         host = std::make_shared<HostState>();
     host->heard = m_clock.now();
+    m_office.reported(report.sender, host->heard);
+    noteFormer(report.sender);
     if (host->address != report.address && report.sender != m_options.host)
         host->link = makeCoordinationLink(m_executor, report.address, m_peerBytes);
     host->address = report.address;
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -7,6 +7,7 @@
 #include "control/Election.h"
 #include "decisions/GrantPlan.h"
 #include "decisions/KeyBalance.h"
+#include "decisions/OfficeRules.h"
 #include "decisions/SlotShares.h"
 #include "gateway/PlatformAdapter.h"
 #include "gateway/PlatformView.h"
@@ -24,6 +25,7 @@
 struct CoordinatorOptions {
     std::string host;
     GrantTiming grants;
+    OfficeTiming office;
     BalanceOptions balance;
     ShareOptions shares;
     Millis registrationPause { 700 }; // without a new server, before a new service's keys are dealt
@@ -36,6 +38,7 @@
     size_t standbys = 2; // hosts that follow the store as well, to take over at once
     size_t serversPerMove = 6; // moves at once: one for so many servers
     Millis hostSilence { 3'000 }; // a host that has not reported for so long no longer counts
+    Millis listEvery { 2'000 }; // the hosts that report are written to the store, if they have changed
     Millis storeTimeout { 1'000 };
 };
 
@@ -83,13 +86,21 @@
     void publish(GrantPlan&);
     void tell(const std::shared_ptr<HostState>&);
     boost::asio::awaitable<void> sendNews(std::shared_ptr<HostState>);
+    void noteFormer(std::string_view reporter);
     bool standsBy(std::string_view host) const;
     Millis reportInterval() const;
     void balance();
     double meanLifeSeconds() const; // of what is known of the keys' load
     std::vector<ServerCapacity> capacities(const GrantPlan&) const;
     boost::asio::awaitable<void> carryOut(GrantOrder, int64_t term, std::string service);
-    boost::asio::awaitable<void> write(std::vector<GrantTable>, int64_t term);
+    struct Writing {
+        std::vector<GrantTable> tables;
+        std::set<std::string, std::less<>> hosts; // empty: as they are
+    };
+
+    boost::asio::awaitable<void> write(Writing, int64_t term);
+    void writeWhatChanged();
+    std::set<std::string, std::less<>> hostsToList() const; // empty: those in the store are right
     void logEvents(GrantPlan&);
     void rememberServers();
     std::shared_ptr<HttpClient> clientFor(const std::string& server); // null: never registered since the term began
@@ -116,6 +127,10 @@
     std::map<std::string, ServerState, std::less<>> m_servers;
     std::map<std::string, std::shared_ptr<HostState>, std::less<>> m_hosts;
     bool m_writing = false;
+    OfficeRules m_office;
+    std::string m_former; // host that held the office before; empty: none, or it has stopped
+    LeaderView m_lastLeader; // another host, as of the last look out of office
+    Instant m_listedAt {};
     Instant m_lastBalance {};
     Instant m_silentSince {}; // most servers don't answer
     Millis m_storeSilence { 0 };
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -153,6 +153,10 @@
             LogLevel::Info, "coordinator-known", { { "coordinator", m_leader.host }, { "term", value.modRevision } });
         return;
     }
+    if (value.key == listedHostsKey()) {
+        noteListed(decodeListedHosts(value.value), value.modRevision);
+        return;
+    }
     if (isGrantTableKey(value.key)) {
         int64_t& revision = m_tableRevisions[value.key];
         if (value.modRevision <= revision)
@@ -231,4 +235,12 @@
     m_stored[table.service] = std::make_shared<const GrantTable>(table);
 }
 
+void PlatformView::noteListed(std::set<std::string, std::less<>> hosts, int64_t modRevision)
+{
+    if (modRevision <= m_listedRevision)
+        return;
+    m_listedRevision = modRevision;
+    m_listedHosts = std::move(hosts);
+}
+
 }
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -51,8 +51,10 @@
     std::shared_ptr<const GrantTable> table(std::string_view service) const; // the newest; null: none
     std::shared_ptr<const GrantTable> storedTable(std::string_view service) const; // as in the store
     const std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>>& tables() const { return m_tables; }
+    const std::set<std::string, std::less<>>& listedHosts() const { return m_listedHosts; } // as in the store
     int64_t modRevisionOf(const std::string& key) const; // of a table's key; 0: absent
     void noteWritten(const GrantTable&, int64_t modRevision); // this host wrote it
+    void noteListed(std::set<std::string, std::less<>> hosts, int64_t modRevision); // likewise
 
 private:
     void applyValue(const KeyValue&, Change&);
@@ -72,6 +74,8 @@
     std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_stored;
     std::map<std::string, int64_t> m_tableRevisions; // by key
     LeaderView m_leader;
+    std::set<std::string, std::less<>> m_listedHosts;
+    int64_t m_listedRevision = 0;
 };
 
 }
--- a/packages/resources/GrantTableCodec.cpp
+++ b/packages/resources/GrantTableCodec.cpp
@@ -136,4 +136,28 @@
 
 bool isGrantTableKey(std::string_view key) { return key.starts_with(prefix()); }
 
+std::string listedHostsKey() { return std::string(storePrefix) + "hosts"; }
+
+std::string encodeListedHosts(const std::set<std::string, std::less<>>& hosts)
+{
+    json::array names;
+    for (const auto& host : hosts)
+        names.emplace_back(host);
+    return json::serialize(names);
+}
+
+std::set<std::string, std::less<>> decodeListedHosts(std::string_view text)
+{
+    std::set<std::string, std::less<>> hosts;
+    boost::system::error_code error;
+    const json::value value = json::parse(text, error);
+    if (error || !value.is_array())
+        return hosts;
+    for (const auto& name : value.get_array()) {
+        if (name.is_string())
+            hosts.insert(std::string(name.get_string()));
+    }
+    return hosts;
+}
+
 }
--- a/packages/resources/GrantTableCodec.h
+++ b/packages/resources/GrantTableCodec.h
@@ -7,6 +7,7 @@
 #include "decisions/GrantTable.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -19,4 +20,9 @@
 std::string grantTableKey(std::string_view service); // in the store
 bool isGrantTableKey(std::string_view key);
 
+// The hosts by which the coordinator's office is judged (decisions/OfficeRules.h).
+std::string listedHostsKey(); // in the store
+std::string encodeListedHosts(const std::set<std::string, std::less<>>&);
+std::set<std::string, std::less<>> decodeListedHosts(std::string_view); // empty: malformed
+
 }
