The table names the coordinator that made it; an office ends as soon as a newer one is known

Cause: found by reading: a host whose view shows a newer coordinator reports to that one, while its own election had not yet heard from the store; and the former coordinator was taken from what this host had seen, which can miss one.

--- a/packages/decisions/GrantTable.h
+++ b/packages/decisions/GrantTable.h
@@ -38,6 +38,7 @@
 struct GrantTable {
     std::string service;
     TableEdition edition;
+    std::string coordinator; // host that made it
     uint64_t highestFence = 0; // no grant ever carried a higher one
     std::vector<KeyRange> ranges; // ascending, without gaps
 
--- a/packages/decisions/OfficeRules.cpp
+++ b/packages/decisions/OfficeRules.cpp
@@ -17,9 +17,8 @@
         return true;
     if (alone > m_timing.longest)
         return false;
-    const auto fresh = std::count_if(m_reports.begin(), m_reports.end(), [&](const auto& report) {
-        return m_listed.count(report.first) && now - report.second <= m_timing.freshness;
-    });
+    const auto fresh = std::count_if(m_reports.begin(), m_reports.end(),
+        [&](const auto& report) { return m_listed.count(report.first) && now - report.second <= m_timing.freshness; });
     return static_cast<size_t>(fresh) * 2 > m_listed.size();
 }
 
--- a/packages/decisions/SlotQueue.h
+++ b/packages/decisions/SlotQueue.h
@@ -45,7 +45,10 @@
     virtual void finished(PriorityClass, Millis took, Instant now) = 0; // 0: it was not used
     virtual std::optional<TicketId> startNext(Instant now) = 0; // now counted in flight; call until empty
 
-    virtual Instant nextStart(Instant) const { return Instant::max(); } // what waits may start then without a slot's end
+    virtual Instant nextStart(Instant) const
+    {
+        return Instant::max();
+    } // what waits may start then without a slot's end
 
     virtual Millis meanWork(PriorityClass) const = 0; // of the class at this server, from the moment it is sent
     virtual Millis expectedWait(PriorityClass) const = 0; // of a request that would join the queue now
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -3,9 +3,9 @@
 #include "base/Log.h"
 #include "resources/GrantTableCodec.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <algorithm>
 #include <cmath>
 
 namespace cumindale {
@@ -48,10 +48,8 @@
 asio::awaitable<void> Coordinator::run()
 {
     for (;;) {
-        if (!m_election.holds()) {
+        if (!inOffice()) {
             endTerm();
-            if (!m_view.leader().host.empty())
-                m_lastLeader = m_view.leader();
             co_await m_changed.wait(idleLook);
             continue;
         }
@@ -66,6 +64,10 @@
     }
 }
 
+// The view may know of a newer coordinator before the election's next word from the store: this host reports to that
+// one from then on, and must have stopped.
+bool Coordinator::inOffice() const { return m_election.holds() && m_view.leader().modRevision <= m_election.term(); }
+
 bool Coordinator::readyForTerm() const { return m_view.revision() >= m_election.term() && m_view.rules(); }
 
 void Coordinator::beginTerm()
@@ -76,9 +78,8 @@
     m_listedAt = m_clock.now();
     m_office = OfficeRules(m_options.office);
     m_office.setListed(m_view.listedHosts());
-    m_former = m_lastLeader.host;
-    logChange(LogLevel::Info, "coordination-begun",
-        { { "term", m_term }, { "former", m_former }, { "listedHosts", m_office.listed().size() } });
+    logChange(
+        LogLevel::Info, "coordination-begun", { { "term", m_term }, { "listedHosts", m_office.listed().size() } });
 }
 
 void Coordinator::endTerm()
@@ -89,6 +90,7 @@
     m_term = 0;
     m_plans.clear();
     m_registrations.clear();
+    m_formers.clear();
     m_published.clear();
     m_loads.clear();
     m_servers.clear();
@@ -143,12 +145,17 @@
         const auto table = m_view.storedTable(name);
         if (!table && !allRegistered(name))
             continue;
-        auto plan = std::make_unique<GrantPlan>(name, m_options.grants, m_term);
-        if (table)
+        auto& plan = m_plans[name];
+        plan = std::make_unique<GrantPlan>(name, m_options.grants, m_term);
+        if (table) {
             plan->takeOver(*table, now);
-        else
+            m_formers[name] = table->coordinator;
+            // This host's own former term has ended here; what it had sent arrives soon or never.
+            if (table->coordinator == m_options.host)
+                formerStopped(name, now, "it was this host");
+        } else {
             plan->begin(now);
-        m_plans.emplace(name, std::move(plan));
+        }
     }
 }
 
@@ -171,7 +178,7 @@
     const auto published = m_published.find(plan.service());
     if (published != m_published.end() && published->second.edition.edition >= plan.edition())
         return;
-    GrantTable table = plan.table();
+    GrantTable table = tableOf(plan);
     if (table.ranges.empty() || table.ranges.front().holder.empty())
         return;
     if (published != m_published.end()) {
@@ -351,7 +358,7 @@
     Writing writing;
     for (const auto& [service, plan] : m_plans) {
         if (plan->needsWrite(now))
-            writing.tables.push_back(plan->table());
+            writing.tables.push_back(tableOf(*plan));
     }
     // Hosts come in one after the other: their list is written with a table, or alone after a while.
     const bool overdue = now - m_listedAt >= m_options.listEvery;
@@ -471,8 +478,8 @@
         return false;
     size_t before = 0;
     for (const auto& [name, other] : m_hosts) {
-        const bool first = other->strength > found->second->strength
-            || (other->strength == found->second->strength && name < host);
+        const bool first
+            = other->strength > found->second->strength || (other->strength == found->second->strength && name < host);
         before += name != m_options.host && first;
     }
     return before < m_options.standbys;
@@ -484,20 +491,32 @@
     return Millis(std::llround(static_cast<double>(m_options.reportEvery.count()) * std::max(1.0, factor)));
 }
 
-void Coordinator::noteFormer(std::string_view reporter)
+GrantTable Coordinator::tableOf(const GrantPlan& plan) const
+{
+    GrantTable table = plan.table();
+    table.coordinator = m_options.host;
+    return table;
+}
+
+void Coordinator::noteFormers(std::string_view reporter)
 {
-    if (m_former.empty() || m_plans.empty())
-        return;
     const Instant now = m_clock.now();
-    // A report from the former coordinator's own host: it knows of this one, or has begun anew.
-    const bool itself = reporter == m_former;
-    if (!itself && !m_office.formerIsAlone())
-        return;
+    const auto formers = m_formers;
+    for (const auto& [service, former] : formers) {
+        // A report from the former coordinator's own host: it knows of this one, or has begun anew.
+        if (reporter == former)
+            formerStopped(service, now, "its host reports here");
+        else if (m_office.formerIsAlone())
+            formerStopped(service, m_office.formerEnd(now), "half of the hosts report here");
+    }
+}
+
+void Coordinator::formerStopped(const std::string& service, Instant at, std::string_view why)
+{
     logChange(LogLevel::Info, "former-coordinator-stopped",
-        { { "former", m_former }, { "why", itself ? "its host reports here" : "half of the hosts report here" } });
-    for (auto& [service, plan] : m_plans)
-        plan->formerStopped(itself ? now : m_office.formerEnd(now));
-    m_former.clear();
+        { { "service", service }, { "former", m_formers[service] }, { "why", why } });
+    m_plans.at(service)->formerStopped(at);
+    m_formers.erase(service);
 }
 
 wire::HostAdvice Coordinator::onReport(const wire::HostReport& report)
@@ -514,7 +533,7 @@
         host = std::make_shared<HostState>();
     host->heard = m_clock.now();
     m_office.reported(report.sender, host->heard);
-    noteFormer(report.sender);
+    noteFormers(report.sender);
     if (host->address != report.address && report.sender != m_options.host)
         host->link = makeCoordinationLink(m_executor, report.address, m_peerBytes);
     host->address = report.address;
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -77,6 +77,8 @@
         Instant since {};
     };
 
+    bool inOffice() const;
+    GrantTable tableOf(const GrantPlan&) const; // signed by this host
     bool readyForTerm() const; // the view has everything that was written before this host was elected
     void beginTerm();
     void endTerm();
@@ -86,7 +88,8 @@
     void publish(GrantPlan&);
     void tell(const std::shared_ptr<HostState>&);
     boost::asio::awaitable<void> sendNews(std::shared_ptr<HostState>);
-    void noteFormer(std::string_view reporter);
+    void noteFormers(std::string_view reporter);
+    void formerStopped(const std::string& service, Instant at, std::string_view why);
     bool standsBy(std::string_view host) const;
     Millis reportInterval() const;
     void balance();
@@ -128,8 +131,7 @@
     std::map<std::string, std::shared_ptr<HostState>, std::less<>> m_hosts;
     bool m_writing = false;
     OfficeRules m_office;
-    std::string m_former; // host that held the office before; empty: none, or it has stopped
-    LeaderView m_lastLeader; // another host, as of the last look out of office
+    std::map<std::string, std::string> m_formers; // by service: the host whose orders may still be under way
     Instant m_listedAt {};
     Instant m_lastBalance {};
     Instant m_silentSince {}; // most servers don't answer
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -57,12 +57,16 @@
     , m_reports(metrics.counter("reports_sent"))
     , m_reportsFailed(metrics.counter("reports_failed"))
     , m_view(adapter)
-    , m_follower(executor, clock, {}, store, m_view, metrics,
+    , m_follower(
+          executor, clock, {}, store, m_view, metrics,
           [this](const PlatformView::Change& change) { onViewChange(change); },
           [this](int64_t afterChange, const std::vector<WatchEvent>& events) {
               m_coordinator.onEvents(afterChange, events);
           })
-    , m_election(executor, clock, electionOptions(settings, [this] { m_coordinator.wake(); }, [this] { return standDelay(); }), store, m_view, metrics)
+    , m_election(executor, clock,
+          electionOptions(
+              settings, [this] { m_coordinator.wake(); }, [this] { return standDelay(); }),
+          store, m_view, metrics)
     , m_coordinator(executor, clock, adapter, coordinatorOptions(settings), store, m_view, m_election, metrics,
           [this](GrantTable table) { onViewChange(m_view.applyTable(std::move(table))); })
     , m_server(
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -30,8 +30,8 @@
     using ChangeSink = std::function<void(const PlatformView::Change&)>;
     using EventSink = std::function<void(int64_t afterChange, const std::vector<WatchEvent>&)>; // as they came
 
-    PlatformFollower(
-        boost::asio::any_io_executor, const Clock&, FollowerOptions, Store&, PlatformView&, Metrics&, ChangeSink, EventSink);
+    PlatformFollower(boost::asio::any_io_executor, const Clock&, FollowerOptions, Store&, PlatformView&, Metrics&,
+        ChangeSink, EventSink);
     boost::asio::awaitable<void> run(); // forever
     // The coordinator follows the store and tells this host of every change: it needn't ask itself. A change that the
     // coordinator knows of and this host doesn't is read after all.
--- a/packages/resources/GrantTableCodec.cpp
+++ b/packages/resources/GrantTableCodec.cpp
@@ -67,6 +67,7 @@
     object["service"] = table.service;
     object["term"] = table.edition.term;
     object["edition"] = table.edition.edition;
+    object["coordinator"] = table.coordinator;
     object["highestFence"] = table.highestFence;
     object["ranges"] = std::move(ranges);
     return json::serialize(object);
@@ -84,6 +85,8 @@
         table.service = object.at("service").as_string();
         table.edition.term = object.at("term").to_number<int64_t>();
         table.edition.edition = object.at("edition").to_number<uint64_t>();
+        if (const auto* coordinator = object.if_contains("coordinator"))
+            table.coordinator = coordinator->as_string();
         table.highestFence = object.at("highestFence").to_number<uint64_t>();
         for (const auto& range : object.at("ranges").as_array())
             table.ranges.push_back(decodeRange(range.as_array()));
