--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -274,6 +274,10 @@
 {
     if (usable(servers, item.range.next) || item.outstanding)
         return;
+    // A former coordinator may have granted it to the next server, or not yet: both count until the holder surely holds
+    // nothing. Only then does the next server take the holder's place below.
+    if (item.nextOrdered && !item.holderDone)
+        return;
     const std::string target = bestTarget(servers, item.range.next);
     if (target.empty())
         return;
--- a/tests/grant_plan_test.cpp
+++ b/tests/grant_plan_test.cpp
@@ -66,6 +66,14 @@
     CHECK(total.moves.load() > 2 * histories);
 }
 
+// Two servers held a key: a coordinator had announced a move from server 8 to server 3 and was lost before it released
+// server 8; server 3 was gone by then. The next coordinator looked for another target and took server 3, which might have
+// been granted the keys, for their only holder, while server 8 still held them.
+TEST_CASE("a move that a lost coordinator left behind lets go of its holder first, even if its target is gone")
+{
+    CHECK(play(1497, {}).twoHolders == 0);
+}
+
 TEST_CASE("each guard is needed: without it some history has two holders")
 {
     struct Case {
