--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -406,28 +406,38 @@
     asio::co_spawn(m_executor, write(std::move(writing), m_term), asio::detached);
 }
 
+// The revision at which all of it lies in the store, or 0. Where something else lies, the view learns its revision, so
+// that the next write's conditions are right.
+asio::awaitable<int64_t> Coordinator::readBack(std::vector<WriteOperation> writes)
+{
+    int64_t revision = 0;
+    bool all = true;
+    for (const auto& write : writes) {
+        const RangeReply found = co_await m_store.range(write.key, false, m_options.storeTimeout);
+        if (found.status != StoreStatus::Ok)
+            co_return 0;
+        const bool present = !found.values.empty();
+        all = all && present && found.values.front().value == write.value;
+        revision = present ? found.values.front().modRevision : 0;
+        const auto stored = present ? decodeGrantTable(found.values.front().value) : std::nullopt;
+        if (stored)
+            m_view.noteStored(*stored, revision);
+    }
+    co_return all ? revision : 0;
+}
+
 asio::awaitable<void> Coordinator::write(Writing writing, int64_t term)
 {
     const auto conditions = conditionsFor(m_election.fence(), writing.tables, m_view);
     const auto writes = writesOf(writing.tables, writing.hosts);
     m_writes.add();
     const TxnReply reply = co_await m_store.txn(conditions, writes, m_options.storeTimeout);
-    bool written = reply.status == StoreStatus::Ok && reply.succeeded;
-    int64_t revision = reply.revision;
-    if (!written) {
-        // The answer was lost, or a write whose answer was lost came through later: what lies there tells.
-        const RangeReply found = co_await m_store.range(writes.front().key, false, m_options.storeTimeout);
-        if (found.status == StoreStatus::Ok && !found.values.empty()) {
-            const auto& value = found.values.front();
-            written = value.value == writes.front().value;
-            revision = value.modRevision;
-            const auto stored = written ? std::nullopt : decodeGrantTable(value.value);
-            if (stored)
-                m_view.noteWritten(*stored, value.modRevision);
-        }
-    }
+    int64_t revision = reply.status == StoreStatus::Ok && reply.succeeded ? reply.revision : 0;
+    // The answer was lost, or a write whose answer was lost came through later: what lies there tells.
+    if (!revision)
+        revision = co_await readBack(writes);
     m_writing = false;
-    if (term != m_term || !written)
+    if (term != m_term || !revision)
         co_return;
     const Instant now = m_clock.now();
     for (const auto& table : writing.tables) {
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -107,6 +107,7 @@
     };
 
     boost::asio::awaitable<void> write(Writing, int64_t term);
+    boost::asio::awaitable<int64_t> readBack(std::vector<WriteOperation>);
     void writeWhatChanged();
     std::set<std::string, std::less<>> hostsToList() const; // empty: those in the store are right
     void logEvents(GrantPlan&);
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -235,6 +235,12 @@
     m_stored[table.service] = std::make_shared<const GrantTable>(table);
 }
 
+void PlatformView::noteStored(const GrantTable& table, int64_t modRevision)
+{
+    m_tableRevisions[grantTableKey(table.service)] = modRevision;
+    m_stored[table.service] = std::make_shared<const GrantTable>(table);
+}
+
 void PlatformView::noteListed(std::set<std::string, std::less<>> hosts, int64_t modRevision)
 {
     if (modRevision <= m_listedRevision)
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -54,6 +54,7 @@
     const std::set<std::string, std::less<>>& listedHosts() const { return m_listedHosts; } // as in the store
     int64_t modRevisionOf(const std::string& key) const; // of a table's key; 0: absent
     void noteWritten(const GrantTable&, int64_t modRevision); // this host wrote it
+    void noteStored(const GrantTable&, int64_t modRevision); // a reading of the store showed it just now
     void noteListed(std::set<std::string, std::less<>> hosts, int64_t modRevision); // likewise
 
 private:
--- a/tests/grant_model.cpp
+++ b/tests/grant_model.cpp
@@ -343,6 +343,9 @@
                 coordinate(index);
         }
 
+        // From here on nothing moves by plan: a planned move leaves its keys without a holder for some 20 ms.
+        bool settled() const { return m_now >= Instant(calmFrom - Millis(4'000)); }
+
         bool mayAct(const Host& host) const
         {
             return m_guards.officeEnds ? host.office->mayAct(host.confirmed, m_now)
@@ -423,12 +426,13 @@
                 RegisteredServer entry;
                 entry.id = server.id;
                 entry.service = service;
-                entry.leaving = m_now.time_since_epoch().count() / 5'000 % 7 == (&server - m_servers.data());
+                entry.leaving
+                    = !settled() && m_now.time_since_epoch().count() / 5'000 % 7 == (&server - m_servers.data());
                 if (server.up)
                     registered.emplace(server.id, entry);
             }
             host.plan->maintain(registered, m_now);
-            if (perSecond(3) && !registered.empty()) {
+            if (!settled() && perSecond(3) && !registered.empty()) {
                 const auto first = static_cast<uint32_t>(below(numberedKeys - 1'000));
                 auto to = registered.begin();
                 std::advance(to, static_cast<ptrdiff_t>(below(registered.size())));
--- a/tests/grant_plan_test.cpp
+++ b/tests/grant_plan_test.cpp
@@ -36,7 +36,7 @@
                 total.taken += outcome.grantsTaken;
                 total.moves += outcome.moves;
                 total.terms += outcome.terms;
-                total.served += outcome.servedShare > 0.999;
+                total.served += outcome.servedShare >= 1;
             }
         });
     }
@@ -67,8 +67,8 @@
 }
 
 // Two servers held a key: a coordinator had announced a move from server 8 to server 3 and was lost before it released
-// server 8; server 3 was gone by then. The next coordinator looked for another target and took server 3, which might have
-// been granted the keys, for their only holder, while server 8 still held them.
+// server 8; server 3 was gone by then. The next coordinator looked for another target and took server 3, which might
+// have been granted the keys, for their only holder, while server 8 still held them.
 TEST_CASE("a move that a lost coordinator left behind lets go of its holder first, even if its target is gone")
 {
     CHECK(play(1497, {}).twoHolders == 0);
