--- a/packages/decisions/GrantTable.h
+++ b/packages/decisions/GrantTable.h
@@ -4,7 +4,6 @@
 // the store before it acts on it; hosts route by it. It is a hint for hosts: the grant at the server decides.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -32,7 +31,11 @@
     int64_t term = 0; // of the coordinator that made it
     uint64_t edition = 0;
 
-    auto operator<=>(const TableEdition&) const = default;
+    bool operator==(const TableEdition& other) const { return term == other.term && edition == other.edition; }
+    bool operator<(const TableEdition& other) const
+    {
+        return term != other.term ? term < other.term : edition < other.edition;
+    }
 };
 
 struct GrantTable {
--- a/packages/decisions/KeyBalance.cpp
+++ b/packages/decisions/KeyBalance.cpp
@@ -157,6 +157,7 @@
     }
 
     std::vector<ServerState*> order;
+    order.reserve(states.size());
     for (auto& [id, state] : states)
         order.push_back(&state);
     while (moving + moves.size() < options.movesAtOnce) {
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -233,8 +233,8 @@
     host->sending = true;
     while (host->anyUnsent) {
         host->anyUnsent = false;
-        wire::News news = std::exchange(host->unsent, {});
-        if (!co_await host->link->adopt(std::move(news), pushTimeout))
+        const wire::News news = std::exchange(host->unsent, {});
+        if (!co_await host->link->adopt(news, pushTimeout))
             break;
     }
     host->unsent = {};
@@ -594,7 +594,7 @@
     }
     for (const auto& [name, table] : m_view.tables()) {
         const auto held = std::find_if(report.services.begin(), report.services.end(),
-            [&](const wire::ServiceUse& service) { return service.serviceName == name; });
+            [&wanted = name](const wire::ServiceUse& service) { return service.serviceName == wanted; });
         const TableEdition edition = held == report.services.end()
             ? TableEdition {}
             : TableEdition { held->term, static_cast<uint64_t>(held->edition) };
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -29,7 +29,6 @@
     constexpr double budgetUsed = 0.75;
     constexpr Millis retryPause { 4 }; // at least, and up to as much again
     constexpr Millis leaveMargin { 500 }; // for the way to the server, before it must get nothing new
-    constexpr double newestWork = 0.05; // weight of the newest request in a route's mean work
     constexpr Millis answerWay { 10 }; // of an answer to its caller, some ms away
     constexpr Millis notHeldPause { 150 }; // for the news of a key's move to come
     constexpr Millis firstWork { 100 }; // guess for a route's work until one has ended
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -80,7 +80,7 @@
 {
     Change change;
     auto& held = m_tables[table.service];
-    if (held && held->edition >= table.edition)
+    if (held && !(held->edition < table.edition))
         return change;
     change.tables.insert(table.service);
     held = std::make_shared<const GrantTable>(std::move(table));
