Documents of the platform; late answers are told; lines about requests are bounded and name target, slots and times

Cause: an on-call engineer could not tell from a line how long a request waited and where; refusals under load came by the thousand.

--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -8,6 +8,25 @@
 
 // Sections: beginning, answers, planning, orders, looking.
 
+std::string_view nameOf(OrderResult result)
+{
+    switch (result) {
+    case OrderResult::Done:
+        return "done";
+    case OrderResult::HigherFence:
+        return "higher-fence";
+    case OrderResult::OtherServer:
+        return "other-server";
+    case OrderResult::Rejected:
+        return "rejected";
+    case OrderResult::Unanswered:
+        return "unanswered";
+    case OrderResult::NotSent:
+        return "not-sent";
+    }
+    return "unanswered";
+}
+
 GrantPlan::GrantPlan(std::string service, GrantTiming timing, int64_t term)
     : m_service(std::move(service))
     , m_timing(timing)
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -71,6 +71,8 @@
     NotSent, // surely did not arrive
 };
 
+std::string_view nameOf(OrderResult);
+
 struct OrderAnswer {
     uint64_t range = 0;
     uint64_t number = 0;
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -336,7 +336,7 @@
         logChange(LogLevel::Warning, "grant-order-failed",
             { { "service", service }, { "server", order.server }, { "first", order.first }, { "last", order.last },
                 { "fence", order.fence }, { "kind", order.kind == GrantOrder::Kind::Grant ? "grant" : "release" },
-                { "result", static_cast<int>(answer.result) } });
+                { "result", nameOf(answer.result) } });
     }
     const auto plan = m_plans.find(service);
     if (plan == m_plans.end())
@@ -354,6 +354,7 @@
         const Compare& office, const std::vector<GrantTable>& tables, const PlatformView& view)
     {
         std::vector<Compare> conditions { office };
+        conditions.reserve(tables.size() + 1);
         for (const auto& table : tables) {
             const std::string key = grantTableKey(table.service);
             conditions.push_back({ key, view.modRevisionOf(key) });
@@ -365,6 +366,7 @@
         const std::vector<GrantTable>& tables, const std::set<std::string, std::less<>>& hosts)
     {
         std::vector<WriteOperation> writes;
+        writes.reserve(tables.size() + 1);
         for (const auto& table : tables)
             writes.push_back({ grantTableKey(table.service), encodeGrantTable(table) });
         if (!hosts.empty())
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -77,6 +77,7 @@
     int64_t arrivedMicros = 0;
     int64_t serverMicros = 0; // time spent in exchanges
     unsigned sends = 0;
+    unsigned share = 0; // of the last server's slots, as this host had it
     bool maybeRan = false; // an earlier try may have run
     ErrorKind unknown = ErrorKind::None; // how the try ended of which that isn't known
     std::vector<std::string> tried; // server ids
@@ -243,6 +244,8 @@
         const ErrorKind error = co_await tryOnce(job, response);
         if (error == ErrorKind::None) {
             m_answered.add();
+            if (m_clock.now() > job.target)
+                logRequest(job, "answered-late", error, job.tried.back());
             co_return response;
         }
         if (job.presence.gone || !mayTryAgain(job, error))
@@ -349,6 +352,7 @@
     const auto server = at.server;
     const Instant asked = m_clock.now();
     server->count(asked);
+    job.share = server->pool.admission().limit();
     const SlotRequest slot { 0, job.priority, job.route->priority, job.arrived, job.target, job.deadline };
     const auto admitted = co_await server->pool.admit(slot);
     if (admitted == ServerPool::Admitted::Evicted)
@@ -502,16 +506,46 @@
     }
 }
 
+// Under load refusals come by the thousand. Lines are bounded; what is left out is counted in the next one.
+bool Gateway::mayLog()
+{
+    constexpr double linesPerSecond = 100; // about 30 kB/s, and 1% of a small host's processor time
+    constexpr double burst = 200;
+    const Instant now = m_clock.now();
+    m_lines = std::min(burst, m_lines + linesPerSecond * static_cast<double>((now - m_linesCounted).count()) / 1000);
+    m_linesCounted = now;
+    if (m_lines < 1) {
+        ++m_linesLeftOut;
+        m_metrics.counter("log_lines_left_out").add();
+        return false;
+    }
+    m_lines -= 1;
+    return true;
+}
+
 void Gateway::logRequest(const Job& job, std::string_view event, ErrorKind error, std::string_view server)
 {
+    if (!mayLog())
+        return;
     const auto table = m_tables.find(job.service);
-    logChange(LogLevel::Info, event,
-        { { "request", job.id }, { "error", answerFor(error).name }, { "ran", toString(answerFor(error).ran) },
-            { "route", job.route ? job.route->name : std::string() }, { "service", job.service },
-            { "key", job.keyed ? static_cast<int64_t>(job.key) : -1 }, { "server", server }, { "sends", job.sends },
-            { "afterMs", (m_clock.now() - job.arrived).count() },
-            { "deadlineMs", (job.deadline - job.arrived).count() }, { "rules", job.rules ? job.rules->version : 0 },
-            { "edition", table == m_tables.end() ? 0 : table->second->edition.edition } });
+    boost::json::object line;
+    line["request"] = job.id;
+    line["error"] = answerFor(error).name;
+    line["ran"] = toString(answerFor(error).ran);
+    line["route"] = job.route ? job.route->name : std::string();
+    line["service"] = job.service;
+    line["key"] = job.keyed ? static_cast<int64_t>(job.key) : -1;
+    line["server"] = server;
+    line["sends"] = job.sends;
+    line["slots"] = job.share;
+    line["afterMs"] = (m_clock.now() - job.arrived).count();
+    line["atServersMs"] = job.serverMicros / 1000;
+    line["targetMs"] = (job.target - job.arrived).count();
+    line["deadlineMs"] = (job.deadline - job.arrived).count();
+    line["rules"] = job.rules ? job.rules->version : 0;
+    line["edition"] = table == m_tables.end() ? 0 : table->second->edition.edition;
+    line["leftOut"] = std::exchange(m_linesLeftOut, 0);
+    logChange(LogLevel::Info, event, std::move(line));
 }
 
 // --- Reports
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -74,6 +74,7 @@
     double retryBurst() const; // second sends that this host may have saved up
     RetryBudget& budgetOf(const std::string& service);
     void logRequest(const Job&, std::string_view event, ErrorKind, std::string_view server);
+    bool mayLog(); // within the bound on lines about requests
 
     boost::asio::awaitable<void> reportLoop();
     GatewayReport makeReport();
@@ -101,6 +102,9 @@
     SplitDealer m_splits;
     std::map<std::string, Millis, std::less<>> m_longestPatience; // of callers, by route
     std::map<std::string, std::unordered_map<uint32_t, uint64_t>> m_keyUse; // busy µs since the last report
+    double m_lines = 0; // that may be written at once
+    uint64_t m_linesLeftOut = 0; // since the last that was written
+    Instant m_linesCounted {};
     Signal m_changed; // tables or servers
     Instant m_lastReport {};
 };
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -45,6 +45,29 @@
     CHECK(faultOfSettings(settingsWith(R"(,"timing":{"beatMs":"fast"})"))->field == "timing.beatMs");
 }
 
+TEST_CASE("a gateway's settings name endpoints in one text; a null counts as absent")
+{
+    const auto gateway = [](std::string_view more, std::string_view store = R"("10.0.0.9:7000")") {
+        return R"({"host":{"name":"a","dataCentre":"d","callers":"10.0.0.1:80","peers":"10.0.0.1:81",
+            "operators":"10.0.0.1:82","store":)"
+            + std::string(store) + R"(},"gateway":{"platform":"metadata-store","readiness":"10.0.0.1:83")"
+            + std::string(more) + "}}";
+    };
+    Settings settings;
+    CHECK_FALSE(faultOfSettings(gateway(R"(,"longestHoldSeconds":null,"graceSeconds":6.5)"), &settings).has_value());
+    CHECK(settings.host.store.address == "10.0.0.9");
+    CHECK(settings.host.store.port == 7000);
+    REQUIRE(settings.gateway);
+    CHECK(settings.gateway->longestHold == Millis(10'000));
+    CHECK(settings.gateway->grace == Millis(6'500));
+    CHECK(faultOfSettings(gateway("", R"("10.0.0.9")"))->field == "host.store");
+    CHECK(faultOfSettings(gateway("", R"("here:7000")"))->field == "host.store");
+    CHECK(faultOfSettings(gateway(R"(,"graceSeconds":0)"))->field == "gateway.graceSeconds");
+    CHECK(faultOfSettings(gateway(R"(,"grace":1)"))->field == "gateway.grace");
+    CHECK(faultOfSettings(R"({"gateway":{"platform":"other","readiness":"10.0.0.1:83"}})")->text()
+        == "gateway.platform: one of metadata-store");
+}
+
 TEST_CASE("any text is refused with a reason; nothing escapes")
 {
     CHECK(rc::check([](const std::string& text) { RC_ASSERT(faultOfSettings(text).has_value()); }));
