--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <thread>
 
 namespace cumindale {
@@ -53,9 +54,14 @@
             , m_controlDuty(m_control.get_executor(), m_clock, settings, adapter, *m_store, m_metrics,
                   [this](GatewayUpdate update) { return m_toRouting.push(std::move(update)); })
             , m_readiness(m_operators.get_executor(), settings.gateway->readiness.address,
-                  settings.gateway->readiness.port, handlerOf(&GatewayHost::answerReadiness))
+                  settings.gateway->readiness.port,
+                  [this](const ServedRequest& request, boost::beast::tcp_stream&) {
+                      return answerReadiness(std::string(request.target()));
+                  })
             , m_admin(m_operators.get_executor(), settings.host.operators.address, settings.host.operators.port,
-                  handlerOf(&GatewayHost::answerOperator))
+                  [this](const ServedRequest& request, boost::beast::tcp_stream&) {
+                      return answerOperator(std::string(request.target()));
+                  })
             , m_signals(m_routing, SIGTERM, SIGINT, SIGHUP)
         {
         }
@@ -76,31 +82,26 @@
         }
 
     private:
-        using Answer = ServedResponse (GatewayHost::*)(const ServedRequest&);
-
-        HttpServer::Handler handlerOf(Answer answer)
+        asio::awaitable<std::optional<ServedResponse>> answerReadiness(std::string target)
         {
-            return [this, answer](const ServedRequest& request,
-                       boost::beast::tcp_stream&) -> asio::awaitable<std::optional<ServedResponse>> {
-                co_return (this->*answer)(request);
-            };
+            if (target != m_adapter.readinessPath())
+                co_return makeResponse(404, "{}");
+            co_return makeResponse(m_ready ? 200 : 503, m_ready ? "{\"ready\":true}" : "{\"ready\":false}");
         }
 
-        ServedResponse answerReadiness(const ServedRequest& request)
+        asio::awaitable<std::optional<ServedResponse>> answerOperator(std::string target)
         {
-            if (request.target() != m_adapter.readinessPath())
-                return makeResponse(404, "{}");
-            return makeResponse(m_ready ? 200 : 503, m_ready ? "{\"ready\":true}" : "{\"ready\":false}");
-        }
-
-        ServedResponse answerOperator(const ServedRequest& request)
-        {
-            const std::string path = parseTarget(request.target()).path;
+            const std::string path = parseTarget(target).path;
             if (path == "/metrics")
-                return makeResponse(200, m_metrics.text(), "text/plain");
-            return makeResponse(404, "{}");
+                co_return makeResponse(200, m_metrics.text(), "text/plain");
+            if (path == "/status")
+                co_return makeResponse(200, co_await asio::co_spawn(m_control, status(), asio::use_awaitable));
+            co_return makeResponse(404, "{}");
         }
 
+        // On the control duty's thread, whose state it shows.
+        asio::awaitable<std::string> status() { co_return m_controlDuty.statusText(); }
+
         void drainToRouting()
         {
             m_toRouting.drain([this](GatewayUpdate update) { m_gateway.apply(std::move(update)); });
--- a/apps/cumindaled/main.cpp
+++ b/apps/cumindaled/main.cpp
@@ -4,6 +4,7 @@
 #include "GatewayHost.h"
 #include "Host.h"
 
+#include "base/Log.h"
 #include "resources/ResourceCodec.h"
 #include "resources/Settings.h"
 
@@ -58,5 +59,7 @@
         std::cout << file << ": ok\n";
         return 0;
     }
-    return settings.gateway ? cumindale::runGatewayHost(settings, file) : cumindale::runHost(settings);
+    const int status = settings.gateway ? cumindale::runGatewayHost(settings, file) : cumindale::runHost(settings);
+    cumindale::stopLog();
+    return status;
 }
--- a/packages/resources/GrantTableCodec.cpp
+++ b/packages/resources/GrantTableCodec.cpp
@@ -45,6 +45,31 @@
         return range;
     }
 
+    std::vector<KeyRange> decodeRanges(const json::object& object)
+    {
+        std::vector<KeyRange> ranges;
+        for (const auto& range : object.at("ranges").as_array())
+            ranges.push_back(decodeRange(range.as_array()));
+        return ranges;
+    }
+
+    // Nothing: not JSON, a field is missing or has another type, or `read` says that it makes no sense.
+    template <typename Value, typename Read> std::optional<Value> decodeWith(std::string_view text, Read&& read)
+    {
+        boost::system::error_code error;
+        const json::value value = json::parse(text, error);
+        if (error)
+            return std::nullopt;
+        try {
+            Value decoded;
+            if (read(value.as_object(), decoded))
+                return decoded;
+        } catch (const std::exception&) {
+            return std::nullopt;
+        }
+        return std::nullopt;
+    }
+
     bool coversAllKeys(const GrantTable& table)
     {
         uint32_t expected = 0;
@@ -75,27 +100,16 @@
 
 std::optional<GrantTable> decodeGrantTable(std::string_view text)
 {
-    boost::system::error_code error;
-    const json::value value = json::parse(text, error);
-    if (error)
-        return std::nullopt;
-    try {
-        const json::object& object = value.as_object();
-        GrantTable table;
+    return decodeWith<GrantTable>(text, [](const json::object& object, GrantTable& table) {
         table.service = object.at("service").as_string();
         table.edition.term = object.at("term").to_number<int64_t>();
         table.edition.edition = object.at("edition").to_number<uint64_t>();
         if (const auto* coordinator = object.if_contains("coordinator"))
             table.coordinator = coordinator->as_string();
         table.highestFence = object.at("highestFence").to_number<uint64_t>();
-        for (const auto& range : object.at("ranges").as_array())
-            table.ranges.push_back(decodeRange(range.as_array()));
-        if (coversAllKeys(table))
-            return table;
-    } catch (const std::exception&) {
-        return std::nullopt; // a field is missing or has another type
-    }
-    return std::nullopt;
+        table.ranges = decodeRanges(object);
+        return coversAllKeys(table);
+    });
 }
 
 std::string encodeGrantChange(const GrantTableChange& change)
@@ -115,24 +129,15 @@
 
 std::optional<GrantTableChange> decodeGrantChange(std::string_view text)
 {
-    boost::system::error_code error;
-    const json::value value = json::parse(text, error);
-    if (error)
-        return std::nullopt;
-    try {
-        const json::object& object = value.as_object();
-        GrantTableChange change;
+    return decodeWith<GrantTableChange>(text, [](const json::object& object, GrantTableChange& change) {
         change.service = object.at("service").as_string();
         change.to.term = object.at("term").to_number<int64_t>();
         change.to.edition = object.at("edition").to_number<uint64_t>();
         change.from.term = object.at("fromTerm").to_number<int64_t>();
         change.from.edition = object.at("fromEdition").to_number<uint64_t>();
-        for (const auto& range : object.at("ranges").as_array())
-            change.ranges.push_back(decodeRange(range.as_array()));
-        return change;
-    } catch (const std::exception&) {
-        return std::nullopt; // a field is missing or has another type
-    }
+        change.ranges = decodeRanges(object);
+        return true;
+    });
 }
 
 std::string grantTableKey(std::string_view service) { return prefix() + std::string(service); }
