Lease, longest time without the store and report timeout stand once for election, office and plans

Cause: found by reading the whole change: the office's rules kept their own copies of the lease and of the time without the store; with leaderLeaseSeconds set below 1.5 a coordinator would have acted past its lease.

--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -24,11 +24,18 @@
 
     int32_t inCenti(double value) { return static_cast<int32_t>(std::lround(value * centi)); }
 
+    Millis leaseOf(const GatewaySettings& gateway) { return std::max(gateway.leaderLease, gateway.shortestLease); }
+
     CoordinatorOptions coordinatorOptions(const Settings& settings)
     {
         CoordinatorOptions options;
         options.host = settings.host.name;
         options.grants.hold = std::min(settings.gateway->longestHold, options.grants.hold);
+        // One figure each for what the election, the office and the plans must agree on: an office that acted longer
+        // than its lease, or than a successor waits, could leave a key with two holders.
+        options.office.lease = leaseOf(*settings.gateway);
+        options.office.longest = options.grants.renewsWithoutStore;
+        options.office.reportTimeout = reportTimeout;
         return options;
     }
 
@@ -38,7 +45,7 @@
         ElectionOptions options;
         options.host = settings.host.name;
         options.address = textOf(settings.host.peers);
-        options.lease = std::max(settings.gateway->leaderLease, settings.gateway->shortestLease);
+        options.lease = leaseOf(*settings.gateway);
         options.callTimeout = Millis(800); // of a store that answers slowly; a lost answer is asked for again
         options.whenChanged = std::move(whenChanged);
         options.standDelay = std::move(standDelay);
