Connections are reset also when their timeout closes them

Beast's stream closes its socket itself when its timeout passes, without a reset, so the kernel kept the bytes and delivered them. Change: linger is set to zero when a connection is made, so that any close drops what is under way. The new test of the HTTP client saw an orderly end before and sees a reset now. The same held up requests of callers to cut servers, which could run after their caller had left.

--- a/packages/web/Sockets.cpp
+++ b/packages/web/Sockets.cpp
@@ -33,6 +33,15 @@
         socket.set_option(tcp::no_delay(true), ignored);
     }
 
+    // A request given up behind a cut path would else be delivered when the cut heals, seconds later: to a server that
+    // is an old grant, taken for a new one. A stream whose timeout has passed closes its socket by itself, so this is
+    // set from the start, not when a connection is given up.
+    void dropBytesOnClose(tcp::socket& socket)
+    {
+        boost::system::error_code ignored; // the other side may have gone already
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+
     // A connection whose path went silent for good would otherwise be found out only by the request that is lost on
     // it: probes end it after about three seconds (tcp(7), TCP_KEEPIDLE and following).
     void probeWhileIdle(tcp::socket& socket)
@@ -59,6 +68,7 @@
     const auto [error] = co_await stream.async_connect(endpoint, token);
     if (!error) {
         sendAtOnce(stream.socket());
+        dropBytesOnClose(stream.socket());
         probeWhileIdle(stream.socket());
     }
     co_return !error;
@@ -82,7 +92,6 @@
 void resetConnection(boost::beast::tcp_stream& stream)
 {
     boost::system::error_code ignored; // it may be closed already
-    stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     stream.socket().close(ignored);
 }
 
--- a/packages/web/Sockets.h
+++ b/packages/web/Sockets.h
@@ -11,13 +11,14 @@
 
 namespace cumindale {
 
+// However the connection is closed later, bytes still on their way are dropped (RST): after a timeout a request must not
+// linger in a socket buffer behind a cut path, and arrive when its answer no longer matters.
 boost::asio::awaitable<bool> connectTo(boost::beast::tcp_stream&, std::string address, uint16_t port, Millis timeout);
 
 // The next connection; nothing once the acceptor is closed. Other errors are waited out.
 boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>> acceptFrom(boost::asio::ip::tcp::acceptor&);
 
-// Closes the connection so that bytes still on their way are dropped (RST): after a timeout a request must not linger
-// in a socket buffer behind a cut path, and arrive when its answer no longer matters.
+// Closes a connection made by connectTo() at once.
 void resetConnection(boost::beast::tcp_stream&);
 
 // Of a connection on which nothing is expected.
