A server that answers hosts is not taken for lost; orders overtake those without an answer

Orders to one server went one after the other over one connection, so each without an answer held the others up for 0.4 s; after 0.8 s the coordinator took the server for lost (256 moves "the owner doesn't answer"), and hosts refused its keys until the hold had run out, although the server served all the while. Change: a further sender starts when the last order has had no answer for 100 ms (six at most); a server of which hosts report answers is taken for lost after 2 s instead of 0.8 s, and until its hold ends hosts go on sending to it (HolderState::Unreachable) until it refuses; after a refusal they pause for 0.3 s.

--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -105,12 +105,24 @@
         if (answers.last == Instant {})
             answers.last = endedAt; // counted from the first order
         ++answers.misses;
-        answers.silent = answers.misses >= m_timing.missesUntilSuspect && endedAt - answers.last >= m_timing.silence;
+        const Millis silence = serves(server, endedAt) ? m_timing.silenceWhileServing : m_timing.silence;
+        answers.silent = answers.misses >= m_timing.missesUntilSuspect && endedAt - answers.last >= silence;
     } else {
-        answers = { 0, endedAt, false };
+        answers.misses = 0;
+        answers.last = endedAt;
+        answers.silent = false;
     }
 }
 
+void GrantPlan::served(const std::string& server, Instant at) { m_answers[server].served = at; }
+
+bool GrantPlan::serves(std::string_view server, Instant now) const
+{
+    const auto found = m_answers.find(server);
+    return found != m_answers.end() && found->second.served != Instant {}
+        && now - found->second.served <= m_timing.servingWithin;
+}
+
 void GrantPlan::onAnswer(const OrderAnswer& answer)
 {
     Item* item = find(answer.range);
@@ -148,7 +160,7 @@
     const Instant unanswered = item.nextHoldsUntil;
     item.range.holder = std::exchange(item.range.next, {});
     item.range.fence = std::exchange(item.range.nextFence, 0);
-    item.range.holderLost = false;
+    item.range.holderState = HolderState::LettingGo;
     item.confirmed = true;
     item.holderDone = false;
     item.released = false;
@@ -235,7 +247,7 @@
 {
     item.range.next = to;
     item.range.nextFence = ++m_highestFence;
-    item.range.holderLost = isSilent(item.range.holder) && !item.holderDone;
+    item.range.holderState = HolderState::LettingGo;
     item.nextOrdered = false;
     item.nextHoldsUntil = {};
     item.nextFormerUntil = {};
@@ -290,8 +302,26 @@
     }
 }
 
-void GrantPlan::maintainMoving(Item& item, const Servers& servers)
+void GrantPlan::noteHolderState(Item& item, Instant now)
+{
+    HolderState state = item.range.holderState;
+    const auto next = m_answers.find(item.range.next);
+    if (item.holderDone || item.released) {
+        // What had to be waited for so far may take longer still: hosts don't keep their callers waiting for it.
+        const bool nextMisses = next != m_answers.end() && next->second.misses;
+        state = state == HolderState::LettingGo && !nextMisses ? state : HolderState::Lost;
+    } else if (isSilent(item.range.holder)) {
+        state = serves(item.range.holder, now) ? HolderState::Unreachable : HolderState::Lost;
+    }
+    if (state == item.range.holderState)
+        return;
+    item.range.holderState = state;
+    ++m_edition; // hosts are told; the announcement of the move stands, and its orders needn't wait for a write
+}
+
+void GrantPlan::maintainMoving(Item& item, const Servers& servers, Instant now)
 {
+    noteHolderState(item, now);
     if (usable(servers, item.range.next) || item.outstanding)
         return;
     // A former coordinator may have granted it to the next server, or not yet: both count until the holder surely holds
@@ -315,7 +345,7 @@
     setNext(item, target, "the next owner is gone");
 }
 
-void GrantPlan::maintain(const Servers& servers, Instant)
+void GrantPlan::maintain(const Servers& servers, Instant now)
 {
     if (m_items.size() == 1 && m_items.front().range.holder.empty() && !m_items.front().range.moving()) {
         spreadFirst(servers);
@@ -329,7 +359,7 @@
     const bool cutOff = mostAreSilent();
     for (auto& item : m_items) {
         if (item.range.moving()) {
-            maintainMoving(item, servers);
+            maintainMoving(item, servers, now);
             continue;
         }
         const auto holder = servers.find(item.range.holder);
@@ -339,6 +369,8 @@
             moveAway(item, servers, "the owner is leaving");
         else if (isSilent(item.range.holder) && !cutOff)
             moveAway(item, servers, "the owner doesn't answer");
+        if (item.range.moving())
+            noteHolderState(item, now);
     }
     join();
 }
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -43,6 +43,10 @@
     // overloaded resets connections now and then.
     unsigned missesUntilSuspect = 2;
     Millis silence { 800 };
+    // While hosts get answers from it, orders or their answers are lost on the way: another try costs nothing, and
+    // moving its keys would leave them without an owner until its hold has run out.
+    Millis silenceWhileServing { 2'000 };
+    Millis servingWithin { 700 }; // a host's report of an answer counts for so long: two report intervals and their way
     // A coordinator that can't reach the store goes on renewing for so long (longer than the outages that hosts
     // see), and a new one waits as long for holders that it can't reach.
     Millis renewsWithoutStore { 12'000 };
@@ -104,6 +108,7 @@
     using Servers = std::map<std::string, RegisteredServer, std::less<>>;
     void maintain(const Servers&, Instant now); // plans moves away from servers that leave, are gone or don't answer
     void onAnswer(const OrderAnswer&);
+    void served(const std::string& server, Instant at); // a host has had an answer of it
     bool move(uint32_t first, uint32_t last, const std::string& to, std::string why); // cut out and moved; false: busy
     // The former coordinator sends nothing after `at`: holders that can't be reached are waited for no longer than one
     // hold from then.
@@ -159,7 +164,9 @@
     bool usable(const Servers&, const std::string& server) const;
     std::string bestTarget(const Servers&, const std::string& except) const;
     void spreadFirst(const Servers&);
-    void maintainMoving(Item&, const Servers&);
+    void maintainMoving(Item&, const Servers&, Instant now);
+    void noteHolderState(Item&, Instant now); // of a moving range
+    bool serves(std::string_view server, Instant now) const; // answers hosts
     void join(); // neighbours that are held by one server with one fence become one range
     Item* find(uint64_t id);
     std::optional<GrantOrder> steadyOrder(Item&, Instant now);
@@ -184,6 +191,7 @@
     struct Answers {
         unsigned misses = 0; // orders in a row without an answer
         Instant last {}; // when it last answered
+        Instant served {}; // when it last answered a host
         bool silent = false;
     };
 
--- a/packages/decisions/GrantTable.h
+++ b/packages/decisions/GrantTable.h
@@ -12,6 +12,13 @@
 
 constexpr uint32_t numberedKeys = 65'536;
 
+// What the holder of a moving range does.
+enum class HolderState : uint8_t {
+    LettingGo, // it is asked to, or has: a matter of milliseconds
+    Lost, // it answers nobody: its hold must run out
+    Unreachable, // it answers hosts but not the coordinator: it serves until its hold runs out, and then refuses
+};
+
 struct KeyRange {
     uint32_t first = 0;
     uint32_t last = numberedKeys - 1; // included
@@ -19,7 +26,7 @@
     uint64_t fence = 0; // of the holder's grant
     std::string next; // server id to which it moves; empty: it stays
     uint64_t nextFence = 0;
-    bool holderLost = false; // moving, and the holder doesn't answer: it takes up to one hold
+    HolderState holderState = HolderState::LettingGo; // of a moving range
 
     bool operator==(const KeyRange&) const = default;
     bool moving() const { return !next.empty(); }
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -121,6 +121,7 @@
         cutOff |= plan->mostAreSilent();
         publish(*plan);
     }
+    overtakeUnanswered();
     if (!cutOff)
         m_silentSince = now;
     else if (now - m_silentSince > cutOffAfter) {
@@ -290,22 +291,42 @@
     const std::string server = order.server;
     ServerState& state = m_servers[server];
     state.grants.emplace_back(std::move(order), service);
-    if (state.sending)
-        return;
-    state.sending = true;
+    if (!state.senders)
+        startSender(server, state);
+}
+
+void Coordinator::startSender(const std::string& server, ServerState& state)
+{
+    ++state.senders;
+    state.sentAt = m_clock.now();
     asio::co_spawn(m_executor, sendGrants(server, m_term), asio::detached);
 }
 
+// Answers to orders get lost now and then, and each holds its connection up until it is given up. The orders behind it
+// must not wait so long: with half of the answers lost, a server's ranges would lapse one after the other.
+void Coordinator::overtakeUnanswered()
+{
+    constexpr Millis answersWithin { 100 }; // most orders are answered within a few ms
+    constexpr unsigned mostSenders = 6; // connections to a server that doesn't answer at all
+    const Instant now = m_clock.now();
+    for (auto& [server, state] : m_servers) {
+        const bool stuck = state.senders && !state.grants.empty() && now - state.sentAt > answersWithin;
+        if (stuck && state.senders < mostSenders)
+            startSender(server, state);
+    }
+}
+
 asio::awaitable<void> Coordinator::sendGrants(std::string server, int64_t term)
 {
     while (term == m_term) {
         ServerState& state = m_servers[server];
         if (state.grants.empty()) {
-            state.sending = false;
+            --state.senders;
             co_return;
         }
         auto next = std::move(state.grants.front());
         state.grants.pop_front();
+        state.sentAt = m_clock.now();
         co_await carryOut(std::move(next.first), term, std::move(next.second));
     }
 }
@@ -613,8 +634,12 @@
             state.demand = std::make_unique<SlotDemand>(m_options.shares);
         state.demand->report(report.sender, use.inFlightCenti / centi, use.waitingCenti / centi);
         constexpr double newest = 0.1;
-        if (use.workMicros > 0)
+        if (use.workMicros > 0) {
+            const auto plan = m_plans.find(known->second.service);
+            if (plan != m_plans.end())
+                plan->second->served(use.server, host->heard);
             state.workMillis += (state.workMillis > 0 ? newest : 1) * (use.workMicros / 1000.0 - state.workMillis);
+        }
         if (!state.demand->pressed(known->second.slots))
             continue; // there is room: the host needs no share
         wire::ServerShare share;
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -70,7 +70,8 @@
         uint16_t port = 0;
         std::shared_ptr<HttpClient> client;
         std::deque<std::pair<GrantOrder, std::string>> grants; // with their service; sent one after the other
-        bool sending = false;
+        unsigned senders = 0; // of these grants, over a connection each; more than one while answers are missing
+        Instant sentAt {}; // the last of them
         std::unique_ptr<SlotDemand> demand;
         double workMillis = 0; // mean over hosts and time; 0: not known
     };
@@ -99,6 +100,8 @@
     double meanLifeSeconds() const; // of what is known of the keys' load
     std::vector<ServerCapacity> capacities(const GrantPlan&) const;
     void send(GrantOrder, const std::string& service);
+    void startSender(const std::string& server, ServerState&);
+    void overtakeUnanswered();
     boost::asio::awaitable<void> sendGrants(std::string server, int64_t term);
     boost::asio::awaitable<void> carryOut(GrantOrder, int64_t term, std::string service);
     struct Writing {
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -31,6 +31,8 @@
     constexpr Millis leaveMargin { 500 }; // for the way to the server, before it must get nothing new
     constexpr Millis answerWay { 10 }; // of an answer to its caller, some ms away
     constexpr Millis notHeldPause { 150 }; // for the news of a key's move to come
+    constexpr Millis refusesAgainFor { 300 }; // a server that was asked for a key which it doesn't hold
+    constexpr unsigned misdirected = 421; // RFC 9110, section 15.5.20
     constexpr Millis firstWork { 100 }; // guess for a route's work until one has ended
 
     PriorityClass classOf(const HostRoute& route)
@@ -287,8 +289,9 @@
     const KeyRange* range = table == m_tables.end() ? nullptr : table->second->find(job.key);
     if (!range)
         return { ErrorKind::NoOwner, nullptr, true };
-    if (range->moving())
-        return { ErrorKind::Moving, nullptr, !range->holderLost };
+    const HolderState state = range->holderState;
+    if (range->moving() && state != HolderState::Unreachable)
+        return { ErrorKind::Moving, nullptr, state == HolderState::LettingGo };
     const auto server = m_servers.find(range->holder);
     if (server == m_servers.end())
         return { ErrorKind::NoOwner, nullptr, false };
@@ -300,6 +303,8 @@
         && m_clock.now() - upstream->leavingSince > m_options.settings.leaveWithin - leaveMargin;
     if (left)
         return { ErrorKind::NoOwner, nullptr, false };
+    if (range->moving() && m_clock.now() < upstream->holdsNothingUntil)
+        return { ErrorKind::Moving, nullptr, false };
     return { ErrorKind::None, upstream };
 }
 
@@ -426,6 +431,8 @@
     }
     if (!result.ended)
         held->pool.giveBack(std::move(connection));
+    if (error == ErrorKind::ServerRefused && result.response.result_int() == misdirected)
+        held->holdsNothingUntil = endedAt + refusesAgainFor;
     if (!worked) {
         if (answerFor(error).ran != Ran::No) {
             job.maybeRan = true;
@@ -464,7 +471,6 @@
         return result.error;
     const BackendResponse& answer = result.response;
     const unsigned status = answer.result_int();
-    constexpr unsigned misdirected = 421;
     if (status == misdirected || answer.count(m_names.notExecuted))
         return ErrorKind::ServerRefused;
     // Passed on, these would tell the caller that it did not run, and the server hasn't said so.
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -29,6 +29,9 @@
     Instant leavingSince {}; // when this host learned that it leaves
     unsigned failures = 0; // in a row
     Instant restUntil {};
+    // It refused a key that the table says is its: its hold may have run out. What asks for its keys meanwhile would
+    // only be refused there, too.
+    Instant holdsNothingUntil {};
 
 private:
     Instant m_countedAt {};
--- a/packages/resources/GrantTableCodec.cpp
+++ b/packages/resources/GrantTableCodec.cpp
@@ -25,7 +25,7 @@
         if (range.moving()) {
             fields.emplace_back(range.next);
             fields.emplace_back(range.nextFence);
-            fields.emplace_back(range.holderLost ? 1 : 0);
+            fields.emplace_back(static_cast<int>(range.holderState));
         }
         return fields;
     }
@@ -40,7 +40,10 @@
         if (fields.size() >= movingFields) {
             range.next = fields.at(steadyFields).as_string();
             range.nextFence = fields.at(steadyFields + 1).to_number<uint64_t>();
-            range.holderLost = fields.at(steadyFields + 2).to_number<int>() != 0;
+            const auto state = fields.at(steadyFields + 2).to_number<unsigned>();
+            if (state > static_cast<unsigned>(HolderState::Unreachable))
+                throw std::out_of_range("holder state");
+            range.holderState = static_cast<HolderState>(state);
         }
         return range;
     }
--- a/tests/grant_plan_test.cpp
+++ b/tests/grant_plan_test.cpp
@@ -115,6 +115,83 @@
     CHECK_FALSE(plan.table().ranges.front().moving());
 }
 
+namespace {
+
+using namespace cumindale;
+
+// A plan of one service whose servers "a" and "b" answer as the test says.
+struct PlannedService {
+    GrantPlan plan { "s", {}, 1 };
+    GrantPlan::Servers servers { { "a", { "a", "s" } }, { "b", { "b", "s" } } };
+    Instant now { Millis(1'000) };
+    bool aAnswers = true; // the coordinator's orders
+    bool aServes = true; // hosts' requests
+
+    PlannedService()
+    {
+        plan.begin(now);
+        goOn(Millis(1'000));
+    }
+
+    void goOn(Millis time)
+    {
+        for (const Instant until = now + time; now < until; now += Millis(50)) {
+            if (aServes)
+                plan.served("a", now);
+            plan.maintain(servers, now);
+            for (const auto& order : plan.due(now)) {
+                const bool answers = order.server != "a" || aAnswers;
+                plan.onAnswer(
+                    { order.range, order.number, answers ? OrderResult::Done : OrderResult::Unanswered, {}, now });
+            }
+            if (plan.needsWrite(now))
+                plan.onWritten(plan.edition(), now);
+        }
+    }
+
+    KeyRange rangeOfA() const
+    {
+        for (const auto& range : plan.table().ranges) {
+            if (range.holder == "a")
+                return range;
+        }
+        return {};
+    }
+};
+
+}
+
+// What callers saw: half of the answers to grants were lost for five seconds, and a third of the requests were refused
+// although every server worked. After 0.8 s without an answer the coordinator took a server for lost and moved its
+// keys, which then had no owner until the hold had run out.
+TEST_CASE("a server that answers hosts is not taken for lost as soon as one that answers nobody")
+{
+    PlannedService service;
+    REQUIRE(service.rangeOfA().holder == "a");
+    service.aAnswers = false;
+    SUBCASE("it answers hosts")
+    {
+        service.goOn(Millis(1'500));
+        CHECK_FALSE(service.rangeOfA().moving());
+        // Without any answer the hold ends at last: its keys go elsewhere, and hosts use it until it refuses.
+        service.goOn(Millis(1'500));
+        REQUIRE(service.rangeOfA().moving());
+        CHECK(service.rangeOfA().holderState == HolderState::Unreachable);
+        service.aServes = false;
+        service.goOn(Millis(1'000));
+        CHECK(service.rangeOfA().holderState == HolderState::Lost);
+    }
+    SUBCASE("it answers nobody")
+    {
+        service.aServes = false;
+        service.goOn(Millis(1'500));
+        REQUIRE(service.rangeOfA().moving());
+        CHECK(service.rangeOfA().holderState == HolderState::Lost);
+    }
+    service.goOn(Millis(4'000));
+    CHECK(service.rangeOfA().holder.empty()); // all keys are held by the other one
+}
+
 TEST_CASE("each guard is needed: without it some history has two holders")
 {
     struct Case {
--- a/tests/grant_table_test.cpp
+++ b/tests/grant_table_test.cpp
@@ -25,7 +25,7 @@
         if (*rc::gen::inRange(0, 3) == 0) {
             range.next = "d";
             range.nextFence = 6;
-            range.holderLost = *rc::gen::inRange(0, 2) == 1;
+            range.holderState = static_cast<HolderState>(*rc::gen::inRange(0, 3));
         }
         table.ranges.push_back(range);
         first = range.last + 1;
