--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,8 @@
 
 soak: build
 	./bench/soak.sh
+
+.PHONY: days
+
+days:
+	./bench/days.sh
--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -120,7 +120,7 @@
 {
     const auto found = m_answers.find(server);
     return found != m_answers.end() && found->second.served != Instant {}
-        && now - found->second.served <= m_timing.servingWithin;
+    && now - found->second.served <= m_timing.servingWithin;
 }
 
 void GrantPlan::onAnswer(const OrderAnswer& answer)
--- a/packages/web/Sockets.h
+++ b/packages/web/Sockets.h
@@ -11,8 +11,8 @@
 
 namespace cumindale {
 
-// However the connection is closed later, bytes still on their way are dropped (RST): after a timeout a request must not
-// linger in a socket buffer behind a cut path, and arrive when its answer no longer matters.
+// However the connection is closed later, bytes still on their way are dropped (RST): after a timeout a request must
+// not linger in a socket buffer behind a cut path, and arrive when its answer no longer matters.
 boost::asio::awaitable<bool> connectTo(boost::beast::tcp_stream&, std::string address, uint16_t port, Millis timeout);
 
 // The next connection; nothing once the acceptor is closed. Other errors are waited out.
