News reach the hosts through relays by data centre; a missed one is noticed after 0.3 s

Cause: the coordinator sent each change to every host itself. A relay that doesn't answer within 0.3 s is left out for 5 s and its group told directly. A host that the coordinator's advice shows to be behind waits 0.3 s for the news instead of one more report (up to 2 s) before it reads the store. Small deployments (fewer than four hosts in a data centre) are told as before. Unchanged: a change is in force on the last host after 2.2 s at 300 hosts (bound 2.5 s); the cause is not traced yet.

--- /dev/null
+++ b/packages/decisions/RelayPlan.cpp
@@ -0,0 +1,49 @@
+#include "decisions/RelayPlan.h"
+
+#include <algorithm>
+#include <map>
+
+namespace cumindale {
+
+namespace {
+
+    bool relaysBefore(const RelayCandidate* a, const RelayCandidate* b)
+    {
+        if (a->mayRelay != b->mayRelay)
+            return a->mayRelay;
+        return a->strength != b->strength ? a->strength > b->strength : a->name < b->name;
+    }
+
+    // One data centre's hosts, the best relays first.
+    void planDataCentre(
+        std::span<const RelayCandidate* const> hosts, const RelayOptions& options, std::vector<RelayGroup>& groups)
+    {
+        const auto able = static_cast<size_t>(
+            std::count_if(hosts.begin(), hosts.end(), [](const RelayCandidate* host) { return host->mayRelay; }));
+        const size_t wanted = (hosts.size() + options.mostMembers - 1) / options.mostMembers;
+        const size_t relays = hosts.size() < options.fewestMembers || able < wanted ? hosts.size() : wanted;
+        const size_t firstGroup = groups.size();
+        for (size_t i = 0; i < hosts.size(); ++i) {
+            if (i < relays)
+                groups.push_back({ hosts[i]->name, {} });
+            else
+                groups[firstGroup + i % relays].members.push_back(hosts[i]->name);
+        }
+    }
+
+}
+
+std::vector<RelayGroup> planRelays(std::span<const RelayCandidate> candidates, const RelayOptions& options)
+{
+    std::map<std::string_view, std::vector<const RelayCandidate*>> byDataCentre;
+    for (const auto& candidate : candidates)
+        byDataCentre[candidate.dataCentre].push_back(&candidate);
+    std::vector<RelayGroup> groups;
+    for (auto& [dataCentre, hosts] : byDataCentre) {
+        std::sort(hosts.begin(), hosts.end(), relaysBefore);
+        planDataCentre(hosts, options, groups);
+    }
+    return groups;
+}
+
+}
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -19,7 +19,6 @@
     constexpr Millis idleLook { 2'000 }; // out of office; the election wakes it
     constexpr Millis cutOffAfter { 1'000 }; // most servers silent for so long: another host does it better
     constexpr double centi = 100;
-    constexpr Millis pushTimeout { 300 };
 
 }
 
@@ -39,6 +38,7 @@
     , m_writes(metrics.counter("store_writes_tables"))
     , m_moves(metrics.counter("key_moves_planned"))
     , m_changed(executor)
+    , m_news(executor, clock, m_peerBytes)
     , m_office(m_options.office)
 {
 }
@@ -95,6 +95,7 @@
     m_loads.clear();
     m_servers.clear();
     m_hosts.clear();
+    m_news.clear();
 }
 
 void Coordinator::step()
@@ -183,11 +184,9 @@
     if (table.ranges.empty() || table.ranges.front().holder.empty())
         return;
     if (published != m_published.end()) {
-        const std::string text = encodeGrantChange(changeBetween(published->second, table));
-        for (auto& [name, host] : m_hosts) {
-            host->unsent.tables.push_back(text);
-            tell(host);
-        }
+        wire::News news;
+        news.tables.push_back(encodeGrantChange(changeBetween(published->second, table)));
+        m_news.tell(news);
     }
     m_published[plan.service()] = table;
     m_sink(std::move(table));
@@ -197,7 +196,9 @@
 {
     if (!m_term)
         return;
-    std::vector<wire::StoreItem> items;
+    wire::News news;
+    news.afterChange = afterChange;
+    news.lastChange = m_view.lastChange();
     for (const auto& event : events) {
         if (!m_view.isOthers(event.value.key))
             continue; // tables and the office are told in other ways
@@ -206,41 +207,11 @@
         item.value = event.value.value;
         item.revision = event.value.modRevision;
         item.erased = event.erased;
-        items.push_back(std::move(item));
-    }
-    if (items.empty())
-        return;
-    for (auto& [name, host] : m_hosts) {
-        wire::News& news = host->unsent;
-        if (news.items.empty())
-            news.afterChange = afterChange;
-        news.items.insert(news.items.end(), items.begin(), items.end());
-        news.lastChange = m_view.lastChange();
-        tell(host);
-    }
-}
-
-void Coordinator::tell(const std::shared_ptr<HostState>& host)
-{
-    host->anyUnsent = host->link != nullptr;
-    if (host->anyUnsent && !host->sending)
-        asio::co_spawn(m_executor, sendNews(host), asio::detached);
-}
-
-// News reach the hosts within a few ms, at no cost to the store; a host that misses some gets them with the advice to
-// its next report, or reads the store.
-asio::awaitable<void> Coordinator::sendNews(std::shared_ptr<HostState> host)
-{
-    host->sending = true;
-    while (host->anyUnsent) {
-        host->anyUnsent = false;
-        const wire::News news = std::exchange(host->unsent, {});
-        if (!co_await host->link->adopt(news, pushTimeout))
-            break;
+        news.items.push_back(std::move(item));
     }
-    host->unsent = {};
-    host->anyUnsent = false;
-    host->sending = false;
+    // News reach the hosts within a few ms, at no cost to the store.
+    if (!news.items.empty())
+        m_news.tell(news);
 }
 
 void Coordinator::logEvents(GrantPlan& plan)
@@ -525,8 +496,9 @@
         load.decay(std::exp2(-passed / static_cast<double>(m_options.loadHalfLife.count())));
     }
     std::erase_if(m_hosts, [&](const auto& entry) {
-        if (now - entry.second->heard <= m_options.hostSilence)
+        if (now - entry.second.heard <= m_options.hostSilence)
             return false;
+        m_news.forget(entry.first);
         for (auto& [id, server] : m_servers) {
             if (server.demand)
                 server.demand->forget(entry.first);
@@ -546,7 +518,7 @@
     size_t before = 0;
     for (const auto& [name, other] : m_hosts) {
         const bool first
-            = other->strength > found->second->strength || (other->strength == found->second->strength && name < host);
+            = other.strength > found->second.strength || (other.strength == found->second.strength && name < host);
         before += name != m_options.host && first;
     }
     return before < m_options.standbys;
@@ -595,16 +567,13 @@
     advice.lastChange = m_view.lastChange();
     if (!m_term)
         return advice;
-    auto& host = m_hosts[report.sender];
-    if (!host)
-        host = std::make_shared<HostState>();
-    host->heard = m_clock.now();
-    m_office.reported(report.sender, host->heard);
+    HostState& host = m_hosts[report.sender];
+    host.heard = m_clock.now();
+    m_office.reported(report.sender, host.heard);
     noteFormers(report.sender);
-    if (host->address != report.address && report.sender != m_options.host)
-        host->link = makeCoordinationLink(m_executor, report.address, m_peerBytes);
-    host->address = report.address;
-    host->strength = report.strengthCenti / centi;
+    host.strength = report.strengthCenti / centi;
+    if (report.sender != m_options.host)
+        m_news.note(report.sender, report.address, report.dataCentre, host.strength);
     advice.standsBy = standsBy(report.sender);
     advice.reportMillis = static_cast<int32_t>(reportInterval().count());
     advice.hosts = static_cast<int32_t>(m_hosts.size());
@@ -637,7 +606,7 @@
         if (use.workMicros > 0) {
             const auto plan = m_plans.find(known->second.service);
             if (plan != m_plans.end())
-                plan->second->served(use.server, host->heard);
+                plan->second->served(use.server, host.heard);
             state.workMillis += (state.workMillis > 0 ? newest : 1) * (use.workMicros / 1000.0 - state.workMillis);
         }
         if (!state.demand->pressed(known->second.slots))
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -9,6 +9,7 @@
 #include "decisions/KeyBalance.h"
 #include "decisions/OfficeRules.h"
 #include "decisions/SlotShares.h"
+#include "gateway/NewsFanout.h"
 #include "gateway/PlatformAdapter.h"
 #include "gateway/PlatformView.h"
 #include "peers/Coordination.h"
@@ -58,12 +59,7 @@
 private:
     struct HostState {
         Instant heard {};
-        std::string address; // "IP:port" of its peer port
-        std::unique_ptr<CoordinationLink> link; // null: this host itself
         double strength = 0; // cores
-        wire::News unsent;
-        bool anyUnsent = false;
-        bool sending = false;
     };
     struct ServerState {
         std::string address; // also of a server that is no longer registered, to ask it to let go
@@ -90,8 +86,6 @@
     void ensurePlans();
     bool allRegistered(const std::string& service);
     void publish(GrantPlan&);
-    void tell(const std::shared_ptr<HostState>&);
-    boost::asio::awaitable<void> sendNews(std::shared_ptr<HostState>);
     void noteFormers(std::string_view reporter);
     void formerStopped(const std::string& service, Instant at, std::string_view why);
     bool standsBy(std::string_view host) const;
@@ -137,7 +131,8 @@
     std::map<std::string, GrantTable> m_published; // by service, as the hosts were told
     std::map<std::string, KeyLoad> m_loads; // by service
     std::map<std::string, ServerState, std::less<>> m_servers;
-    std::map<std::string, std::shared_ptr<HostState>, std::less<>> m_hosts;
+    std::map<std::string, HostState, std::less<>> m_hosts;
+    NewsFanout m_news;
     bool m_writing = false;
     OfficeRules m_office;
     std::map<std::string, std::string> m_formers; // by service: the host whose orders may still be under way
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -76,6 +76,7 @@
           store, m_view, metrics)
     , m_coordinator(executor, clock, adapter, coordinatorOptions(settings), store, m_view, m_election, metrics,
           [this](GrantTable table) { onViewChange(m_view.applyTable(std::move(table))); })
+    , m_relay(executor, m_peerBytes)
     , m_server(
           makeCoordinationServer(executor, settings.host.peers.address, settings.host.peers.port, *this, m_peerBytes))
 {
@@ -135,6 +136,8 @@
 
 void GatewayControl::onAdopt(const wire::News& news)
 {
+    if (!news.forwardTo.empty())
+        m_relay.pass(news);
     std::vector<WatchEvent> events;
     for (const auto& item : news.items) {
         WatchEvent event;
@@ -193,6 +196,7 @@
 {
     wire::HostReport report;
     report.sender = m_settings.host.name;
+    report.dataCentre = m_settings.host.dataCentre;
     report.address = textOf(m_settings.host.peers);
     report.overMillis = static_cast<int32_t>(m_use.over.count());
     report.lastChange = m_view.lastChange();
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -48,6 +48,7 @@
     PlatformFollower m_follower;
     Election m_election;
     Coordinator m_coordinator;
+    NewsRelay m_relay;
     std::unique_ptr<FrameServer> m_server;
     std::unique_ptr<CoordinationLink> m_link; // to the coordinator
     std::string m_linkAddress;
--- /dev/null
+++ b/packages/gateway/NewsFanout.cpp
@@ -0,0 +1,184 @@
+#include "gateway/NewsFanout.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Millis pushTimeout { 300 }; // hosts are a few ms apart; a lost packet is sent again after 0.2 s
+    constexpr Millis relayRest { 5'000 }; // a relay that failed; a restart takes about a second
+
+    void append(wire::News& news, const wire::News& more)
+    {
+        if (news.items.empty())
+            news.afterChange = more.afterChange;
+        news.lastChange = more.lastChange;
+        news.items.insert(news.items.end(), more.items.begin(), more.items.end());
+        news.tables.insert(news.tables.end(), more.tables.begin(), more.tables.end());
+        news.forwardTo = more.forwardTo;
+    }
+
+}
+
+// --- One host
+
+NewsLink::NewsLink(asio::any_io_executor executor, std::unique_ptr<CoordinationLink> link, Failure failure)
+    : m_executor(std::move(executor))
+    , m_link(std::move(link))
+    , m_failure(std::move(failure))
+{
+}
+
+void NewsLink::add(const wire::News& news)
+{
+    if (!m_link)
+        return;
+    append(m_unsent, news);
+    m_anyUnsent = true;
+    if (m_sending)
+        return;
+    m_sending = true;
+    asio::co_spawn(m_executor, sendAll(shared_from_this()), asio::detached);
+}
+
+asio::awaitable<void> NewsLink::sendAll(std::shared_ptr<NewsLink>)
+{
+    while (std::exchange(m_anyUnsent, false)) {
+        const wire::News news = std::exchange(m_unsent, {});
+        if (!co_await m_link->adopt(news, pushTimeout) && m_failure)
+            m_failure(news);
+    }
+    m_sending = false;
+}
+
+// --- A relay
+
+NewsRelay::NewsRelay(asio::any_io_executor executor, Counter& bytesSent)
+    : m_executor(std::move(executor))
+    , m_bytesSent(bytesSent)
+{
+}
+
+void NewsRelay::pass(const wire::News& news)
+{
+    wire::News passed = news;
+    passed.forwardTo.clear();
+    // Groups change as hosts come and go; links to former members go with them.
+    std::erase_if(m_links, [&](const auto& entry) {
+        return std::find(news.forwardTo.begin(), news.forwardTo.end(), entry.first) == news.forwardTo.end();
+    });
+    for (const auto& address : news.forwardTo) {
+        auto& link = m_links[address];
+        if (!link)
+            link = std::make_shared<NewsLink>(
+                m_executor, makeCoordinationLink(m_executor, address, m_bytesSent), NewsLink::Failure {});
+        link->add(passed);
+    }
+}
+
+// --- The coordinator
+
+NewsFanout::NewsFanout(asio::any_io_executor executor, const Clock& clock, Counter& bytesSent)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_bytesSent(bytesSent)
+{
+}
+
+void NewsFanout::note(
+    const std::string& host, const std::string& address, const std::string& dataCentre, double strength)
+{
+    Host& known = m_hosts[host];
+    if (known.address == address && known.dataCentre == dataCentre && known.strength == strength)
+        return;
+    known = { address, dataCentre, strength, {}, nullptr };
+    m_changed = true;
+}
+
+void NewsFanout::forget(std::string_view host)
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end())
+        return;
+    m_hosts.erase(found);
+    m_changed = true;
+}
+
+void NewsFanout::clear()
+{
+    m_hosts.clear();
+    m_groups.clear();
+    m_changed = false;
+}
+
+void NewsFanout::regroup()
+{
+    m_changed = false;
+    const Instant now = m_clock.now();
+    std::vector<RelayCandidate> candidates;
+    for (const auto& [name, host] : m_hosts)
+        candidates.push_back({ name, host.dataCentre, host.strength, host.relaysFrom <= now });
+    m_groups.clear();
+    for (auto& planned : planRelays(candidates)) {
+        Group group { planned.relay, std::move(planned.members), nullptr };
+        if (!group.members.empty()) {
+            group.link = std::make_shared<NewsLink>(m_executor,
+                makeCoordinationLink(m_executor, m_hosts.at(group.relay).address, m_bytesSent),
+                [this, relay = group.relay, members = group.members](
+                    const wire::News& news) { onRelayFailed(relay, members, news); });
+        }
+        m_groups.push_back(std::move(group));
+    }
+}
+
+void NewsFanout::tell(const wire::News& news)
+{
+    if (m_changed)
+        regroup();
+    for (auto& group : m_groups) {
+        if (!group.link) {
+            tellDirectly(group.relay, news);
+            continue;
+        }
+        wire::News passed = news;
+        for (const auto& member : group.members)
+            passed.forwardTo.push_back(m_hosts.at(member).address);
+        group.link->add(passed);
+    }
+}
+
+void NewsFanout::tellDirectly(const std::string& host, const wire::News& news)
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end())
+        return;
+    auto& link = found->second.link;
+    if (!link)
+        link = std::make_shared<NewsLink>(
+            m_executor, makeCoordinationLink(m_executor, found->second.address, m_bytesSent), NewsLink::Failure {});
+    link->add(news);
+}
+
+void NewsFanout::onRelayFailed(
+    const std::string& relay, const std::vector<std::string>& members, const wire::News& news)
+{
+    logChange(LogLevel::Warning, "relay-silent", { { "relay", relay }, { "members", members.size() } });
+    const auto found = m_hosts.find(relay);
+    if (found != m_hosts.end()) {
+        found->second.relaysFrom = m_clock.now() + relayRest;
+        m_changed = true;
+    }
+    wire::News direct = news;
+    direct.forwardTo.clear();
+    for (const auto& member : members)
+        tellDirectly(member, direct);
+}
+
+}
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -126,16 +126,8 @@
 void PlatformFollower::fed(int64_t coordinatorsChange)
 {
     m_fed = true;
-    const bool behind = coordinatorsChange > m_view.lastChange();
-    // Twice in a row: the first time the news may be on its way here.
-    if (behind && std::exchange(m_behind, true)) {
-        logChange(LogLevel::Warning, "news-missed",
-            { { "lastChange", m_view.lastChange() }, { "coordinators", coordinatorsChange } });
-        spawnLoop(m_executor, "catch-up", catchUp());
-        m_behind = false;
-    }
-    if (!behind)
-        m_behind = false;
+    if (coordinatorsChange > m_view.lastChange() && !std::exchange(m_behind, true))
+        spawnLoop(m_executor, "catch-up", catchUp(coordinatorsChange));
 }
 
 void PlatformFollower::onItsOwn()
@@ -144,6 +136,15 @@
         m_changed.notifyAll();
 }
 
-asio::awaitable<void> PlatformFollower::catchUp() { co_await readAll(); }
+asio::awaitable<void> PlatformFollower::catchUp(int64_t coordinatorsChange)
+{
+    co_await sleepFor(m_options.newsWithin);
+    if (coordinatorsChange > m_view.lastChange()) {
+        logChange(LogLevel::Warning, "news-missed",
+            { { "lastChange", m_view.lastChange() }, { "coordinators", coordinatorsChange } });
+        co_await readAll();
+    }
+    m_behind = false;
+}
 
 }
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -16,6 +16,9 @@
     // A waiting watch may go deaf: it hears nothing of what is written, and isn't cut. The next one hears. So it is
     // asked anew that often, well within the time in which a configuration must be in force.
     Millis watchFor { 900 };
+    // A change that the coordinator knows of reaches this host so soon, or was lost on the way: then the store is read.
+    // Reports are up to 2 s apart, and a change must be in force within 2 to 2.5 s.
+    Millis newsWithin { 300 };
     Millis fedPause { 1'000 }; // between two looks at whether this host is still told of changes
     // After a batch of changes: those that follow soon come together in the next answer, instead of one question each.
     Millis gather { 120 };
@@ -43,7 +46,7 @@
 private:
     boost::asio::awaitable<bool> readAll();
     boost::asio::awaitable<bool> watchOnce(); // false: no answer, or history is gone
-    boost::asio::awaitable<void> catchUp();
+    boost::asio::awaitable<void> catchUp(int64_t coordinatorsChange); // unless the news come meanwhile
     boost::asio::awaitable<void> dropMissingLater(uint64_t reading);
     void noteAnswer(bool answers);
 
@@ -62,7 +65,7 @@
     bool m_answers = true;
     bool m_hasRead = false;
     bool m_fed = false;
-    bool m_behind = false; // as of the coordinator's last word
+    bool m_behind = false; // the coordinator knows of more, and the news may be on their way
     Signal m_changed; // between being fed and not
 };
 
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -30,6 +30,7 @@
     6: i64 storeSilentMillis // since the store last answered this host
     7: i64 lastChange // revision of the newest write of others that the host knows of
     8: i32 strengthCenti // processor time that the host has, in hundredths of a core
+    9: string dataCentre
 }
 
 struct ServerShare {
@@ -63,6 +64,7 @@
     2: i64 lastChange
     3: list<StoreItem> items
     4: list<string> tables // changes of tables, encoded
+    5: list<string> forwardTo // "IP:port" of hosts to which the receiver passes the rest on
 }
 
 service Coordination {
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -485,6 +485,10 @@
 void HostReport::__set_strengthCenti(const int32_t val) {
   this->strengthCenti = val;
 }
+
+void HostReport::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -601,6 +605,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -666,6 +678,10 @@
   xfer += oprot->writeI32(this->strengthCenti);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -681,6 +697,7 @@
   swap(a.storeSilentMillis, b.storeSilentMillis);
   swap(a.lastChange, b.lastChange);
   swap(a.strengthCenti, b.strengthCenti);
+  swap(a.dataCentre, b.dataCentre);
   swap(a.__isset, b.__isset);
 }
 
@@ -693,6 +710,7 @@
   storeSilentMillis = other24.storeSilentMillis;
   lastChange = other24.lastChange;
   strengthCenti = other24.strengthCenti;
+  dataCentre = other24.dataCentre;
   __isset = other24.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other25) {
@@ -704,6 +722,7 @@
   storeSilentMillis = other25.storeSilentMillis;
   lastChange = other25.lastChange;
   strengthCenti = other25.strengthCenti;
+  dataCentre = other25.dataCentre;
   __isset = other25.__isset;
   return *this;
 }
@@ -718,6 +737,7 @@
   out << ", " << "storeSilentMillis=" << to_string(storeSilentMillis);
   out << ", " << "lastChange=" << to_string(lastChange);
   out << ", " << "strengthCenti=" << to_string(strengthCenti);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
   out << ")";
 }
 
@@ -1297,6 +1317,10 @@
 void News::__set_tables(const std::vector<std::string> & val) {
   this->tables = val;
 }
+
+void News::__set_forwardTo(const std::vector<std::string> & val) {
+  this->forwardTo = val;
+}
 std::ostream& operator<<(std::ostream& out, const News& obj)
 {
   obj.printTo(out);
@@ -1381,6 +1405,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->forwardTo.clear();
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->forwardTo.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
+            {
+              xfer += iprot->readString(this->forwardTo[_i58]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.forwardTo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1409,10 +1453,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItem> ::const_iterator _iter54;
-    for (_iter54 = this->items.begin(); _iter54 != this->items.end(); ++_iter54)
+    std::vector<StoreItem> ::const_iterator _iter59;
+    for (_iter59 = this->items.begin(); _iter59 != this->items.end(); ++_iter59)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1421,10 +1465,22 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter55;
-    for (_iter55 = this->tables.begin(); _iter55 != this->tables.end(); ++_iter55)
+    std::vector<std::string> ::const_iterator _iter60;
+    for (_iter60 = this->tables.begin(); _iter60 != this->tables.end(); ++_iter60)
     {
-      xfer += oprot->writeString((*_iter55));
+      xfer += oprot->writeString((*_iter60));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("forwardTo", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forwardTo.size()));
+    std::vector<std::string> ::const_iterator _iter61;
+    for (_iter61 = this->forwardTo.begin(); _iter61 != this->forwardTo.end(); ++_iter61)
+    {
+      xfer += oprot->writeString((*_iter61));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1441,22 +1497,25 @@
   swap(a.lastChange, b.lastChange);
   swap(a.items, b.items);
   swap(a.tables, b.tables);
+  swap(a.forwardTo, b.forwardTo);
   swap(a.__isset, b.__isset);
 }
 
-News::News(const News& other56) {
-  afterChange = other56.afterChange;
-  lastChange = other56.lastChange;
-  items = other56.items;
-  tables = other56.tables;
-  __isset = other56.__isset;
-}
-News& News::operator=(const News& other57) {
-  afterChange = other57.afterChange;
-  lastChange = other57.lastChange;
-  items = other57.items;
-  tables = other57.tables;
-  __isset = other57.__isset;
+News::News(const News& other62) {
+  afterChange = other62.afterChange;
+  lastChange = other62.lastChange;
+  items = other62.items;
+  tables = other62.tables;
+  forwardTo = other62.forwardTo;
+  __isset = other62.__isset;
+}
+News& News::operator=(const News& other63) {
+  afterChange = other63.afterChange;
+  lastChange = other63.lastChange;
+  items = other63.items;
+  tables = other63.tables;
+  forwardTo = other63.forwardTo;
+  __isset = other63.__isset;
   return *this;
 }
 void News::printTo(std::ostream& out) const {
@@ -1466,6 +1525,7 @@
   out << ", " << "lastChange=" << to_string(lastChange);
   out << ", " << "items=" << to_string(items);
   out << ", " << "tables=" << to_string(tables);
+  out << ", " << "forwardTo=" << to_string(forwardTo);
   out << ")";
 }
 
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -215,7 +215,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), overMillis(false), services(false), servers(false), storeSilentMillis(false), lastChange(false), strengthCenti(false) {}
+  _HostReport__isset() : sender(false), address(false), overMillis(false), services(false), servers(false), storeSilentMillis(false), lastChange(false), strengthCenti(false), dataCentre(false) {}
   bool sender :1;
   bool address :1;
   bool overMillis :1;
@@ -224,6 +224,7 @@
   bool storeSilentMillis :1;
   bool lastChange :1;
   bool strengthCenti :1;
+  bool dataCentre :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -237,7 +238,8 @@
                overMillis(0),
                storeSilentMillis(0),
                lastChange(0),
-               strengthCenti(0) {
+               strengthCenti(0),
+               dataCentre() {
   }
 
   virtual ~HostReport() noexcept;
@@ -249,6 +251,7 @@
   int64_t storeSilentMillis;
   int64_t lastChange;
   int32_t strengthCenti;
+  std::string dataCentre;
 
   _HostReport__isset __isset;
 
@@ -268,6 +271,8 @@
 
   void __set_strengthCenti(const int32_t val);
 
+  void __set_dataCentre(const std::string& val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -286,6 +291,8 @@
       return false;
     if (!(strengthCenti == rhs.strengthCenti))
       return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -516,11 +523,12 @@
 std::ostream& operator<<(std::ostream& out, const StoreItem& obj);
 
 typedef struct _News__isset {
-  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false) {}
+  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false) {}
   bool afterChange :1;
   bool lastChange :1;
   bool items :1;
   bool tables :1;
+  bool forwardTo :1;
 } _News__isset;
 
 class News : public virtual ::apache::thrift::TBase {
@@ -538,6 +546,7 @@
   int64_t lastChange;
   std::vector<StoreItem>  items;
   std::vector<std::string>  tables;
+  std::vector<std::string>  forwardTo;
 
   _News__isset __isset;
 
@@ -549,6 +558,8 @@
 
   void __set_tables(const std::vector<std::string> & val);
 
+  void __set_forwardTo(const std::vector<std::string> & val);
+
   bool operator == (const News & rhs) const
   {
     if (!(afterChange == rhs.afterChange))
@@ -559,6 +570,8 @@
       return false;
     if (!(tables == rhs.tables))
       return false;
+    if (!(forwardTo == rhs.forwardTo))
+      return false;
     return true;
   }
   bool operator != (const News &rhs) const {
--- /dev/null
+++ b/tests/news_fanout_test.cpp
@@ -0,0 +1,120 @@
+// News from a coordinator to hosts on loopback, through relays.
+#include "gateway/NewsFanout.h"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+using namespace cumindale;
+
+namespace {
+
+const std::string loopback = "127.0.0.1";
+
+// A host that counts what it is told, and passes it on if asked to.
+class Listener final : public CoordinationHandler {
+public:
+    Listener(boost::asio::io_context& context, Counter& bytes)
+        : m_relay(context.get_executor(), bytes)
+        , m_server(makeCoordinationServer(context.get_executor(), loopback, 0, *this, bytes))
+    {
+    }
+
+    wire::HostAdvice onReport(const wire::HostReport&) override { return {}; }
+
+    void onAdopt(const wire::News& news) override
+    {
+        relayed += news.forwardTo.size();
+        items += news.items.size();
+        if (!news.forwardTo.empty() && passesOn)
+            m_relay.pass(news);
+    }
+
+    std::string address() const { return loopback + ":" + std::to_string(m_server->port()); }
+    void stop() { m_server.reset(); }
+
+    size_t items = 0;
+    size_t relayed = 0;
+    bool passesOn = true;
+
+private:
+    NewsRelay m_relay;
+    std::unique_ptr<FrameServer> m_server;
+};
+
+struct Fleet {
+    boost::asio::io_context context;
+    SystemClock clock;
+    Metrics metrics;
+    Counter& bytes = metrics.counter("bytes");
+    NewsFanout fanout { context.get_executor(), clock, bytes };
+    std::vector<std::unique_ptr<Listener>> hosts;
+
+    explicit Fleet(size_t count)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            hosts.push_back(std::make_unique<Listener>(context, bytes));
+            const double strength = i ? 0.1 : 0.5; // the first relays
+            fanout.note("host-" + std::to_string(i), hosts[i]->address(), "dc-1", strength);
+        }
+    }
+
+    void tell(int64_t change)
+    {
+        wire::News news;
+        news.afterChange = change - 1;
+        news.lastChange = change;
+        wire::StoreItem item;
+        item.key = "k";
+        item.revision = change;
+        news.items.push_back(item);
+        fanout.tell(news);
+        context.run_for(Millis(50));
+    }
+
+    size_t told() const
+    {
+        size_t items = 0;
+        for (const auto& host : hosts)
+            items += host->items;
+        return items;
+    }
+};
+
+}
+
+TEST_CASE("the coordinator sends one copy to a group, and each host gets the news once")
+{
+    Fleet fleet(6);
+    fleet.tell(1);
+    fleet.tell(2);
+    CHECK(fleet.hosts[0]->relayed == 10);
+    for (const auto& host : fleet.hosts)
+        CHECK(host->items == 2);
+}
+
+// What operators saw: a new route was in force on most hosts, and two seconds later on those whose relay had been
+// killed just before.
+TEST_CASE("the group of a relay that is gone is told directly, and by another relay from then on")
+{
+    Fleet fleet(6);
+    fleet.tell(1);
+    fleet.hosts[0]->stop();
+    fleet.context.run_for(Millis(10));
+    fleet.tell(2);
+    fleet.context.run_for(Millis(400));
+    for (size_t i = 1; i < 6; ++i)
+        CHECK(fleet.hosts[i]->items == 2);
+    fleet.tell(3);
+    for (size_t i = 1; i < 6; ++i)
+        CHECK(fleet.hosts[i]->items == 3);
+}
+
+TEST_CASE("a host that is forgotten hears nothing more")
+{
+    Fleet fleet(2);
+    fleet.tell(1);
+    fleet.fanout.forget("host-1");
+    fleet.tell(2);
+    CHECK(fleet.hosts[0]->items == 2);
+    CHECK(fleet.hosts[1]->items == 1);
+}
