Renewals don't wake the coordinator; hosts of a large deployment report twice as often; bounded lines at start

Cause: (1) each answer to a renewal made the coordinator look over all ranges: a third of a core at 300 hosts. Change: only answers that change a table wake the coordinator; with over 600 ranges renewals come less often, down to a third of the hold; at most 32 lines for registrations of one batch, and a count; a report each 0.25 s up to 80 hosts instead of 40.

--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -453,13 +453,19 @@
     return order;
 }
 
+Millis GrantPlan::renewalInterval() const
+{
+    const double seconds = static_cast<double>(m_items.size()) / m_timing.renewalsPerSecond;
+    return std::clamp(Millis(static_cast<int64_t>(seconds * 1000)), m_timing.renewEvery, m_timing.renewAtLeastEvery);
+}
+
 std::optional<GrantOrder> GrantPlan::steadyOrder(Item& item, Instant now)
 {
     if (item.range.holder.empty() || item.outstanding)
         return std::nullopt;
     const auto answers = m_answers.find(item.range.holder);
     const bool quick = !item.confirmed || (answers != m_answers.end() && answers->second.misses);
-    if (now - item.orderedAt < (quick ? m_timing.retryEvery : m_timing.renewEvery) && item.orderedAt != Instant {})
+    if (now - item.orderedAt < (quick ? m_timing.retryEvery : renewalInterval()) && item.orderedAt != Instant {})
         return std::nullopt;
     return makeOrder(item, GrantOrder::Kind::Grant, item.range.holder, item.range.fence, now);
 }
@@ -535,14 +541,10 @@
 
 std::vector<GrantEvent> GrantPlan::takeEvents() { return std::exchange(m_events, {}); }
 
-size_t GrantPlan::movingCount() const
-{
-    return static_cast<size_t>(
-        std::count_if(m_items.begin(), m_items.end(), [](const Item& item) { return item.range.moving(); }));
-}
-
 bool GrantPlan::mostAreSilent() const
 {
+    if (std::none_of(m_answers.begin(), m_answers.end(), [](const auto& entry) { return entry.second.silent; }))
+        return false; // as a rule; counting some thousand holders at each look costs more
     std::set<std::string_view> holders;
     for (const auto& item : m_items)
         holders.insert(item.range.holder);
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -29,6 +29,8 @@
 struct GrantTiming {
     Millis hold { 3'000 }; // a lost server's keys wait for it; a coordinator's loss must be over before (about 2 s)
     Millis renewEvery { 600 }; // several tries within one hold
+    Millis renewAtLeastEvery { 1'000 }; // a third of the hold: with many ranges, so that two tries may fail
+    double renewalsPerSecond = 1'000; // about 10% of a core: with more ranges they are renewed less often, down to that
     Millis retryEvery { 150 }; // after an order without an answer
     Millis announce { 40 }; // between the write of a move and the release: hosts stop sending first
     Millis lazyWrite { 1'500 }; // an ended move is written so late, or with the next announcement
@@ -126,8 +128,6 @@
     // --- Looking
     std::vector<GrantEvent> takeEvents();
     uint64_t edition() const { return m_edition; } // of table()
-    size_t rangeCount() const { return m_items.size(); }
-    size_t movingCount() const;
     bool mostAreSilent() const; // of the servers that hold ranges: more likely this host is cut off than they
     bool isSilent(std::string_view server) const;
     const std::string& service() const { return m_service; }
@@ -169,6 +169,7 @@
     bool serves(std::string_view server, Instant now) const; // answers hosts
     void join(); // neighbours that are held by one server with one fence become one range
     Item* find(uint64_t id);
+    Millis renewalInterval() const;
     std::optional<GrantOrder> steadyOrder(Item&, Instant now);
     std::optional<GrantOrder> movingOrder(Item&, Instant now);
     GrantOrder makeOrder(Item&, GrantOrder::Kind, const std::string& server, uint64_t fence, Instant now);
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -333,8 +333,13 @@
     const auto plan = m_plans.find(service);
     if (plan == m_plans.end())
         co_return;
+    const uint64_t before = plan->second->edition();
     plan->second->onAnswer(answer);
-    m_changed.notifyAll();
+    // A renewal changes nothing that can't wait for the next look. Looking over all ranges after each of them cost the
+    // coordinator of 300 hosts, with some thousand answers a second, a third of a core.
+    const bool moves = order.kind == GrantOrder::Kind::Release || plan->second->edition() != before;
+    if (moves || plan->second->deposed())
+        m_changed.notifyAll();
 }
 
 // --- Writes
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -36,7 +36,9 @@
     Millis balanceEvery { 400 }; // one write a round at the most, and each wakes every host's watch
     Millis loadHalfLife { 2'000 }; // of what is known of the keys' load: hot keys change within seconds
     Millis reportEvery { 250 }; // shares follow a burst within about half a second
-    size_t hostsAtThat = 40; // with more, each reports less often, so that the coordinator's work stays bounded
+    // With more, each reports less often, so that the coordinator's work stays bounded. A host notices the loss of its
+    // coordinator by its next report, and a change must be in force everywhere within 2 to 2.5 s also then.
+    size_t hostsAtThat = 80;
     size_t standbys = 2; // hosts that follow the store as well, to take over at once
     size_t serversPerMove = 6; // moves at once: one for so many servers
     Millis hostSilence { 3'000 }; // a host that has not reported for so long no longer counts
--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -19,7 +19,7 @@
     {
         if (news.items.empty())
             news.afterChange = more.afterChange;
-        news.lastChange = more.lastChange;
+        news.lastChange = std::max(news.lastChange, more.lastChange);
         news.items.insert(news.items.end(), more.items.begin(), more.items.end());
         news.tables.insert(news.tables.end(), more.tables.begin(), more.tables.end());
         news.forwardTo = more.forwardTo;
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -11,6 +11,30 @@
 {
 }
 
+namespace {
+
+    // A host that starts reads some thousand servers at once: lines for the first ones, a count of the others.
+    constexpr size_t mostRegistrationLines = 32;
+
+}
+
+void PlatformView::logServer(const RegisteredServer& server, int64_t revision)
+{
+    if (!server.leaving && ++m_registrations > mostRegistrationLines)
+        return;
+    logChange(LogLevel::Info, server.leaving ? "server-leaving" : "server-registered",
+        { { "server", server.id }, { "service", server.service },
+            { "address", server.address + ":" + std::to_string(server.port) }, { "revision", revision } });
+}
+
+void PlatformView::logRegistrationsLeftOut()
+{
+    const size_t registrations = std::exchange(m_registrations, 0);
+    if (registrations > mostRegistrationLines)
+        logChange(LogLevel::Info, "servers-registered",
+            { { "count", registrations }, { "leftOut", registrations - mostRegistrationLines } });
+}
+
 PlatformView::Change PlatformView::applyEvents(int64_t revision, const std::vector<WatchEvent>& events)
 {
     Change change;
@@ -22,6 +46,7 @@
         else
             applyValue(event.value, change);
     }
+    logRegistrationsLeftOut();
     m_revision = std::max(m_revision, revision);
     return change;
 }
@@ -34,6 +59,7 @@
         present.insert(value.key);
         applyValue(value, change);
     }
+    logRegistrationsLeftOut();
     if (!present.count(leaderKey()))
         applyErased(leaderKey(), reply.revision, change);
     std::set<std::string> presentServers;
@@ -138,9 +164,7 @@
     if (held != m_servers->end() && held->second == server)
         return;
     if (held == m_servers->end() || held->second.leaving != server.leaving)
-        logChange(LogLevel::Info, server.leaving ? "server-leaving" : "server-registered",
-            { { "server", id }, { "service", server.service },
-                { "address", server.address + ":" + std::to_string(server.port) }, { "revision", value.modRevision } });
+        logServer(server, value.modRevision);
     changeServers(change).insert_or_assign(id, std::move(server));
 }
 
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -58,6 +58,8 @@
     void noteListed(std::set<std::string, std::less<>> hosts, int64_t modRevision); // likewise
 
 private:
+    void logServer(const RegisteredServer&, int64_t revision);
+    void logRegistrationsLeftOut(); // at the end of a batch
     void applyValue(const KeyValue&, Change&);
     void applyErased(const std::string& key, int64_t revision, Change&);
     void applyRules(const KeyValue&, Change&);
@@ -74,6 +76,7 @@
     std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_tables;
     std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_stored;
     std::map<std::string, int64_t> m_tableRevisions; // by key
+    size_t m_registrations = 0; // in the present batch
     LeaderView m_leader;
     std::set<std::string, std::less<>> m_listedHosts;
     int64_t m_listedRevision = 0;
