A coordinator that is asked to stop while the store is away renews until it has to go

Ruled out: the servers (they served until their holds ended), hosts' tables. Change: the office is given up only if the store says so; otherwise the host stays in it, with its callers already gone, until half a second before its grace ends. The whole-path test got 503 before and 200 now. An outage longer than the grace and one hold still ends with no owner; longer holds while the store is away would bridge more, but a successor must then know of them.

--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -146,8 +146,13 @@
 
         asio::awaitable<void> drain()
         {
-            asio::co_spawn(m_control, m_controlDuty.leave(), asio::detached);
+            constexpr Millis beforeTheEnd { 500 }; // it is killed then; the last lines must be out
+            const Instant until = m_clock.now() + m_settings.gateway->grace - beforeTheEnd;
+            asio::co_spawn(m_control, m_controlDuty.leave(until), [this](std::exception_ptr) { m_left = true; });
             co_await finishCallers(m_callers, gatewayDrain);
+            constexpr Millis look { 20 };
+            while (!m_left && m_clock.now() < until)
+                co_await sleepFor(look);
             logChange(LogLevel::Info, "host-stopped");
             m_routing.stop();
         }
@@ -170,6 +175,7 @@
         HttpServer m_admin;
         asio::signal_set m_signals;
         std::atomic<bool> m_ready { false };
+        std::atomic<bool> m_left { false }; // the coordinator's office, while draining
         bool m_draining = false;
     };
 
--- a/packages/control/Control.cpp
+++ b/packages/control/Control.cpp
@@ -87,7 +87,11 @@
     spawnLoop(m_executor, "stale-reads", readStoreWhileStale());
 }
 
-asio::awaitable<void> Control::leave() { co_await m_election.resign(); }
+asio::awaitable<void> Control::leave()
+{
+    // Without the store's word the lease lapses by itself; owners stay as they are until then.
+    co_await m_election.resign();
+}
 
 void Control::push(RoutingUpdate update)
 {
--- a/packages/control/Election.cpp
+++ b/packages/control/Election.cpp
@@ -134,13 +134,16 @@
     m_modRevision = 0;
 }
 
-asio::awaitable<void> Election::resign()
+asio::awaitable<bool> Election::resign()
 {
     m_standing = false;
     if (!m_modRevision)
-        co_return;
+        co_return true;
+    const StoreStatus status = co_await m_store.revokeLease(m_lease, m_options.callTimeout);
+    if (status != StoreStatus::Ok)
+        co_return false;
     m_modRevision = 0;
-    co_await m_store.revokeLease(m_lease, m_options.callTimeout);
+    co_return true;
 }
 
 }
--- a/packages/control/Election.h
+++ b/packages/control/Election.h
@@ -29,7 +29,8 @@
     boost::asio::awaitable<void> run(); // forever
     void onLeaderChange() { m_changed.notifyAll(); }
     void stopStanding() { m_standing = false; } // this host is leaving
-    boost::asio::awaitable<void> resign();
+    // Gives the office up. False: the store is away. Nobody else can be elected then, and this host is still in office.
+    boost::asio::awaitable<bool> resign();
 
     bool holds() const { return m_modRevision; } // as far as this host knows; the store may say otherwise
     bool mayAct() const;
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -90,7 +90,16 @@
     spawnLoop(m_executor, "reports", reportLoop());
 }
 
-asio::awaitable<void> GatewayControl::leave() { co_await m_election.resign(); }
+asio::awaitable<void> GatewayControl::leave(Instant until)
+{
+    constexpr Millis pause { 200 }; // between two questions to a store that may be back
+    for (;;) {
+        const bool resigned = co_await m_election.resign();
+        if (resigned || m_clock.now() >= until)
+            co_return;
+        co_await sleepFor(pause);
+    }
+}
 
 // --- To the routing duty
 
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -23,7 +23,9 @@
     void onUse(GatewayReport); // from the routing duty
     wire::HostAdvice onReport(const wire::HostReport&) override; // from a host
     void onAdopt(const wire::News&) override; // from the coordinator
-    boost::asio::awaitable<void> leave(); // gives the office up
+    // Gives the office up, if it holds it. While the store is away it stays in office, but not beyond `until`: no other
+    // host could be elected, and without renewals every key would be refused after one hold.
+    boost::asio::awaitable<void> leave(Instant until);
     std::string statusText() const; // JSON, for operators
 
 private:
--- a/packages/store/EtcdStore.cpp
+++ b/packages/store/EtcdStore.cpp
@@ -181,11 +181,13 @@
     co_return result ? leaseIn(*result) : LeaseReply {};
 }
 
-asio::awaitable<void> EtcdStore::revokeLease(int64_t id, Millis timeout)
+asio::awaitable<StoreStatus> EtcdStore::revokeLease(int64_t id, Millis timeout)
 {
     json::object body;
     body["ID"] = text(id);
-    co_await m_client.send(post("/v3/lease/revoke", body), timeout);
+    const HttpReply reply = co_await m_client.send(post("/v3/lease/revoke", body), timeout);
+    // Any answer will do: a lease that isn't known has ended.
+    co_return reply.arrived() ? StoreStatus::Ok : StoreStatus::Unavailable;
 }
 
 asio::awaitable<void> EtcdStore::watch(std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle)
--- a/packages/store/EtcdStore.h
+++ b/packages/store/EtcdStore.h
@@ -16,7 +16,7 @@
         std::vector<Compare> conditions, std::vector<WriteOperation> writes, Millis timeout) override;
     boost::asio::awaitable<LeaseReply> grantLease(Millis ttl, Millis timeout) override;
     boost::asio::awaitable<LeaseReply> keepLease(int64_t id, Millis timeout) override;
-    boost::asio::awaitable<void> revokeLease(int64_t id, Millis timeout) override;
+    boost::asio::awaitable<StoreStatus> revokeLease(int64_t id, Millis timeout) override;
     boost::asio::awaitable<void> watch(
         std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle) override;
 
--- a/packages/store/Store.h
+++ b/packages/store/Store.h
@@ -71,7 +71,7 @@
         = 0;
     virtual boost::asio::awaitable<LeaseReply> grantLease(Millis ttl, Millis timeout) = 0;
     virtual boost::asio::awaitable<LeaseReply> keepLease(int64_t id, Millis timeout) = 0;
-    virtual boost::asio::awaitable<void> revokeLease(int64_t id, Millis timeout) = 0;
+    virtual boost::asio::awaitable<StoreStatus> revokeLease(int64_t id, Millis timeout) = 0;
 
     // Calls `handle` with each batch of events from `fromRevision` on. Returns when the stream ends, is silent
     // for longer than `silence`, or `handle` returns false.
