--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -187,9 +187,9 @@
     m_waiting.erase(ticket);
     if (waiting.admitted)
         co_return Admitted::Yes;
-    if (waiting.shed)
-        co_return Admitted::Refused;
     m_admission->withdraw(ticket);
+    if (waiting.shed && !waiting.evicted)
+        co_return Admitted::Refused; // one that is evicted as well may be served elsewhere
     co_return waiting.evicted ? Admitted::Evicted : Admitted::TimedOut;
 }
 
--- a/packages/control/Election.cpp
+++ b/packages/control/Election.cpp
@@ -55,7 +55,10 @@
 asio::awaitable<bool> Election::stand()
 {
     // Spread, so that not all hosts stand at the same moment.
-    co_await sleepFor(m_options.standDelay ? m_options.standDelay() : randomBelow(spreadOfCandidates));
+    Millis delay = randomBelow(spreadOfCandidates);
+    if (m_options.standDelay)
+        delay = m_options.standDelay();
+    co_await sleepFor(delay);
     if (!m_view.leader().host.empty())
         co_return false;
     m_nonce = std::to_string(randomNumber());
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -207,10 +207,8 @@
     report.sender = m_settings.host.name;
     report.dataCentre = m_settings.host.dataCentre;
     report.address = textOf(m_settings.host.peers);
-    report.overMillis = static_cast<int32_t>(m_use.over.count());
     report.lastChange = m_view.lastChange();
     report.strengthCenti = inCenti(m_settings.gateway->strength);
-    report.storeSilentMillis = (m_clock.now() - m_follower.lastAnswer()).count();
     for (const auto& [name, table] : m_view.tables()) {
         wire::ServiceUse service;
         service.serviceName = name;
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -24,10 +24,8 @@
 struct HostReport {
     1: string sender
     2: string address // "IP:port" where the sender answers
-    3: i32 overMillis // the time that the uses were measured over
     4: list<ServiceUse> services
     5: list<ServerUse> servers
-    6: i64 storeSilentMillis // since the store last answered this host
     7: i64 lastChange // revision of the newest write of others that the host knows of
     8: i32 strengthCenti // processor time that the host has, in hundredths of a core
     9: string dataCentre
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -462,10 +462,6 @@
   this->address = val;
 }
 
-void HostReport::__set_overMillis(const int32_t val) {
-  this->overMillis = val;
-}
-
 void HostReport::__set_services(const std::vector<ServiceUse> & val) {
   this->services = val;
 }
@@ -474,10 +470,6 @@
   this->servers = val;
 }
 
-void HostReport::__set_storeSilentMillis(const int64_t val) {
-  this->storeSilentMillis = val;
-}
-
 void HostReport::__set_lastChange(const int64_t val) {
   this->lastChange = val;
 }
@@ -533,14 +525,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->overMillis);
-          this->__isset.overMillis = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
@@ -581,14 +565,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->storeSilentMillis);
-          this->__isset.storeSilentMillis = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->lastChange);
@@ -638,10 +614,6 @@
   xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("overMillis", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->overMillis);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
@@ -666,10 +638,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("storeSilentMillis", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->storeSilentMillis);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("lastChange", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->lastChange);
   xfer += oprot->writeFieldEnd();
@@ -691,10 +659,8 @@
   using ::std::swap;
   swap(a.sender, b.sender);
   swap(a.address, b.address);
-  swap(a.overMillis, b.overMillis);
   swap(a.services, b.services);
   swap(a.servers, b.servers);
-  swap(a.storeSilentMillis, b.storeSilentMillis);
   swap(a.lastChange, b.lastChange);
   swap(a.strengthCenti, b.strengthCenti);
   swap(a.dataCentre, b.dataCentre);
@@ -704,10 +670,8 @@
 HostReport::HostReport(const HostReport& other24) {
   sender = other24.sender;
   address = other24.address;
-  overMillis = other24.overMillis;
   services = other24.services;
   servers = other24.servers;
-  storeSilentMillis = other24.storeSilentMillis;
   lastChange = other24.lastChange;
   strengthCenti = other24.strengthCenti;
   dataCentre = other24.dataCentre;
@@ -716,10 +680,8 @@
 HostReport& HostReport::operator=(const HostReport& other25) {
   sender = other25.sender;
   address = other25.address;
-  overMillis = other25.overMillis;
   services = other25.services;
   servers = other25.servers;
-  storeSilentMillis = other25.storeSilentMillis;
   lastChange = other25.lastChange;
   strengthCenti = other25.strengthCenti;
   dataCentre = other25.dataCentre;
@@ -731,10 +693,8 @@
   out << "HostReport(";
   out << "sender=" << to_string(sender);
   out << ", " << "address=" << to_string(address);
-  out << ", " << "overMillis=" << to_string(overMillis);
   out << ", " << "services=" << to_string(services);
   out << ", " << "servers=" << to_string(servers);
-  out << ", " << "storeSilentMillis=" << to_string(storeSilentMillis);
   out << ", " << "lastChange=" << to_string(lastChange);
   out << ", " << "strengthCenti=" << to_string(strengthCenti);
   out << ", " << "dataCentre=" << to_string(dataCentre);
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -215,13 +215,11 @@
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), overMillis(false), services(false), servers(false), storeSilentMillis(false), lastChange(false), strengthCenti(false), dataCentre(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false) {}
   bool sender :1;
   bool address :1;
-  bool overMillis :1;
   bool services :1;
   bool servers :1;
-  bool storeSilentMillis :1;
   bool lastChange :1;
   bool strengthCenti :1;
   bool dataCentre :1;
@@ -235,8 +233,6 @@
   HostReport() noexcept
              : sender(),
                address(),
-               overMillis(0),
-               storeSilentMillis(0),
                lastChange(0),
                strengthCenti(0),
                dataCentre() {
@@ -245,10 +241,8 @@
   virtual ~HostReport() noexcept;
   std::string sender;
   std::string address;
-  int32_t overMillis;
   std::vector<ServiceUse>  services;
   std::vector<ServerUse>  servers;
-  int64_t storeSilentMillis;
   int64_t lastChange;
   int32_t strengthCenti;
   std::string dataCentre;
@@ -259,14 +253,10 @@
 
   void __set_address(const std::string& val);
 
-  void __set_overMillis(const int32_t val);
-
   void __set_services(const std::vector<ServiceUse> & val);
 
   void __set_servers(const std::vector<ServerUse> & val);
 
-  void __set_storeSilentMillis(const int64_t val);
-
   void __set_lastChange(const int64_t val);
 
   void __set_strengthCenti(const int32_t val);
@@ -279,14 +269,10 @@
       return false;
     if (!(address == rhs.address))
       return false;
-    if (!(overMillis == rhs.overMillis))
-      return false;
     if (!(services == rhs.services))
       return false;
     if (!(servers == rhs.servers))
       return false;
-    if (!(storeSilentMillis == rhs.storeSilentMillis))
-      return false;
     if (!(lastChange == rhs.lastChange))
       return false;
     if (!(strengthCenti == rhs.strengthCenti))
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -512,7 +512,8 @@
     for (;;) {
         const bool stopping
             = std::any_of(m_routes.begin(), m_routes.end(), [](const auto& entry) { return entry.second->stopping; });
-        co_await sleepFor(stopping ? busyReportEvery : quietReportEvery);
+        const Millis pause = stopping ? busyReportEvery : quietReportEvery;
+        co_await sleepFor(pause);
         const Instant now = m_clock.now();
         m_inFlight.forgetExpired(now);
         RoutingReport report = makeReport();
