Declarations and a sum that nobody uses are gone

Gateway::applyShares was declared and never defined, Upstream::load and PlatformFollower::hasRead are called by nobody, and the reports' time was added up for a field that no longer exists. Behaviour is unchanged.

--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -58,7 +58,6 @@
     };
 
     void applyServers();
-    void applyShares();
     ErrorKind prepare(Job&);
     Located locate(const Job&);
     Located locateKey(const Job&);
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -193,7 +193,6 @@
 void GatewayControl::onUse(GatewayReport report)
 {
     // Means over the last report's time; uses of keys add up until they are sent.
-    m_use.over += report.over;
     m_use.servers = std::move(report.servers);
     for (auto& [service, keys] : report.keys) {
         auto& all = m_use.keys[service];
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -40,7 +40,6 @@
     // coordinator knows of and this host doesn't is read after all.
     void fed(int64_t coordinatorsChange);
     void onItsOwn(); // nobody tells this host of changes, or it stands by to coordinate
-    bool hasRead() const { return m_hasRead; }
     Instant lastAnswer() const { return m_lastAnswer; }
 
 private:
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -11,7 +11,6 @@
     Upstream(boost::asio::any_io_executor, const Clock&, const RegisteredServer&, const RoutedService*);
 
     void update(const RegisteredServer&, const RoutedService*, const SlotShares&, Instant now);
-    unsigned load() const { return pool.admission().inFlight() + static_cast<unsigned>(pool.admission().queued()); }
 
     // --- Health, from real answers only
     void answered() { failures = 0; }
