--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Coordinator.h"
 
 #include "base/Log.h"
+#include "decisions/ServerIdentity.h"
 #include "resources/GrantTableCodec.h"
 
 #include <algorithm>
@@ -236,14 +237,29 @@
     }
 }
 
+void Coordinator::rememberFormerLife(const std::string& server)
+{
+    const std::string_view name = serverNameOf(server);
+    const auto servers = m_view.servers();
+    const auto later = servers->lower_bound(name);
+    if (later == servers->end() || later->second.name != name)
+        return;
+    ServerState& state = m_servers[server];
+    state.address = later->second.address;
+    state.port = later->second.port;
+}
+
 std::shared_ptr<HttpClient> Coordinator::clientFor(const std::string& server)
 {
+    const auto known = m_servers.find(server);
+    // A former life of a registered server is asked to let go at that server: it holds nothing and says so at once,
+    // where waiting for the former life's hold would leave its keys without an owner for three seconds.
+    if (known == m_servers.end() || !known->second.port)
+        rememberFormerLife(server);
     const auto found = m_servers.find(server);
-    if (found == m_servers.end())
+    if (found == m_servers.end() || !found->second.port)
         return nullptr;
     ServerState& state = found->second;
-    if (!state.port)
-        return nullptr;
     constexpr size_t mostIdle = 2; // renewals of its ranges in turn, and a release that waits for work to end
     if (!state.client)
         state.client = std::make_shared<HttpClient>(m_executor, state.address, state.port, mostIdle);
