--- a/packages/decisions/KeyBalance.cpp
+++ b/packages/decisions/KeyBalance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <set>
 
 namespace cumindale {
 
@@ -131,6 +132,84 @@
 
 }
 
+namespace {
+
+    // Load pattern: a third of a service's requests ask for one key for some seconds, more than one server can do, while
+    // the others have room. All that helps is the server at which it lies: speeds differ by three.
+    class HeavyKeys {
+    public:
+        HeavyKeys(const KeyLoad& load, const BalanceOptions& options)
+            : m_load(load)
+            , m_options(options)
+        {
+        }
+
+        // The heaviest key of the range that asks for more than `slots`; nothing: none does.
+        std::optional<uint32_t> in(const KeyRange& range, double slots) const
+        {
+            std::optional<uint32_t> heaviest;
+            if (!asksForMore(m_load.of(range.first, range.last), slots))
+                return heaviest;
+            for (uint32_t key = range.first; key <= range.last; ++key) {
+                const double load = m_load.key(key);
+                if (asksForMore(load, slots) && (!heaviest || load > m_load.key(*heaviest)))
+                    heaviest = key;
+            }
+            return heaviest;
+        }
+
+    private:
+        bool asksForMore(double load, double slots) const
+        {
+            const double busy = load / m_options.requestMillis * m_options.workMillis / 1000;
+            return busy > m_options.tooHeavy * slots;
+        }
+
+        const KeyLoad& m_load;
+        const BalanceOptions& m_options;
+    };
+
+    // Moves such keys, the ranges' holders being `states`; notes where each heavy key then lies.
+    void moveHeavyKeys(std::vector<KeyRange>& ranges, std::map<std::string_view, ServerState>& states,
+        const HeavyKeys& heavy, const Weigher& weigher, const BalanceOptions& options, std::vector<BalanceMove>& moves)
+    {
+        std::set<std::string_view> taken; // servers that have one: two on one server would be worse
+        std::vector<std::pair<size_t, uint32_t>> found; // range, key
+        for (size_t i = 0; i < ranges.size(); ++i) {
+            const auto holder = states.find(ranges[i].moving() ? ranges[i].next : ranges[i].holder);
+            if (holder == states.end())
+                continue;
+            const auto key = heavy.in(ranges[i], holder->second.server->slots);
+            if (!key)
+                continue;
+            taken.insert(holder->first);
+            if (!ranges[i].moving())
+                found.emplace_back(i, *key);
+        }
+        for (const auto& [index, key] : found) {
+            ServerState& from = states.at(ranges[index].holder);
+            ServerState* best = nullptr;
+            for (auto& [id, state] : states) {
+                const bool free = !taken.count(id);
+                const bool faster = state.server->slots >= options.muchFaster * from.server->slots;
+                if (free && faster && (!best || state.server->slots > best->server->slots))
+                    best = &state;
+            }
+            if (!best)
+                continue;
+            const double weight = weigher.of(key, key);
+            cutOut(ranges, index, { key, key, weight }, best->server->id);
+            moves.push_back({ key, key, best->server->id, false, true });
+            taken.insert(best->server->id);
+            from.weight -= weight;
+            --from.keys;
+            best->weight += weight;
+            ++best->keys;
+        }
+    }
+
+}
+
 std::vector<BalanceMove> planBalance(std::span<const KeyRange> present, const KeyLoad& load,
     std::span<const ServerCapacity> servers, const BalanceOptions& options)
 {
@@ -156,6 +235,8 @@
         found->second.keys += range.size();
     }
 
+    moveHeavyKeys(ranges, states, HeavyKeys(load, options), weigher, options, moves);
+
     std::vector<ServerState*> order;
     order.reserve(states.size());
     for (auto& [id, state] : states)
--- a/packages/decisions/KeyBalance.h
+++ b/packages/decisions/KeyBalance.h
@@ -2,7 +2,8 @@
 //
 // The load is measured in milliseconds of server time a second, for each key. Hot keys lie close together and change
 // within minutes, so ranges are cut where the load is, not at fixed points. A key that alone is more than a server's
-// fair share stays where it is, and its neighbours move away from it: moving it would only move the trouble.
+// fair share stays where it is, and its neighbours move away from it: moving it would only move the trouble. One that
+// its server can't keep up with goes to a server that is faster by much, where there is one.
 #pragma once
 
 #include "decisions/GrantTable.h"
@@ -47,6 +48,11 @@
     double shareOfSpace = 0.15;
     size_t movesAtOnce = 12; // each is a pause for its keys
     double newcomerShare = 0.5; // a server without keys gets this part of a fair share at once
+    // A key goes to a faster server once it asks for more than this part of what its own can do, if the other can do so
+    // many times as much: speeds are measured to about 10%, and each move is a pause for the key.
+    double tooHeavy = 0.8;
+    double muchFaster = 1.3;
+    double workMillis = 100; // of one request at a server of mean speed; a load counts `requestMillis` for each
 };
 
 struct BalanceMove {
@@ -54,6 +60,7 @@
     uint32_t last = 0;
     std::string to;
     bool newcomer = false; // to a server that held nothing
+    bool heavyKey = false; // a key that its server can't keep up with
 };
 
 // What one server can take and how it does.
--- a/packages/decisions/SlotShares.h
+++ b/packages/decisions/SlotShares.h
@@ -33,6 +33,7 @@
     }
 
     void report(std::string_view host, double inFlight, double waiting);
+    double inFlight() const; // of all hosts
     bool pressed(unsigned slots) const;
     void forget(std::string_view host);
     // The part of a host: by its demand, at least `least`. `hosts`: that share the server.
@@ -40,7 +41,11 @@
 
 private:
     ShareOptions m_options;
-    std::map<std::string, double, std::less<>> m_wanted; // by host
+    struct Host {
+        double wanted = 0; // at work and waiting
+        double inFlight = 0;
+    };
+    std::map<std::string, Host, std::less<>> m_hosts;
 };
 
 }
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -483,28 +483,47 @@
 
 // --- Balance
 
+namespace {
+
+    std::string reasonOf(const BalanceMove& move)
+    {
+        if (move.heavyKey)
+            return "a heavy key";
+        return move.newcomer ? "a new server" : "evenness";
+    }
+
+}
+
 double Coordinator::meanLifeSeconds() const
 {
     return static_cast<double>(m_options.loadHalfLife.count()) / 1000 / std::log(2.0);
 }
 
-std::vector<ServerCapacity> Coordinator::capacities(const GrantPlan& plan) const
+double Coordinator::meanWorkMillis(const GrantPlan& plan) const
 {
-    double mean = 0;
-    double measured = 0;
-    for (const auto& [id, state] : m_servers) {
-        mean += state.workMillis;
-        measured += state.workMillis > 0;
+    double sum = 0;
+    size_t measured = 0;
+    for (const auto& [id, server] : *m_view.servers()) {
+        const auto state = m_servers.find(id);
+        if (server.service != plan.service() || state == m_servers.end() || state->second.workMillis <= 0)
+            continue;
+        sum += state->second.workMillis;
+        ++measured;
     }
-    mean /= std::max(1.0, measured);
+    return measured ? sum / static_cast<double>(measured) : m_options.balance.requestMillis;
+}
+
+std::vector<ServerCapacity> Coordinator::capacities(const GrantPlan& plan) const
+{
+    const double mean = meanWorkMillis(plan);
     std::vector<ServerCapacity> servers;
     for (const auto& [id, server] : *m_view.servers()) {
         if (server.service != plan.service() || server.leaving || plan.isSilent(id))
             continue;
-        // Servers differ in speed: one that takes longer for its work gets less of it. Bounded, since a server with a
-        // long queue looks slow as well.
-        constexpr double slowest = 0.5;
-        constexpr double fastest = 1.6;
+        // Servers differ in speed: one that takes longer for its work gets less of it. Bounded, since few requests may
+        // look slow or quick by chance.
+        constexpr double slowest = 0.4;
+        constexpr double fastest = 2;
         const auto state = m_servers.find(id);
         const double work = state == m_servers.end() ? 0 : state->second.workMillis;
         const double speed = work > 0 ? std::clamp(mean / work, slowest, fastest) : 1;
@@ -524,9 +543,10 @@
         const auto ranges = plan->table().ranges;
         BalanceOptions options = m_options.balance;
         options.rememberedSeconds = meanLifeSeconds();
+        options.workMillis = meanWorkMillis(*plan);
         options.movesAtOnce = std::max(options.movesAtOnce, m_view.servers()->size() / m_options.serversPerMove);
         for (const auto& move : planBalance(ranges, load, capacities(*plan), options))
-            plan->move(move.first, move.last, move.to, move.newcomer ? "a new server" : "evenness");
+            plan->move(move.first, move.last, move.to, reasonOf(move));
         load.decay(std::exp2(-passed / static_cast<double>(m_options.loadHalfLife.count())));
     }
     std::erase_if(m_hosts, [&](const auto& entry) {
@@ -641,7 +661,11 @@
             const auto plan = m_plans.find(known->second.service);
             if (plan != m_plans.end())
                 plan->second->served(use.server, host.heard);
-            state.workMillis += (state.workMillis > 0 ? newest : 1) * (use.workMicros / 1000.0 - state.workMillis);
+            // What is at the server beyond its slots waits there: by Little's law that part of the time is no work.
+            const double inFlight = state.demand->inFlight();
+            const double working = std::min(1.0, known->second.slots / std::max(1.0, inFlight));
+            const double work = working * use.workMicros / 1000.0;
+            state.workMillis += (state.workMillis > 0 ? newest : 1) * (work - state.workMillis);
         }
         if (!state.demand->pressed(known->second.slots))
             continue; // there is room: the host needs no share
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -94,6 +94,7 @@
     Millis reportInterval() const;
     void balance();
     double meanLifeSeconds() const; // of what is known of the keys' load
+    double meanWorkMillis(const GrantPlan&) const; // of one request, at the servers of this service
     std::vector<ServerCapacity> capacities(const GrantPlan&) const;
     void send(GrantOrder, const std::string& service);
     void startSender(const std::string& server, ServerState&);
