--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -215,8 +215,8 @@
 
 std::optional<uint64_t> GrantPlan::fenceToSend(const GrantOrder& order, bool newConnection)
 {
-    // Whoever answers behind a new connection may be a later life. That goes for all ranges of the server, also where
-    // their next grants find this connection made already.
+    // Whoever answers behind a new connection may be a later incarnation. That goes for all ranges of the server, also
+    // where their next grants find this connection made already.
     uint64_t& connections = m_answers[order.server].connections;
     connections += newConnection;
     if (order.kind == GrantOrder::Kind::Release)
@@ -262,7 +262,7 @@
     return found != servers.end() && !found->second.leaving && found->second.service == m_service && !isSilent(server);
 }
 
-std::string GrantPlan::laterLifeOf(const Servers& servers, const std::string& server) const
+std::string GrantPlan::laterIncarnationOf(const Servers& servers, const std::string& server) const
 {
     const std::string_view name = serverNameOf(server);
     for (auto at = servers.lower_bound(name); at != servers.end() && at->first.starts_with(name); ++at) {
@@ -308,7 +308,7 @@
 {
     // A holder that has started again gets its keys back: no others move, and what a former coordinator may still send
     // to it is refused there.
-    std::string target = laterLifeOf(servers, item.range.holder);
+    std::string target = laterIncarnationOf(servers, item.range.holder);
     if (target.empty())
         target = bestTarget(servers, item.range.holder);
     if (target.empty())
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -12,9 +12,10 @@
 //   orders are refused there. A holder that doesn't answer is waited for as long as the former coordinator may go on
 //   renewing plus one hold.
 // - A server may start again under its name, at its address, and then takes any fence. A grant carries a fence that was
-//   sent before only over the connection over which the server has been answering: a life of a server doesn't outlast
-//   its connections. Over a new one it carries a higher fence than any life has taken. Such fences are drawn from a
-//   reserve that is in the store already, so that an outage of the store doesn't keep grants from being renewed.
+//   sent before only over the connection over which the server has been answering: an incarnation of a server doesn't
+//   outlast its connections. Over a new one it carries a higher fence than any incarnation has taken. Such fences are
+//   drawn from a reserve that is in the store already, so that an outage of the store doesn't keep grants from being
+//   renewed.
 // - A refusal for a higher fence means that another coordinator is at work: this one stops at once (deposed()).
 #pragma once
 
@@ -181,7 +182,7 @@
     void setNext(Item&, const std::string& to, std::string why);
     void raiseFenceLimit();
     bool usable(const Servers&, const std::string& server) const;
-    std::string laterLifeOf(const Servers&, const std::string& server) const; // empty: none that is usable
+    std::string laterIncarnationOf(const Servers&, const std::string& server) const; // empty: none that is usable
     std::string bestTarget(const Servers&, const std::string& except) const;
     void spreadFirst(const Servers&);
     void maintainMoving(Item&, const Servers&, Instant now);
--- a/packages/decisions/RouteRules.h
+++ b/packages/decisions/RouteRules.h
@@ -86,9 +86,9 @@
     std::unordered_map<std::string, std::vector<int64_t>> m_credits; // by route, one for each part
 };
 
-// One life of a server, as it registered itself.
+// One incarnation of a server, as it registered itself.
 struct RegisteredServer {
-    std::string id; // of this life: serverId(name, born)
+    std::string id; // of this incarnation: serverId(name, born)
     std::string service;
     std::string address; // IP number
     uint16_t port = 0;
--- a/packages/decisions/ServerIdentity.h
+++ b/packages/decisions/ServerIdentity.h
@@ -1,9 +1,9 @@
 // Who a backend server is: the name that it registers under and the moment of its start.
 //
 // A server may start again under the name that it had. It then holds no keys, has seen no fence and works on nothing
-// that its former life was sent. Everything that is kept for a server, here and in the store, is therefore kept under
-// an id that names one life: what is known of a former life, or arrives late about it, can't be taken for the present
-// one. Only what is sent to a server names it as it names itself.
+// that its former incarnation was sent. Everything that is kept for a server, here and in the store, is therefore kept
+// under an id that names one incarnation: what is known of a former incarnation, or arrives late about it, can't be
+// taken for the present one. Only what is sent to a server names it as it names itself.
 #pragma once
 
 #include <cstdint>
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -237,11 +237,11 @@
     }
 }
 
-void Coordinator::rememberFormerLife(const std::string& server)
+void Coordinator::rememberFormerIncarnation(const std::string& server)
 {
     const std::string_view name = serverNameOf(server);
     const auto servers = m_view.servers();
-    const auto later = servers->lower_bound(name);
+    const auto later = servers->lower_bound(serverId(name, 0)); // ids sort by name, then start
     if (later == servers->end() || later->second.name != name)
         return;
     ServerState& state = m_servers[server];
@@ -252,10 +252,10 @@
 std::shared_ptr<HttpClient> Coordinator::clientFor(const std::string& server)
 {
     const auto known = m_servers.find(server);
-    // A former life of a registered server is asked to let go at that server: it holds nothing and says so at once,
-    // where waiting for the former life's hold would leave its keys without an owner for three seconds.
+    // A former incarnation of a registered server is asked to let go at that server: it holds nothing and says so at
+    // once, where waiting for the former incarnation's hold would leave its keys without an owner for three seconds.
     if (known == m_servers.end() || !known->second.port)
-        rememberFormerLife(server);
+        rememberFormerIncarnation(server);
     const auto found = m_servers.find(server);
     if (found == m_servers.end() || !found->second.port)
         return nullptr;
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -113,7 +113,7 @@
     std::set<std::string, std::less<>> hostsToList() const; // empty: those in the store are right
     void logEvents(GrantPlan&);
     void rememberServers();
-    void rememberFormerLife(const std::string& server); // if a later life of it is registered
+    void rememberFormerIncarnation(const std::string& server); // if a later incarnation of it is registered
     std::shared_ptr<HttpClient> clientFor(const std::string& server); // null: never registered since the term began
 
     boost::asio::any_io_executor m_executor;
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -196,8 +196,8 @@
         refuse("born: missing, and this server tells it");
         return;
     }
-    // A write of a life that has ended may be carried out late. It has no more than one under way: a second one tells
-    // of a server that lives, and whose clock went back before it started.
+    // A write of an incarnation that has ended may be carried out late. It has no more than one under way: a second one
+    // tells of a server that lives, and whose clock went back before it started.
     if (server.born < entry.born && std::exchange(entry.olderBorn, server.born) != server.born) {
         logChange(LogLevel::Warning, "server-entry-outdated",
             { { "server", server.id }, { "present", entry.id }, { "revision", value.modRevision } });
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -75,9 +75,9 @@
     // What is known of a server's entry, by the server's name.
     struct Entry {
         int64_t revision = 0; // of its last write or erasure
-        int64_t born = 0; // of the life that it named last
-        int64_t olderBorn = 0; // of an older life that it named after that one; 0: none
-        std::string id; // of the life that it names now; empty: none
+        int64_t born = 0; // of the incarnation that it named last
+        int64_t olderBorn = 0; // of an older incarnation that it named after that one; 0: none
+        std::string id; // of the incarnation that it names now; empty: none
     };
     std::map<std::string, Entry> m_entries;
     std::set<std::string> m_missing; // names of servers that lapsed, perhaps only while the store was away
--- a/tests/grant_model.cpp
+++ b/tests/grant_model.cpp
@@ -29,14 +29,14 @@
     struct Hold {
         uint64_t seenFence = 0;
         uint64_t takenFence = 0;
-        uint64_t formerFence = 0; // highest with which former lives had the key
+        uint64_t formerFence = 0; // highest with which former incarnations had the key
         Instant until {};
     };
 
     struct Server {
         std::string name;
         int64_t born = 0;
-        std::string id; // of the present life
+        std::string id; // of the present incarnation
         std::string registered; // id that the store shows; empty: none
         bool up = true;
         bool cut = false; // from all hosts
@@ -44,7 +44,7 @@
         double clock = 1; // a hold lasts so many times as long
         Instant backAt {};
         std::array<Hold, sampleCount> holds;
-        Instant registersAt {}; // a new life is known to the store a little later, behind a cut much later
+        Instant registersAt {}; // a new incarnation is known to the store a little later, behind a cut much later
     };
 
     struct Office {
@@ -72,7 +72,7 @@
         GrantOrder order;
         Instant sent {};
         Instant arrived {};
-        int64_t connectedTo = 0; // the life at the other end of the connection; 0: a new connection
+        int64_t connectedTo = 0; // the incarnation at the other end of the connection; 0: a new connection
         bool answered = true; // the answer will reach the host
         bool isAnswer = false;
         OrderAnswer answer;
@@ -98,7 +98,7 @@
         std::unique_ptr<OfficeRules> office;
         std::string former;
         int64_t tableRevision = 0;
-        std::array<int64_t, serverCount> connectedTo {}; // born of the life; 0: no connection
+        std::array<int64_t, serverCount> connectedTo {}; // born of the incarnation; 0: no connection
     };
 
     class World {
@@ -252,7 +252,7 @@
 
         bool reachesStore(const Host& host) const { return !m_store.down && !host.cutFromStore; }
 
-        // The server at the address of the one that an order is for: whichever life of it is up.
+        // The server at the address of the one that an order is for: whichever incarnation of it is up.
         Server* find(const std::string& id)
         {
             const auto name = serverNameOf(id);
@@ -358,8 +358,8 @@
             Server* server = find(message.order.server);
             const bool late = !message.answered && message.at > message.arrived;
             const bool reached = server && reaches(message.host, *server);
-            // Bytes of a connection to a former life mean nothing to the present one. Of a server's late work nothing
-            // outlasts it, either.
+            // Bytes of a connection to a former incarnation mean nothing to the present one. Of a server's late work
+            // nothing outlasts it, either.
             const bool ended = server && message.connectedTo && message.connectedTo != server->born;
             if ((!reached && !late) || ended) {
                 if (message.answered)
@@ -398,7 +398,7 @@
             }
             const auto time = static_cast<int64_t>(static_cast<double>(order.hold.count()) * server.clock);
             for (auto* hold : touched) {
-                // A grant that was held up tells nothing: it was sent when the former life had the key.
+                // A grant that was held up tells nothing: it was sent when the former incarnation had the key.
                 m_outcome.staleFences += order.fence <= hold->formerFence && message.at - message.sent < Millis(10)
                     && m_hosts[message.host].term == m_store.office.term;
                 hold->seenFence = order.fence;
--- a/tests/grant_model.h
+++ b/tests/grant_model.h
@@ -21,12 +21,13 @@
     bool officeEnds = true; // without the store's word a coordinator needs half of the hosts
     bool waitForFormer = true; // a new coordinator waits for a former one at servers that it can't reach
     bool waitForUnanswered = true; // an order without an answer may be carried out late
-    bool newFenceOnNewConnection = true; // behind it another life of the server may answer
+    bool newFenceOnNewConnection = true; // behind it another incarnation of the server may answer
 };
 
 struct Outcome {
     size_t twoHolders = 0; // moments with two servers up that hold the same key
-    size_t staleFences = 0; // keys taken with a fence that an earlier life of the server had them with, or a higher one
+    size_t staleFences
+        = 0; // keys taken with a fence that an earlier incarnation of the server had them with, or a higher one
     size_t rebirths = 0;
     size_t grantsTaken = 0;
     size_t moves = 0;
--- a/tests/grant_plan_test.cpp
+++ b/tests/grant_plan_test.cpp
@@ -16,7 +16,7 @@
 
 struct Total {
     std::atomic<size_t> bad { 0 }; // histories with two holders
-    std::atomic<size_t> stale { 0 }; // histories in which a new life of a server took a fence of a former one
+    std::atomic<size_t> stale { 0 }; // histories in which a new incarnation of a server took a fence of a former one
     std::atomic<uint64_t> firstStale { 0 };
     std::atomic<size_t> rebirths { 0 };
     std::atomic<uint64_t> firstBad { 0 };
@@ -88,8 +88,9 @@
 }
 
 // What the servers saw: one that had crashed was back within a renewal's time, under its name and at its address. The
-// coordinator had not heard of it yet and renewed there what the former life had held, with the fence of that life.
-TEST_CASE("the same where servers start again under their names: each life takes its keys with a higher fence")
+// coordinator had not heard of it yet and renewed there what the former incarnation had held, with the fence of that
+// incarnation.
+TEST_CASE("the same where servers start again under their names: each incarnation takes its keys with a higher fence")
 {
     checkAll(Restart::SameName);
 }
@@ -219,7 +220,8 @@
     CHECK(service.rangeOfA().holder.empty()); // all keys are held by the other one
 }
 
-TEST_CASE("a grant over a new connection needs a new fence: without it some life takes a fence of its former one")
+TEST_CASE(
+    "a grant over a new connection needs a new fence: without it some incarnation takes a fence of its former one")
 {
     Guards guards;
     guards.newFenceOnNewConnection = false;
