--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -29,6 +29,12 @@
     return "unanswered";
 }
 
+const RegisteredServer* registeredUnder(const GrantPlan::Servers& servers, std::string_view name)
+{
+    const auto found = servers.lower_bound(serverId(name, 0)); // ids sort by name, then start
+    return found != servers.end() && serverNameOf(found->first) == name ? &found->second : nullptr;
+}
+
 GrantPlan::GrantPlan(std::string service, GrantTiming timing, int64_t term)
     : m_service(std::move(service))
     , m_timing(timing)
@@ -264,12 +270,8 @@
 
 std::string GrantPlan::laterIncarnationOf(const Servers& servers, const std::string& server) const
 {
-    const std::string_view name = serverNameOf(server);
-    for (auto at = servers.lower_bound(name); at != servers.end() && at->first.starts_with(name); ++at) {
-        if (at->first != server && serverNameOf(at->first) == name && usable(servers, at->first))
-            return at->first;
-    }
-    return {};
+    const RegisteredServer* later = registeredUnder(servers, serverNameOf(server));
+    return later && later->id != server && usable(servers, later->id) ? later->id : std::string();
 }
 
 std::string GrantPlan::bestTarget(const Servers& servers, const std::string& except) const
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -226,4 +226,7 @@
     std::vector<GrantEvent> m_events;
 };
 
+// The incarnation that is registered under a server's name; null: none.
+const RegisteredServer* registeredUnder(const GrantPlan::Servers&, std::string_view name);
+
 }
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -239,14 +239,13 @@
 
 void Coordinator::rememberFormerIncarnation(const std::string& server)
 {
-    const std::string_view name = serverNameOf(server);
     const auto servers = m_view.servers();
-    const auto later = servers->lower_bound(serverId(name, 0)); // ids sort by name, then start
-    if (later == servers->end() || later->second.name != name)
+    const RegisteredServer* later = registeredUnder(*servers, serverNameOf(server));
+    if (!later)
         return;
     ServerState& state = m_servers[server];
-    state.address = later->second.address;
-    state.port = later->second.port;
+    state.address = later->address;
+    state.port = later->port;
 }
 
 std::shared_ptr<HttpClient> Coordinator::clientFor(const std::string& server)
--- a/tests/grant_plan_test.cpp
+++ b/tests/grant_plan_test.cpp
@@ -231,6 +231,24 @@
     CHECK(total.stale.load() > 0);
 }
 
+// What callers saw: the keys of a server that had started again waited for a hold of three seconds. Another server's
+// name began with its own, and sorted between the two incarnations.
+TEST_CASE("the incarnation that is registered under a name is found among names that begin with it")
+{
+    GrantPlan::Servers servers;
+    for (const auto* id : { "x-2@9", "x@7", "x2@3", "xy@1", "y" })
+        servers.emplace(id, RegisteredServer { id, "s" });
+    const auto idUnder = [&](std::string_view name) {
+        const RegisteredServer* server = registeredUnder(servers, name);
+        return server ? server->id : std::string();
+    };
+    CHECK(idUnder("x") == "x@7");
+    CHECK(idUnder("x-2") == "x-2@9");
+    CHECK(idUnder("xy") == "xy@1");
+    CHECK(idUnder("x-").empty());
+    CHECK(idUnder("z").empty());
+}
+
 TEST_CASE("each guard is needed: without it some history has two holders")
 {
     struct Case {
