Sight: what a reading of the store costs, and messages that don't follow what a host knows

Cause to look for: hosts that learn of a leaving server 2.5 s late. The logs could not tell whether messages got lost, or arrived and were dropped, nor how long the reading that follows takes. Now store-read tells why, how long and how much, two counters tell messages taken and dropped, and each line about a request tells how new the knowledge of servers was. No logic is changed.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -127,8 +127,10 @@
         m_rules = std::move(update.rules);
         m_boundsSink(m_rules->bounds);
     }
-    if (update.servers)
+    if (update.servers) {
         m_registered = std::move(update.servers);
+        m_registeredAsOf = update.serversAsOf;
+    }
     if (update.shares) {
         m_shares = std::move(update.shares);
         for (auto& [service, budget] : m_budgets)
@@ -552,6 +554,7 @@
     line["atServersMs"] = job.serverMicros / 1000;
     line["targetMs"] = (job.target - job.arrived).count();
     line["deadlineMs"] = (job.deadline - job.arrived).count();
+    line["serversAsOf"] = m_registeredAsOf;
     line["rules"] = job.rules ? job.rules->version : 0;
     line["edition"] = table == m_tables.end() ? 0 : table->second->edition.edition;
     line["leftOut"] = std::exchange(m_linesLeftOut, 0);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -93,6 +93,7 @@
 
     std::shared_ptr<const RouteRules> m_rules; // null until the first
     std::shared_ptr<const ServerMap> m_registered;
+    int64_t m_registeredAsOf = 0; // change of the store
     std::shared_ptr<const SlotShares> m_shares = std::make_shared<SlotShares>();
     std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_tables; // by service
     std::map<std::string, std::shared_ptr<Upstream>, std::less<>> m_servers; // by id
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -63,6 +63,8 @@
     , m_peerBytes(metrics.counter("peers_bytes_sent"))
     , m_reports(metrics.counter("reports_sent"))
     , m_reportsFailed(metrics.counter("reports_failed"))
+    , m_newsTaken(metrics.counter("news_taken"))
+    , m_newsGaps(metrics.counter("news_gaps"))
     , m_view(adapter)
     , m_follower(
           executor, clock, {}, store, m_view, metrics,
@@ -115,6 +117,7 @@
     GatewayUpdate update;
     update.rules = m_view.rules();
     update.servers = m_view.servers();
+    update.serversAsOf = m_view.lastChange();
     for (const auto& [service, table] : m_view.tables())
         update.tables.push_back(table);
     push(std::move(update));
@@ -129,8 +132,10 @@
     GatewayUpdate update;
     if (change.rules)
         update.rules = m_view.rules();
-    if (change.servers)
+    if (change.servers) {
         update.servers = m_view.servers();
+        update.serversAsOf = m_view.lastChange();
+    }
     for (const auto& service : change.tables)
         update.tables.push_back(m_view.table(service));
     if (change.rules || change.servers || !change.tables.empty())
@@ -158,7 +163,9 @@
     }
     if (!events.empty()) {
         // With a gap nothing is applied: the advice to the next report tells that something is missing.
-        if (const auto change = m_view.applyNews(news.afterChange, news.lastChange, events))
+        const auto change = m_view.applyNews(news.afterChange, news.lastChange, events);
+        (change ? m_newsTaken : m_newsGaps).add();
+        if (change)
             onViewChange(*change);
     }
     for (const auto& text : news.tables) {
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -46,6 +46,8 @@
     Counter& m_peerBytes;
     Counter& m_reports;
     Counter& m_reportsFailed;
+    Counter& m_newsTaken;
+    Counter& m_newsGaps;
     PlatformView m_view;
     PlatformFollower m_follower;
     Election m_election;
--- a/packages/gateway/Messages.h
+++ b/packages/gateway/Messages.h
@@ -26,6 +26,7 @@
 struct GatewayUpdate {
     std::shared_ptr<const RouteRules> rules;
     std::shared_ptr<const ServerMap> servers;
+    int64_t serversAsOf = 0; // with `servers`: the newest change of others that the host knew of
     std::vector<std::shared_ptr<const GrantTable>> tables;
     std::shared_ptr<const SlotShares> shares;
 };
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -17,6 +17,14 @@
     constexpr Millis longestPause { 400 }; // recovery within half a second of the store's return
     constexpr std::string_view everything; // one watch for all keys costs as much as one for a few
 
+    size_t bytesOf(const RangeReply& reply)
+    {
+        size_t bytes = 0;
+        for (const auto& value : reply.values)
+            bytes += value.key.size() + value.value.size();
+        return bytes;
+    }
+
 }
 
 PlatformFollower::PlatformFollower(asio::any_io_executor executor, const Clock& clock, FollowerOptions options,
@@ -29,6 +37,7 @@
     , m_sink(std::move(sink))
     , m_eventSink(std::move(eventSink))
     , m_reads(metrics.counter("store_reads"))
+    , m_bytesRead(metrics.counter("store_bytes_read"))
     , m_watches(metrics.counter("store_watches"))
     , m_failures(metrics.counter("store_failures"))
     , m_changed(m_executor)
@@ -47,11 +56,18 @@
         m_failures.add();
 }
 
-asio::awaitable<bool> PlatformFollower::readAll()
+asio::awaitable<bool> PlatformFollower::readAll(std::string_view why)
 {
     m_reads.add();
+    const Instant begun = m_clock.now();
     const RangeReply reply = co_await m_store.range(std::string(everything), true, m_options.callTimeout);
-    if (reply.status != StoreStatus::Ok) {
+    const bool answered = reply.status == StoreStatus::Ok;
+    const size_t bytes = bytesOf(reply);
+    m_bytesRead.add(bytes);
+    logChange(LogLevel::Info, "store-read",
+        { { "why", why }, { "answered", answered }, { "tookMs", (m_clock.now() - begun).count() }, { "bytes", bytes },
+            { "revision", reply.revision }, { "lastChange", m_view.lastChange() } });
+    if (!answered) {
         noteAnswer(false);
         co_return false;
     }
@@ -85,7 +101,8 @@
             co_await m_changed.wait(m_options.fedPause);
             continue;
         }
-        if (!co_await readAll()) {
+        const bool read = co_await readAll(m_hasRead ? "the watch ended" : "start");
+        if (!read) {
             co_await sleepFor(pause / 2 + randomBelow(pause));
             pause = std::min(longestPause, pause * 2);
             continue;
@@ -142,7 +159,7 @@
     if (coordinatorsChange > m_view.lastChange()) {
         logChange(LogLevel::Warning, "news-missed",
             { { "lastChange", m_view.lastChange() }, { "coordinators", coordinatorsChange } });
-        co_await readAll();
+        co_await readAll("news missed");
     }
     m_behind = false;
 }
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -43,7 +43,7 @@
     Instant lastAnswer() const { return m_lastAnswer; }
 
 private:
-    boost::asio::awaitable<bool> readAll();
+    boost::asio::awaitable<bool> readAll(std::string_view why);
     boost::asio::awaitable<bool> watchOnce(); // false: no answer, or history is gone
     boost::asio::awaitable<void> catchUp(int64_t coordinatorsChange); // unless the news come meanwhile
     boost::asio::awaitable<void> dropMissingLater(uint64_t reading);
@@ -57,6 +57,7 @@
     ChangeSink m_sink;
     EventSink m_eventSink;
     Counter& m_reads;
+    Counter& m_bytesRead;
     Counter& m_watches;
     Counter& m_failures;
     Instant m_lastAnswer {};
