--- /dev/null
+++ b/packages/decisions/ChangeHistory.cpp
@@ -0,0 +1,51 @@
+#include "decisions/ChangeHistory.h"
+
+#include <algorithm>
+
+namespace cumindale {
+
+namespace {
+
+    size_t sizeOf(const ItemChange& change) { return change.key.size() + change.value.size(); }
+
+}
+
+ChangeHistory::ChangeHistory(const ChangeHistoryOptions& options)
+    : m_options(options)
+{
+}
+
+void ChangeHistory::add(int64_t after, int64_t last, std::span<const ItemChange> changes)
+{
+    // Between the two lies something that was not heard of, as after a reading of the store.
+    if (after != m_last) {
+        m_changes.clear();
+        m_bytes = 0;
+        m_begin = after;
+    }
+    for (const auto& change : changes) {
+        ItemChange& kept = m_changes.emplace_back(change);
+        if (kept.value.size() > m_options.largeValue) {
+            kept.leftOutBytes = kept.value.size();
+            kept.value = {};
+        }
+        m_bytes += sizeOf(kept);
+    }
+    m_last = last;
+    while (m_bytes > m_options.mostBytes) {
+        m_begin = m_changes.front().revision;
+        m_bytes -= sizeOf(m_changes.front());
+        m_changes.pop_front();
+    }
+}
+
+std::optional<std::vector<ItemChange>> ChangeHistory::since(int64_t known) const
+{
+    if (known < m_begin)
+        return std::nullopt;
+    const auto first = std::partition_point(
+        m_changes.begin(), m_changes.end(), [&](const ItemChange& change) { return change.revision <= known; });
+    return std::vector<ItemChange>(first, m_changes.end());
+}
+
+}
--- a/packages/decisions/RelayPlan.cpp
+++ b/packages/decisions/RelayPlan.cpp
@@ -31,8 +31,13 @@
         }
     }
 
+    constexpr Millis smallMessage { 300 }; // hosts are a few ms apart; a lost packet is sent again after 0.2 s
+    constexpr size_t bytesPerMillisecond = 1'000; // four fifths of the smallest link of a host, 10 Mbit/s
+
 }
 
+Millis deliveryTime(size_t bytes) { return smallMessage + Millis(static_cast<int64_t>(bytes / bytesPerMillisecond)); }
+
 std::vector<RelayGroup> planRelays(std::span<const RelayCandidate> candidates, const RelayOptions& options)
 {
     std::map<std::string_view, std::vector<const RelayCandidate*>> byDataCentre;
--- a/packages/decisions/RelayPlan.h
+++ b/packages/decisions/RelayPlan.h
@@ -6,6 +6,8 @@
 // silent is found out by its next message, and its group told directly until the groups are planned anew.
 #pragma once
 
+#include "base/Time.h"
+
 #include <span>
 #include <string>
 #include <vector>
@@ -35,4 +37,8 @@
 // among equals the first by name.
 std::vector<RelayGroup> planRelays(std::span<const RelayCandidate>, const RelayOptions& = {});
 
+// How long a message of so many bytes may take to its receiver. Given up sooner, a large document never reaches a host
+// behind a small link: each try is cut in its midst, and the host reads the store as well.
+Millis deliveryTime(size_t bytes);
+
 }
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -193,26 +193,45 @@
     m_sink(std::move(table));
 }
 
+namespace {
+
+    std::vector<wire::StoreItem> itemsOf(const std::vector<ItemChange>& changes)
+    {
+        std::vector<wire::StoreItem> items;
+        items.reserve(changes.size());
+        for (const auto& change : changes) {
+            wire::StoreItem& item = items.emplace_back();
+            item.key = change.key;
+            item.value = change.value;
+            item.revision = change.revision;
+            item.erased = change.erased;
+            item.leftOutBytes = static_cast<int32_t>(change.leftOutBytes);
+        }
+        return items;
+    }
+
+}
+
 void Coordinator::onEvents(int64_t afterChange, const std::vector<WatchEvent>& events)
 {
+    std::vector<ItemChange> changes;
+    for (const auto& event : events) {
+        // Tables and the office are told in other ways.
+        if (m_view.isOthers(event.value.key))
+            changes.push_back({ event.value.key, event.value.value, event.value.modRevision, event.erased });
+    }
+    if (changes.empty())
+        return;
+    const int64_t lastChange = m_view.lastChange();
+    m_history.add(afterChange, lastChange, changes);
     if (!m_term)
         return;
+    // News reach the hosts within a few ms, at no cost to the store.
     wire::News news;
     news.afterChange = afterChange;
-    news.lastChange = m_view.lastChange();
-    for (const auto& event : events) {
-        if (!m_view.isOthers(event.value.key))
-            continue; // tables and the office are told in other ways
-        wire::StoreItem item;
-        item.key = event.value.key;
-        item.value = event.value.value;
-        item.revision = event.value.modRevision;
-        item.erased = event.erased;
-        news.items.push_back(std::move(item));
-    }
-    // News reach the hosts within a few ms, at no cost to the store.
-    if (!news.items.empty())
-        m_news.tell(news);
+    news.lastChange = lastChange;
+    news.items = itemsOf(changes);
+    m_news.tell(news);
 }
 
 void Coordinator::logEvents(GrantPlan& plan)
@@ -627,6 +646,13 @@
     host.strength = report.strengthCenti / centi;
     if (report.sender != m_options.host)
         m_news.note(report.sender, report.address, report.dataCentre, host.strength);
+    // Instead of a reading of everything, which takes a small link longer than the next changes take to come.
+    const auto missed = m_history.since(report.lastChange);
+    if (missed && !missed->empty()) {
+        advice.missed.afterChange = report.lastChange;
+        advice.missed.lastChange = m_history.last();
+        advice.missed.items = itemsOf(*missed);
+    }
     advice.standsBy = standsBy(report.sender);
     advice.reportMillis = static_cast<int32_t>(reportInterval().count());
     advice.hosts = static_cast<int32_t>(m_hosts.size());
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "control/Election.h"
+#include "decisions/ChangeHistory.h"
 #include "decisions/GrantPlan.h"
 #include "decisions/KeyBalance.h"
 #include "decisions/OfficeRules.h"
@@ -138,6 +139,7 @@
     std::map<std::string, ServerState, std::less<>> m_servers;
     std::map<std::string, HostState, std::less<>> m_hosts;
     NewsFanout m_news;
+    ChangeHistory m_history; // of others' writes, as this host heard of them; also out of office
     bool m_writing = false;
     OfficeRules m_office;
     std::map<std::string, std::string> m_formers; // by service: the host whose orders may still be under way
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -159,6 +159,10 @@
 {
     std::vector<WatchEvent> events;
     for (const auto& item : news.items) {
+        if (item.leftOutBytes > 0) {
+            m_follower.expect(item.key, item.revision, deliveryTime(static_cast<size_t>(item.leftOutBytes)));
+            continue;
+        }
         WatchEvent event;
         event.erased = item.erased;
         event.value.key = item.key;
@@ -166,7 +170,7 @@
         event.value.modRevision = item.revision;
         events.push_back(std::move(event));
     }
-    if (!events.empty()) {
+    if (!news.items.empty()) {
         (news.afterChange > m_view.lastChange() ? m_newsGaps : m_newsTaken).add();
         onViewChange(m_view.applyNews(news.afterChange, news.lastChange, events));
     }
@@ -244,6 +248,7 @@
 
 void GatewayControl::takeAdvice(const wire::HostAdvice& advice)
 {
+    takeNews(advice.missed);
     for (const auto& text : advice.tables)
         takeTable(text);
     m_standsBy = advice.standsBy;
--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-    constexpr Millis pushTimeout { 300 }; // hosts are a few ms apart; a lost packet is sent again after 0.2 s
     constexpr Millis relayRest { 5'000 }; // a relay that failed; a restart takes about a second
 
     void append(wire::News& news, const wire::News& more)
@@ -25,6 +24,16 @@
         news.forwardTo = more.forwardTo;
     }
 
+    size_t sizeOf(const wire::News& news)
+    {
+        size_t bytes = 0;
+        for (const auto& item : news.items)
+            bytes += item.key.size() + item.value.size();
+        for (const auto& table : news.tables)
+            bytes += table.size();
+        return bytes;
+    }
+
 }
 
 // --- One host
@@ -52,7 +61,8 @@
 {
     while (std::exchange(m_anyUnsent, false)) {
         const wire::News news = std::exchange(m_unsent, {});
-        if (!co_await m_link->adopt(news, pushTimeout) && m_failure)
+        const bool arrived = co_await m_link->adopt(news, deliveryTime(sizeOf(news)));
+        if (!arrived && m_failure)
             m_failure(news);
     }
     m_sending = false;
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -56,18 +56,23 @@
         m_failures.add();
 }
 
-asio::awaitable<bool> PlatformFollower::readAll(std::string_view why)
+void PlatformFollower::noteReading(std::string_view why, Instant begun, const RangeReply& reply)
 {
     m_reads.add();
-    const Instant begun = m_clock.now();
-    const RangeReply reply = co_await m_store.range(std::string(everything), true, m_options.callTimeout);
-    const bool answered = reply.status == StoreStatus::Ok;
     const size_t bytes = bytesOf(reply);
     m_bytesRead.add(bytes);
     logChange(LogLevel::Info, "store-read",
-        { { "why", why }, { "answered", answered }, { "tookMs", (m_clock.now() - begun).count() }, { "bytes", bytes },
-            { "revision", reply.revision }, { "lastChange", m_view.lastChange() } });
-    if (!answered) {
+        { { "why", why }, { "answered", reply.status == StoreStatus::Ok },
+            { "tookMs", (m_clock.now() - begun).count() }, { "bytes", bytes }, { "revision", reply.revision },
+            { "lastChange", m_view.lastChange() } });
+}
+
+asio::awaitable<bool> PlatformFollower::readAll(std::string_view why)
+{
+    const Instant begun = m_clock.now();
+    const RangeReply reply = co_await m_store.range(std::string(everything), true, m_options.callTimeout);
+    noteReading(why, begun, reply);
+    if (reply.status != StoreStatus::Ok) {
         noteAnswer(false);
         co_return false;
     }
@@ -82,6 +87,29 @@
     co_return true;
 }
 
+void PlatformFollower::expect(std::string key, int64_t revision, Millis within)
+{
+    if (!m_view.knows(key, revision))
+        spawnLoop(m_executor, "item-reader", readItem(std::move(key), revision, within));
+}
+
+asio::awaitable<void> PlatformFollower::readItem(std::string key, int64_t revision, Millis within)
+{
+    co_await sleepFor(within);
+    for (Millis pause = firstPause; !m_view.knows(key, revision); pause = std::min(longestPause, pause * 2)) {
+        const Instant begun = m_clock.now();
+        const RangeReply reply = co_await m_store.range(key, false, m_options.callTimeout);
+        noteReading("a large item was missed", begun, reply);
+        if (reply.status == StoreStatus::Ok) {
+            // Erased meanwhile: that is told like any other change.
+            if (!reply.values.empty())
+                m_sink(m_view.applyItem(reply.values.front()));
+            co_return;
+        }
+        co_await sleepFor(pause / 2 + randomBelow(pause));
+    }
+}
+
 asio::awaitable<void> PlatformFollower::dropMissingLater(uint64_t reading)
 {
     co_await sleepFor(m_options.entriesReturnWithin);
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -39,6 +39,9 @@
     // The coordinator follows the store and tells this host of every change: it needn't ask itself. A change that the
     // coordinator knows of and this host doesn't is read after all.
     void fed(int64_t coordinatorsChange);
+    // The coordinator has told everybody of an item too large to be repeated. If it isn't here after `within`, the
+    // message is lost, and the item is read alone.
+    void expect(std::string key, int64_t revision, Millis within);
     void onItsOwn(); // nobody tells this host of changes, or it stands by to coordinate
     Instant lastAnswer() const { return m_lastAnswer; }
 
@@ -46,8 +49,10 @@
     boost::asio::awaitable<bool> readAll(std::string_view why);
     boost::asio::awaitable<bool> watchOnce(); // false: no answer, or history is gone
     boost::asio::awaitable<void> catchUp(int64_t coordinatorsChange); // unless the news come meanwhile
+    boost::asio::awaitable<void> readItem(std::string key, int64_t revision, Millis within);
     boost::asio::awaitable<void> dropMissingLater(uint64_t reading);
     void noteAnswer(bool answers);
+    void noteReading(std::string_view why, Instant begun, const RangeReply&);
 
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -117,6 +117,28 @@
     return change;
 }
 
+PlatformView::Change PlatformView::applyItem(const KeyValue& value)
+{
+    Change change;
+    applyValue(value, change);
+    return change;
+}
+
+bool PlatformView::knows(std::string_view key, int64_t revision) const
+{
+    switch (m_adapter.itemOf(key)) {
+    case StoreItem::Rules:
+        return m_rulesRevision >= revision;
+    case StoreItem::Server: {
+        const auto entry = m_entries.find(m_adapter.serverNameIn(key));
+        return entry != m_entries.end() && entry->second.revision >= revision;
+    }
+    case StoreItem::Other:
+        break;
+    }
+    return true; // nothing of it is kept
+}
+
 PlatformView::Change PlatformView::dropMissing()
 {
     Change change;
@@ -150,6 +172,9 @@
 
 void PlatformView::applyRules(const KeyValue& value, Change& change)
 {
+    if (value.modRevision <= m_rulesRevision)
+        return;
+    m_rulesRevision = value.modRevision;
     RulesReading reading;
     const auto fault = faultIn([&]() -> boost::leaf::result<void> {
         BOOST_LEAF_ASSIGN(reading, m_adapter.parseRules(value.value));
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -42,12 +42,14 @@
     // servers went on leaving: it knew of one after 2.9 s instead of 0.3 s (readings of 1.2 s, a change each 0.25 s).
     Change applyNews(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>&);
     bool isOthers(std::string_view key) const { return m_adapter.itemOf(key) != StoreItem::Other; }
+    Change applyItem(const KeyValue&); // read alone
     Change applyTable(GrantTable); // from the coordinator: perhaps newer than the store's
 
     // --- Reading
     int64_t revision() const override { return m_revision; }
     const LeaderView& leader() const override { return m_leader; }
     int64_t lastChange() const { return m_known.complete(); } // every write of others up to this revision is known
+    bool knows(std::string_view key, int64_t revision) const; // that write of others to the key, or a later one
     const std::shared_ptr<const RouteRules>& rules() const { return m_rules; } // null: none yet
     std::shared_ptr<const ServerMap> servers() const { return m_servers; }
     bool missingAny() const { return !m_missing.empty(); }
@@ -76,6 +78,7 @@
     int64_t m_readAt = 0; // of the last reading of everything
     KnownChanges m_known; // of the writes of others
     std::shared_ptr<const RouteRules> m_rules;
+    int64_t m_rulesRevision = 0; // of the document that was read last
     std::shared_ptr<ServerMap> m_servers = std::make_shared<ServerMap>(); // copied before it changes
     // What is known of a server's entry, by the server's name.
     struct Entry {
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -36,24 +36,13 @@
     2: i32 slotsCenti // requests that the host may have there at once, in hundredths
 }
 
-struct HostAdvice {
-    1: bool coordinates // false: the host that was asked doesn't hold the office
-    2: i64 term
-    3: i32 hosts // that report
-    4: list<ServerShare> shares
-    5: list<string> tables // newer ones than the host routes by, encoded
-    6: i64 storeSilentMillis // since the store last answered the coordinator
-    7: i64 lastChange // revision of the newest write of others that the coordinator has seen
-    8: bool standsBy // the host is to follow the store itself, to take over at once
-    9: i32 reportMillis // until the next report
-}
-
 // An item of the store as it was written by others, or its erasure.
 struct StoreItem {
     1: string key
     2: binary value
     3: i64 revision
     4: bool erased
+    5: i32 leftOutBytes // the value is left out, and is so long; 0: it is here
 }
 
 // What has changed, from the coordinator to each host that doesn't follow the store itself.
@@ -65,6 +54,19 @@
     5: list<string> forwardTo // "IP:port" of hosts to which the receiver passes the rest on
 }
 
+struct HostAdvice {
+    1: bool coordinates // false: the host that was asked doesn't hold the office
+    2: i64 term
+    3: i32 hosts // that report
+    4: list<ServerShare> shares
+    5: list<string> tables // newer ones than the host routes by, encoded
+    6: i64 storeSilentMillis // since the store last answered the coordinator
+    7: i64 lastChange // revision of the newest write of others that the coordinator has seen
+    8: bool standsBy // the host is to follow the store itself, to take over at once
+    9: i32 reportMillis // until the next report
+    10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
+}
+
 service Coordination {
     HostAdvice report(1: HostReport report)
     void adopt(1: News news)
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -814,53 +814,37 @@
 }
 
 
-HostAdvice::~HostAdvice() noexcept {
-}
-
-
-void HostAdvice::__set_coordinates(const bool val) {
-  this->coordinates = val;
-}
-
-void HostAdvice::__set_term(const int64_t val) {
-  this->term = val;
+StoreItem::~StoreItem() noexcept {
 }
 
-void HostAdvice::__set_hosts(const int32_t val) {
-  this->hosts = val;
-}
 
-void HostAdvice::__set_shares(const std::vector<ServerShare> & val) {
-  this->shares = val;
-}
-
-void HostAdvice::__set_tables(const std::vector<std::string> & val) {
-  this->tables = val;
+void StoreItem::__set_key(const std::string& val) {
+  this->key = val;
 }
 
-void HostAdvice::__set_storeSilentMillis(const int64_t val) {
-  this->storeSilentMillis = val;
+void StoreItem::__set_value(const std::string& val) {
+  this->value = val;
 }
 
-void HostAdvice::__set_lastChange(const int64_t val) {
-  this->lastChange = val;
+void StoreItem::__set_revision(const int64_t val) {
+  this->revision = val;
 }
 
-void HostAdvice::__set_standsBy(const bool val) {
-  this->standsBy = val;
+void StoreItem::__set_erased(const bool val) {
+  this->erased = val;
 }
 
-void HostAdvice::__set_reportMillis(const int32_t val) {
-  this->reportMillis = val;
+void StoreItem::__set_leftOutBytes(const int32_t val) {
+  this->leftOutBytes = val;
 }
-std::ostream& operator<<(std::ostream& out, const HostAdvice& obj)
+std::ostream& operator<<(std::ostream& out, const StoreItem& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HostAdvice::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StoreItem::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -882,97 +866,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->coordinates);
-          this->__isset.coordinates = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->hosts);
-          this->__isset.hosts = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->shares.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->shares.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
-            {
-              xfer += this->shares[_i32].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.shares = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->tables.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->tables.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
-            {
-              xfer += iprot->readString(this->tables[_i37]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.tables = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->storeSilentMillis);
-          this->__isset.storeSilentMillis = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastChange);
-          this->__isset.lastChange = true;
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->standsBy);
-          this->__isset.standsBy = true;
+          xfer += iprot->readBool(this->erased);
+          this->__isset.erased = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->reportMillis);
-          this->__isset.reportMillis = true;
+          xfer += iprot->readI32(this->leftOutBytes);
+          this->__isset.leftOutBytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -989,61 +917,29 @@
   return xfer;
 }
 
-uint32_t HostAdvice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StoreItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HostAdvice");
-
-  xfer += oprot->writeFieldBegin("coordinates", ::apache::thrift::protocol::T_BOOL, 1);
-  xfer += oprot->writeBool(this->coordinates);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->hosts);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ServerShare> ::const_iterator _iter38;
-    for (_iter38 = this->shares.begin(); _iter38 != this->shares.end(); ++_iter38)
-    {
-      xfer += (*_iter38).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("StoreItem");
 
-  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter39;
-    for (_iter39 = this->tables.begin(); _iter39 != this->tables.end(); ++_iter39)
-    {
-      xfer += oprot->writeString((*_iter39));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("storeSilentMillis", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->storeSilentMillis);
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastChange", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->lastChange);
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("standsBy", ::apache::thrift::protocol::T_BOOL, 8);
-  xfer += oprot->writeBool(this->standsBy);
+  xfer += oprot->writeFieldBegin("erased", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->erased);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reportMillis", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(this->reportMillis);
+  xfer += oprot->writeFieldBegin("leftOutBytes", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->leftOutBytes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1051,88 +947,76 @@
   return xfer;
 }
 
-void swap(HostAdvice &a, HostAdvice &b) {
+void swap(StoreItem &a, StoreItem &b) {
   using ::std::swap;
-  swap(a.coordinates, b.coordinates);
-  swap(a.term, b.term);
-  swap(a.hosts, b.hosts);
-  swap(a.shares, b.shares);
-  swap(a.tables, b.tables);
-  swap(a.storeSilentMillis, b.storeSilentMillis);
-  swap(a.lastChange, b.lastChange);
-  swap(a.standsBy, b.standsBy);
-  swap(a.reportMillis, b.reportMillis);
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.revision, b.revision);
+  swap(a.erased, b.erased);
+  swap(a.leftOutBytes, b.leftOutBytes);
   swap(a.__isset, b.__isset);
 }
 
-HostAdvice::HostAdvice(const HostAdvice& other40) {
-  coordinates = other40.coordinates;
-  term = other40.term;
-  hosts = other40.hosts;
-  shares = other40.shares;
-  tables = other40.tables;
-  storeSilentMillis = other40.storeSilentMillis;
-  lastChange = other40.lastChange;
-  standsBy = other40.standsBy;
-  reportMillis = other40.reportMillis;
-  __isset = other40.__isset;
-}
-HostAdvice& HostAdvice::operator=(const HostAdvice& other41) {
-  coordinates = other41.coordinates;
-  term = other41.term;
-  hosts = other41.hosts;
-  shares = other41.shares;
-  tables = other41.tables;
-  storeSilentMillis = other41.storeSilentMillis;
-  lastChange = other41.lastChange;
-  standsBy = other41.standsBy;
-  reportMillis = other41.reportMillis;
-  __isset = other41.__isset;
+StoreItem::StoreItem(const StoreItem& other28) {
+  key = other28.key;
+  value = other28.value;
+  revision = other28.revision;
+  erased = other28.erased;
+  leftOutBytes = other28.leftOutBytes;
+  __isset = other28.__isset;
+}
+StoreItem& StoreItem::operator=(const StoreItem& other29) {
+  key = other29.key;
+  value = other29.value;
+  revision = other29.revision;
+  erased = other29.erased;
+  leftOutBytes = other29.leftOutBytes;
+  __isset = other29.__isset;
   return *this;
 }
-void HostAdvice::printTo(std::ostream& out) const {
+void StoreItem::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HostAdvice(";
-  out << "coordinates=" << to_string(coordinates);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "hosts=" << to_string(hosts);
-  out << ", " << "shares=" << to_string(shares);
-  out << ", " << "tables=" << to_string(tables);
-  out << ", " << "storeSilentMillis=" << to_string(storeSilentMillis);
-  out << ", " << "lastChange=" << to_string(lastChange);
-  out << ", " << "standsBy=" << to_string(standsBy);
-  out << ", " << "reportMillis=" << to_string(reportMillis);
+  out << "StoreItem(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "erased=" << to_string(erased);
+  out << ", " << "leftOutBytes=" << to_string(leftOutBytes);
   out << ")";
 }
 
 
-StoreItem::~StoreItem() noexcept {
+News::~News() noexcept {
 }
 
 
-void StoreItem::__set_key(const std::string& val) {
-  this->key = val;
+void News::__set_afterChange(const int64_t val) {
+  this->afterChange = val;
 }
 
-void StoreItem::__set_value(const std::string& val) {
-  this->value = val;
+void News::__set_lastChange(const int64_t val) {
+  this->lastChange = val;
 }
 
-void StoreItem::__set_revision(const int64_t val) {
-  this->revision = val;
+void News::__set_items(const std::vector<StoreItem> & val) {
+  this->items = val;
 }
 
-void StoreItem::__set_erased(const bool val) {
-  this->erased = val;
+void News::__set_tables(const std::vector<std::string> & val) {
+  this->tables = val;
 }
-std::ostream& operator<<(std::ostream& out, const StoreItem& obj)
+
+void News::__set_forwardTo(const std::vector<std::string> & val) {
+  this->forwardTo = val;
+}
+std::ostream& operator<<(std::ostream& out, const News& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t StoreItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t News::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1154,33 +1038,77 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->afterChange);
+          this->__isset.afterChange = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->value);
-          this->__isset.value = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastChange);
+          this->__isset.lastChange = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->items.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->items[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->erased);
-          this->__isset.erased = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tables.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->tables.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += iprot->readString(this->tables[_i39]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->forwardTo.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->forwardTo.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += iprot->readString(this->forwardTo[_i44]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.forwardTo = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1197,25 +1125,53 @@
   return xfer;
 }
 
-uint32_t StoreItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t News::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("StoreItem");
+  xfer += oprot->writeStructBegin("News");
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldBegin("afterChange", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->afterChange);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldBegin("lastChange", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lastChange);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<StoreItem> ::const_iterator _iter45;
+    for (_iter45 = this->items.begin(); _iter45 != this->items.end(); ++_iter45)
+    {
+      xfer += (*_iter45).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("erased", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->erased);
+  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
+    std::vector<std::string> ::const_iterator _iter46;
+    for (_iter46 = this->tables.begin(); _iter46 != this->tables.end(); ++_iter46)
+    {
+      xfer += oprot->writeString((*_iter46));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("forwardTo", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forwardTo.size()));
+    std::vector<std::string> ::const_iterator _iter47;
+    for (_iter47 = this->forwardTo.begin(); _iter47 != this->forwardTo.end(); ++_iter47)
+    {
+      xfer += oprot->writeString((*_iter47));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1223,72 +1179,96 @@
   return xfer;
 }
 
-void swap(StoreItem &a, StoreItem &b) {
+void swap(News &a, News &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.value, b.value);
-  swap(a.revision, b.revision);
-  swap(a.erased, b.erased);
+  swap(a.afterChange, b.afterChange);
+  swap(a.lastChange, b.lastChange);
+  swap(a.items, b.items);
+  swap(a.tables, b.tables);
+  swap(a.forwardTo, b.forwardTo);
   swap(a.__isset, b.__isset);
 }
 
-StoreItem::StoreItem(const StoreItem& other42) {
-  key = other42.key;
-  value = other42.value;
-  revision = other42.revision;
-  erased = other42.erased;
-  __isset = other42.__isset;
-}
-StoreItem& StoreItem::operator=(const StoreItem& other43) {
-  key = other43.key;
-  value = other43.value;
-  revision = other43.revision;
-  erased = other43.erased;
-  __isset = other43.__isset;
+News::News(const News& other48) {
+  afterChange = other48.afterChange;
+  lastChange = other48.lastChange;
+  items = other48.items;
+  tables = other48.tables;
+  forwardTo = other48.forwardTo;
+  __isset = other48.__isset;
+}
+News& News::operator=(const News& other49) {
+  afterChange = other49.afterChange;
+  lastChange = other49.lastChange;
+  items = other49.items;
+  tables = other49.tables;
+  forwardTo = other49.forwardTo;
+  __isset = other49.__isset;
   return *this;
 }
-void StoreItem::printTo(std::ostream& out) const {
+void News::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "StoreItem(";
-  out << "key=" << to_string(key);
-  out << ", " << "value=" << to_string(value);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "erased=" << to_string(erased);
+  out << "News(";
+  out << "afterChange=" << to_string(afterChange);
+  out << ", " << "lastChange=" << to_string(lastChange);
+  out << ", " << "items=" << to_string(items);
+  out << ", " << "tables=" << to_string(tables);
+  out << ", " << "forwardTo=" << to_string(forwardTo);
   out << ")";
 }
 
 
-News::~News() noexcept {
+HostAdvice::~HostAdvice() noexcept {
 }
 
 
-void News::__set_afterChange(const int64_t val) {
-  this->afterChange = val;
+void HostAdvice::__set_coordinates(const bool val) {
+  this->coordinates = val;
 }
 
-void News::__set_lastChange(const int64_t val) {
-  this->lastChange = val;
+void HostAdvice::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void News::__set_items(const std::vector<StoreItem> & val) {
-  this->items = val;
+void HostAdvice::__set_hosts(const int32_t val) {
+  this->hosts = val;
 }
 
-void News::__set_tables(const std::vector<std::string> & val) {
+void HostAdvice::__set_shares(const std::vector<ServerShare> & val) {
+  this->shares = val;
+}
+
+void HostAdvice::__set_tables(const std::vector<std::string> & val) {
   this->tables = val;
 }
 
-void News::__set_forwardTo(const std::vector<std::string> & val) {
-  this->forwardTo = val;
+void HostAdvice::__set_storeSilentMillis(const int64_t val) {
+  this->storeSilentMillis = val;
 }
-std::ostream& operator<<(std::ostream& out, const News& obj)
+
+void HostAdvice::__set_lastChange(const int64_t val) {
+  this->lastChange = val;
+}
+
+void HostAdvice::__set_standsBy(const bool val) {
+  this->standsBy = val;
+}
+
+void HostAdvice::__set_reportMillis(const int32_t val) {
+  this->reportMillis = val;
+}
+
+void HostAdvice::__set_missed(const News& val) {
+  this->missed = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostAdvice& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t News::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HostAdvice::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1310,37 +1290,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->afterChange);
-          this->__isset.afterChange = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->coordinates);
+          this->__isset.coordinates = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lastChange);
-          this->__isset.lastChange = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->items.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->items.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
-            {
-              xfer += this->items[_i48].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.items = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->hosts);
+          this->__isset.hosts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1348,19 +1316,19 @@
       case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->tables.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->tables.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            this->shares.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->shares.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += iprot->readString(this->tables[_i53]);
+              xfer += this->shares[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.tables = true;
+          this->__isset.shares = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1368,19 +1336,59 @@
       case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->forwardTo.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->forwardTo.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            this->tables.clear();
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->tables.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
             {
-              xfer += iprot->readString(this->forwardTo[_i58]);
+              xfer += iprot->readString(this->tables[_i59]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.forwardTo = true;
+          this->__isset.tables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeSilentMillis);
+          this->__isset.storeSilentMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lastChange);
+          this->__isset.lastChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->standsBy);
+          this->__isset.standsBy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reportMillis);
+          this->__isset.reportMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->missed.read(iprot);
+          this->__isset.missed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1397,48 +1405,40 @@
   return xfer;
 }
 
-uint32_t News::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HostAdvice::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("News");
+  xfer += oprot->writeStructBegin("HostAdvice");
 
-  xfer += oprot->writeFieldBegin("afterChange", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->afterChange);
+  xfer += oprot->writeFieldBegin("coordinates", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->coordinates);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lastChange", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->lastChange);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItem> ::const_iterator _iter59;
-    for (_iter59 = this->items.begin(); _iter59 != this->items.end(); ++_iter59)
-    {
-      xfer += (*_iter59).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->hosts);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter60;
-    for (_iter60 = this->tables.begin(); _iter60 != this->tables.end(); ++_iter60)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<ServerShare> ::const_iterator _iter60;
+    for (_iter60 = this->shares.begin(); _iter60 != this->shares.end(); ++_iter60)
     {
-      xfer += oprot->writeString((*_iter60));
+      xfer += (*_iter60).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("forwardTo", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forwardTo.size()));
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
     std::vector<std::string> ::const_iterator _iter61;
-    for (_iter61 = this->forwardTo.begin(); _iter61 != this->forwardTo.end(); ++_iter61)
+    for (_iter61 = this->tables.begin(); _iter61 != this->tables.end(); ++_iter61)
     {
       xfer += oprot->writeString((*_iter61));
     }
@@ -1446,46 +1446,86 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("storeSilentMillis", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->storeSilentMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lastChange", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->lastChange);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("standsBy", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->standsBy);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reportMillis", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->reportMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("missed", ::apache::thrift::protocol::T_STRUCT, 10);
+  xfer += this->missed.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(News &a, News &b) {
+void swap(HostAdvice &a, HostAdvice &b) {
   using ::std::swap;
-  swap(a.afterChange, b.afterChange);
-  swap(a.lastChange, b.lastChange);
-  swap(a.items, b.items);
+  swap(a.coordinates, b.coordinates);
+  swap(a.term, b.term);
+  swap(a.hosts, b.hosts);
+  swap(a.shares, b.shares);
   swap(a.tables, b.tables);
-  swap(a.forwardTo, b.forwardTo);
+  swap(a.storeSilentMillis, b.storeSilentMillis);
+  swap(a.lastChange, b.lastChange);
+  swap(a.standsBy, b.standsBy);
+  swap(a.reportMillis, b.reportMillis);
+  swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
 }
 
-News::News(const News& other62) {
-  afterChange = other62.afterChange;
-  lastChange = other62.lastChange;
-  items = other62.items;
+HostAdvice::HostAdvice(const HostAdvice& other62) {
+  coordinates = other62.coordinates;
+  term = other62.term;
+  hosts = other62.hosts;
+  shares = other62.shares;
   tables = other62.tables;
-  forwardTo = other62.forwardTo;
+  storeSilentMillis = other62.storeSilentMillis;
+  lastChange = other62.lastChange;
+  standsBy = other62.standsBy;
+  reportMillis = other62.reportMillis;
+  missed = other62.missed;
   __isset = other62.__isset;
 }
-News& News::operator=(const News& other63) {
-  afterChange = other63.afterChange;
-  lastChange = other63.lastChange;
-  items = other63.items;
+HostAdvice& HostAdvice::operator=(const HostAdvice& other63) {
+  coordinates = other63.coordinates;
+  term = other63.term;
+  hosts = other63.hosts;
+  shares = other63.shares;
   tables = other63.tables;
-  forwardTo = other63.forwardTo;
+  storeSilentMillis = other63.storeSilentMillis;
+  lastChange = other63.lastChange;
+  standsBy = other63.standsBy;
+  reportMillis = other63.reportMillis;
+  missed = other63.missed;
   __isset = other63.__isset;
   return *this;
 }
-void News::printTo(std::ostream& out) const {
+void HostAdvice::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "News(";
-  out << "afterChange=" << to_string(afterChange);
-  out << ", " << "lastChange=" << to_string(lastChange);
-  out << ", " << "items=" << to_string(items);
+  out << "HostAdvice(";
+  out << "coordinates=" << to_string(coordinates);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "hosts=" << to_string(hosts);
+  out << ", " << "shares=" << to_string(shares);
   out << ", " << "tables=" << to_string(tables);
-  out << ", " << "forwardTo=" << to_string(forwardTo);
+  out << ", " << "storeSilentMillis=" << to_string(storeSilentMillis);
+  out << ", " << "lastChange=" << to_string(lastChange);
+  out << ", " << "standsBy=" << to_string(standsBy);
+  out << ", " << "reportMillis=" << to_string(reportMillis);
+  out << ", " << "missed=" << to_string(missed);
   out << ")";
 }
 
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -31,12 +31,12 @@
 
 class ServerShare;
 
-class HostAdvice;
-
 class StoreItem;
 
 class News;
 
+class HostAdvice;
+
 typedef struct _KeyUse__isset {
   _KeyUse__isset() : key(false), busyMicros(false) {}
   bool key :1;
@@ -347,109 +347,13 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerShare& obj);
 
-typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false) {}
-  bool coordinates :1;
-  bool term :1;
-  bool hosts :1;
-  bool shares :1;
-  bool tables :1;
-  bool storeSilentMillis :1;
-  bool lastChange :1;
-  bool standsBy :1;
-  bool reportMillis :1;
-} _HostAdvice__isset;
-
-class HostAdvice : public virtual ::apache::thrift::TBase {
- public:
-
-  HostAdvice(const HostAdvice&);
-  HostAdvice& operator=(const HostAdvice&);
-  HostAdvice() noexcept
-             : coordinates(0),
-               term(0),
-               hosts(0),
-               storeSilentMillis(0),
-               lastChange(0),
-               standsBy(0),
-               reportMillis(0) {
-  }
-
-  virtual ~HostAdvice() noexcept;
-  bool coordinates;
-  int64_t term;
-  int32_t hosts;
-  std::vector<ServerShare>  shares;
-  std::vector<std::string>  tables;
-  int64_t storeSilentMillis;
-  int64_t lastChange;
-  bool standsBy;
-  int32_t reportMillis;
-
-  _HostAdvice__isset __isset;
-
-  void __set_coordinates(const bool val);
-
-  void __set_term(const int64_t val);
-
-  void __set_hosts(const int32_t val);
-
-  void __set_shares(const std::vector<ServerShare> & val);
-
-  void __set_tables(const std::vector<std::string> & val);
-
-  void __set_storeSilentMillis(const int64_t val);
-
-  void __set_lastChange(const int64_t val);
-
-  void __set_standsBy(const bool val);
-
-  void __set_reportMillis(const int32_t val);
-
-  bool operator == (const HostAdvice & rhs) const
-  {
-    if (!(coordinates == rhs.coordinates))
-      return false;
-    if (!(term == rhs.term))
-      return false;
-    if (!(hosts == rhs.hosts))
-      return false;
-    if (!(shares == rhs.shares))
-      return false;
-    if (!(tables == rhs.tables))
-      return false;
-    if (!(storeSilentMillis == rhs.storeSilentMillis))
-      return false;
-    if (!(lastChange == rhs.lastChange))
-      return false;
-    if (!(standsBy == rhs.standsBy))
-      return false;
-    if (!(reportMillis == rhs.reportMillis))
-      return false;
-    return true;
-  }
-  bool operator != (const HostAdvice &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const HostAdvice & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(HostAdvice &a, HostAdvice &b);
-
-std::ostream& operator<<(std::ostream& out, const HostAdvice& obj);
-
 typedef struct _StoreItem__isset {
-  _StoreItem__isset() : key(false), value(false), revision(false), erased(false) {}
+  _StoreItem__isset() : key(false), value(false), revision(false), erased(false), leftOutBytes(false) {}
   bool key :1;
   bool value :1;
   bool revision :1;
   bool erased :1;
+  bool leftOutBytes :1;
 } _StoreItem__isset;
 
 class StoreItem : public virtual ::apache::thrift::TBase {
@@ -461,7 +365,8 @@
             : key(),
               value(),
               revision(0),
-              erased(0) {
+              erased(0),
+              leftOutBytes(0) {
   }
 
   virtual ~StoreItem() noexcept;
@@ -469,6 +374,7 @@
   std::string value;
   int64_t revision;
   bool erased;
+  int32_t leftOutBytes;
 
   _StoreItem__isset __isset;
 
@@ -480,6 +386,8 @@
 
   void __set_erased(const bool val);
 
+  void __set_leftOutBytes(const int32_t val);
+
   bool operator == (const StoreItem & rhs) const
   {
     if (!(key == rhs.key))
@@ -490,6 +398,8 @@
       return false;
     if (!(erased == rhs.erased))
       return false;
+    if (!(leftOutBytes == rhs.leftOutBytes))
+      return false;
     return true;
   }
   bool operator != (const StoreItem &rhs) const {
@@ -576,6 +486,109 @@
 
 std::ostream& operator<<(std::ostream& out, const News& obj);
 
+typedef struct _HostAdvice__isset {
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), missed(false) {}
+  bool coordinates :1;
+  bool term :1;
+  bool hosts :1;
+  bool shares :1;
+  bool tables :1;
+  bool storeSilentMillis :1;
+  bool lastChange :1;
+  bool standsBy :1;
+  bool reportMillis :1;
+  bool missed :1;
+} _HostAdvice__isset;
+
+class HostAdvice : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostAdvice(const HostAdvice&);
+  HostAdvice& operator=(const HostAdvice&);
+  HostAdvice() noexcept
+             : coordinates(0),
+               term(0),
+               hosts(0),
+               storeSilentMillis(0),
+               lastChange(0),
+               standsBy(0),
+               reportMillis(0) {
+  }
+
+  virtual ~HostAdvice() noexcept;
+  bool coordinates;
+  int64_t term;
+  int32_t hosts;
+  std::vector<ServerShare>  shares;
+  std::vector<std::string>  tables;
+  int64_t storeSilentMillis;
+  int64_t lastChange;
+  bool standsBy;
+  int32_t reportMillis;
+  News missed;
+
+  _HostAdvice__isset __isset;
+
+  void __set_coordinates(const bool val);
+
+  void __set_term(const int64_t val);
+
+  void __set_hosts(const int32_t val);
+
+  void __set_shares(const std::vector<ServerShare> & val);
+
+  void __set_tables(const std::vector<std::string> & val);
+
+  void __set_storeSilentMillis(const int64_t val);
+
+  void __set_lastChange(const int64_t val);
+
+  void __set_standsBy(const bool val);
+
+  void __set_reportMillis(const int32_t val);
+
+  void __set_missed(const News& val);
+
+  bool operator == (const HostAdvice & rhs) const
+  {
+    if (!(coordinates == rhs.coordinates))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(hosts == rhs.hosts))
+      return false;
+    if (!(shares == rhs.shares))
+      return false;
+    if (!(tables == rhs.tables))
+      return false;
+    if (!(storeSilentMillis == rhs.storeSilentMillis))
+      return false;
+    if (!(lastChange == rhs.lastChange))
+      return false;
+    if (!(standsBy == rhs.standsBy))
+      return false;
+    if (!(reportMillis == rhs.reportMillis))
+      return false;
+    if (!(missed == rhs.missed))
+      return false;
+    return true;
+  }
+  bool operator != (const HostAdvice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostAdvice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostAdvice &a, HostAdvice &b);
+
+std::ostream& operator<<(std::ostream& out, const HostAdvice& obj);
+
 }} // namespace
 
 #endif
