The store's silence is the coordinator's to tell: a host that is told of changes drops servers that are gone at once

Ruled out: the case for which missing entries are kept, a store that was away, since its silence at the coordinator still counts. Change: with each advice the host takes over when the store last answered the coordinator.

--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -294,7 +294,7 @@
     if (!answers || m_election.holds() || m_standsBy || Millis(advice->storeSilentMillis) > storeSilentTooLong)
         m_follower.onItsOwn();
     else
-        m_follower.fed(advice->lastChange);
+        m_follower.fed(advice->lastChange, Millis(advice->storeSilentMillis));
 }
 
 asio::awaitable<void> GatewayControl::reportLoop()
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -168,9 +168,10 @@
     co_return heard;
 }
 
-void PlatformFollower::fed(int64_t coordinatorsChange)
+void PlatformFollower::fed(int64_t coordinatorsChange, Millis storeSilence)
 {
     m_fed = true;
+    m_lastAnswer = std::max(m_lastAnswer, m_clock.now() - storeSilence);
     if (coordinatorsChange > m_view.lastChange() && !std::exchange(m_behind, true))
         spawnLoop(m_executor, "catch-up", catchUp(coordinatorsChange));
 }
