A lost answer of the store or a lost coordinator costs no reading of everything

One lost answer to the coordinator's watch made it read the store whole, and with it every host, since what is read is not told; and all hosts read it at once when their coordinator fell silent, which takes the smallest links more than a second with a large document. Change: a watch tells why it ended, and goes on from where it was unless the history is gone or the store was away for long; a host that was told of changes reads only what the hosts themselves keep, and watches on from there. The advice says up to which revision of the store nothing else was written, so that the history reaches back. Ruled out: a successor that decides by old tables: what the hosts keep (tables, office, list of hosts) is read anew.

--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -661,6 +661,7 @@
     advice.term = m_term;
     advice.storeSilentMillis = m_storeSilence.count();
     advice.lastChange = m_view.lastChange();
+    advice.storeRevision = m_view.revision();
     if (!m_term)
         return advice;
     HostState& host = m_hosts[report.sender];
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -249,6 +249,7 @@
 void GatewayControl::takeAdvice(const wire::HostAdvice& advice)
 {
     takeNews(advice.missed);
+    m_view.noteComplete(advice.lastChange, advice.storeRevision);
     for (const auto& text : advice.tables)
         takeTable(text);
     m_standsBy = advice.standsBy;
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "base/Random.h"
+#include "resources/ResourceCodec.h"
 #include "web/Signal.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -76,7 +77,7 @@
         noteAnswer(false);
         co_return false;
     }
-    const bool afterOutage = m_hasRead && m_clock.now() - m_lastAnswer > m_options.shortOutage;
+    const bool afterOutage = m_hasRead && outageWasLong();
     noteAnswer(true);
     m_hasRead = true;
     const auto change = m_view.applySnapshot(reply, afterOutage);
@@ -124,35 +125,76 @@
 asio::awaitable<void> PlatformFollower::run()
 {
     Millis pause = firstPause;
+    bool wasFed = false;
     for (;;) {
         if (m_fed && m_hasRead) {
+            wasFed = true;
             co_await m_changed.wait(m_options.fedPause);
             continue;
         }
-        const bool read = co_await readAll(m_hasRead ? "the watch ended" : "start");
-        if (!read) {
+        bool ready = false;
+        if (wasFed && !outageWasLong())
+            ready = co_await readOwnItems();
+        else
+            ready = co_await readAll(m_hasRead ? "the watch ended" : "start");
+        if (!ready) {
             co_await sleepFor(pause / 2 + randomBelow(pause));
             pause = std::min(longestPause, pause * 2);
             continue;
         }
-        while (!m_fed && co_await watchOnce())
+        wasFed = false;
+        pause = firstPause;
+        co_await follow();
+        // A watch that ends at once must not turn this into a busy loop of reads.
+        if (!m_fed)
+            co_await sleepFor(randomBelow(2 * firstPause));
+    }
+}
+
+bool PlatformFollower::outageWasLong() const { return m_clock.now() - m_lastAnswer > m_options.shortOutage; }
+
+// A host whose coordinator has fallen silent goes on from what it was told. A reading of everything takes the smallest
+// links more than a second, and all hosts begin theirs at once.
+asio::awaitable<bool> PlatformFollower::readOwnItems()
+{
+    const Instant begun = m_clock.now();
+    const RangeReply reply = co_await m_store.range(std::string(storePrefix), true, m_options.callTimeout);
+    noteReading("the coordinator is silent", begun, reply);
+    const bool answered = reply.status == StoreStatus::Ok;
+    noteAnswer(answered);
+    if (answered)
+        m_sink(m_view.applyOwnItems(reply));
+    co_return answered;
+}
+
+asio::awaitable<void> PlatformFollower::follow()
+{
+    Millis pause = firstPause;
+    Millis wait = m_options.watchFor;
+    while (!m_fed) {
+        const WatchEnd end = co_await watchOnce(wait);
+        if (end == WatchEnd::Stopped) {
             pause = firstPause;
-        if (m_fed)
+            wait = m_options.watchFor;
             continue;
-        // A watch that fails at once must not turn this into a busy loop of reads.
+        }
+        // A lost answer loses no change: the next watch tells it, and at once. After a longer outage entries may have
+        // lapsed that come back, which only a reading can treat with care.
+        if (end == WatchEnd::HistoryGone || outageWasLong())
+            co_return;
+        noteAnswer(false);
+        wait = m_options.shortWatch;
         pause = std::min(longestPause, pause * 2);
         co_await sleepFor(randomBelow(pause));
     }
 }
 
-asio::awaitable<bool> PlatformFollower::watchOnce()
+asio::awaitable<WatchEnd> PlatformFollower::watchOnce(Millis wait)
 {
-    bool heard = false;
     bool changed = false;
     m_watches.add();
-    co_await m_store.watch(std::string(everything), m_view.revision() + 1, m_options.watchFor,
+    const WatchEnd end = co_await m_store.watch(std::string(everything), m_view.revision() + 1, wait,
         [&](int64_t revision, const std::vector<WatchEvent>& events) {
-            heard = true;
             changed = !events.empty();
             noteAnswer(true);
             const int64_t before = m_view.lastChange();
@@ -165,7 +207,7 @@
         });
     if (changed)
         co_await sleepFor(m_options.gather);
-    co_return heard;
+    co_return end;
 }
 
 void PlatformFollower::fed(int64_t coordinatorsChange, Millis storeSilence)
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -16,6 +16,7 @@
     // A waiting watch may go deaf: it hears nothing of what is written, and isn't cut. The next one hears. So it is
     // asked anew that often, well within the time in which a configuration must be in force.
     Millis watchFor { 900 };
+    Millis shortWatch { 50 }; // after a lost answer: tells at once what it held, and that the store answers
     // A change that the coordinator knows of reaches this host so soon, or was lost on the way: then the store is read.
     // Reports are up to 2 s apart, and a change must be in force within 2 to 2.5 s.
     Millis newsWithin { 300 };
@@ -49,7 +50,10 @@
 
 private:
     boost::asio::awaitable<bool> readAll(std::string_view why);
-    boost::asio::awaitable<bool> watchOnce(); // false: no answer, or history is gone
+    boost::asio::awaitable<bool> readOwnItems();
+    boost::asio::awaitable<void> follow(); // until this host is fed, or the watch can't go on
+    boost::asio::awaitable<WatchEnd> watchOnce(Millis wait);
+    bool outageWasLong() const;
     boost::asio::awaitable<void> catchUp(int64_t coordinatorsChange); // unless the news come meanwhile
     boost::asio::awaitable<void> readItem(std::string key, int64_t revision, Millis within);
     boost::asio::awaitable<void> dropMissingLater(uint64_t reading);
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -117,6 +117,26 @@
     return change;
 }
 
+PlatformView::Change PlatformView::applyOwnItems(const RangeReply& reply)
+{
+    Change change;
+    bool leader = false;
+    for (const auto& value : reply.values) {
+        leader = leader || value.key == leaderKey();
+        applyValue(value, change);
+    }
+    if (!leader)
+        applyErased(leaderKey(), reply.revision, change);
+    m_revision = std::max(m_revision, std::min(m_known.complete(), reply.revision));
+    return change;
+}
+
+void PlatformView::noteComplete(int64_t lastChange, int64_t storeRevision)
+{
+    if (m_known.complete() >= lastChange)
+        m_known.completeTo(storeRevision);
+}
+
 PlatformView::Change PlatformView::applyItem(const KeyValue& value)
 {
     Change change;
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -42,6 +42,10 @@
     // servers went on leaving: it knew of one after 2.9 s instead of 0.3 s (readings of 1.2 s, a change each 0.25 s).
     Change applyNews(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>&);
     bool isOthers(std::string_view key) const { return m_adapter.itemOf(key) != StoreItem::Other; }
+    // What the hosts themselves keep in the store, read alone. A watch then goes on from what this host was told.
+    Change applyOwnItems(const RangeReply&);
+    // By the coordinator's word there is no write of others after `lastChange` up to `storeRevision`.
+    void noteComplete(int64_t lastChange, int64_t storeRevision);
     Change applyItem(const KeyValue&); // read alone
     Change applyTable(GrantTable); // from the coordinator: perhaps newer than the store's
 
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -64,6 +64,7 @@
     7: i64 lastChange // revision of the newest write of others that the coordinator has seen
     8: bool standsBy // the host is to follow the store itself, to take over at once
     9: i32 reportMillis // until the next report
+    11: i64 storeRevision // of the store: up to it there is no write of others after lastChange
     10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
 }
 
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -1258,6 +1258,10 @@
   this->reportMillis = val;
 }
 
+void HostAdvice::__set_storeRevision(const int64_t val) {
+  this->storeRevision = val;
+}
+
 void HostAdvice::__set_missed(const News& val) {
   this->missed = val;
 }
@@ -1385,6 +1389,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeRevision);
+          this->__isset.storeRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->missed.read(iprot);
@@ -1466,6 +1478,10 @@
   xfer += this->missed.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("storeRevision", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->storeRevision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1482,6 +1498,7 @@
   swap(a.lastChange, b.lastChange);
   swap(a.standsBy, b.standsBy);
   swap(a.reportMillis, b.reportMillis);
+  swap(a.storeRevision, b.storeRevision);
   swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
 }
@@ -1496,6 +1513,7 @@
   lastChange = other62.lastChange;
   standsBy = other62.standsBy;
   reportMillis = other62.reportMillis;
+  storeRevision = other62.storeRevision;
   missed = other62.missed;
   __isset = other62.__isset;
 }
@@ -1509,6 +1527,7 @@
   lastChange = other63.lastChange;
   standsBy = other63.standsBy;
   reportMillis = other63.reportMillis;
+  storeRevision = other63.storeRevision;
   missed = other63.missed;
   __isset = other63.__isset;
   return *this;
@@ -1525,6 +1544,7 @@
   out << ", " << "lastChange=" << to_string(lastChange);
   out << ", " << "standsBy=" << to_string(standsBy);
   out << ", " << "reportMillis=" << to_string(reportMillis);
+  out << ", " << "storeRevision=" << to_string(storeRevision);
   out << ", " << "missed=" << to_string(missed);
   out << ")";
 }
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -487,7 +487,7 @@
 std::ostream& operator<<(std::ostream& out, const News& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -497,6 +497,7 @@
   bool lastChange :1;
   bool standsBy :1;
   bool reportMillis :1;
+  bool storeRevision :1;
   bool missed :1;
 } _HostAdvice__isset;
 
@@ -512,7 +513,8 @@
                storeSilentMillis(0),
                lastChange(0),
                standsBy(0),
-               reportMillis(0) {
+               reportMillis(0),
+               storeRevision(0) {
   }
 
   virtual ~HostAdvice() noexcept;
@@ -525,6 +527,7 @@
   int64_t lastChange;
   bool standsBy;
   int32_t reportMillis;
+  int64_t storeRevision;
   News missed;
 
   _HostAdvice__isset __isset;
@@ -547,6 +550,8 @@
 
   void __set_reportMillis(const int32_t val);
 
+  void __set_storeRevision(const int64_t val);
+
   void __set_missed(const News& val);
 
   bool operator == (const HostAdvice & rhs) const
@@ -569,6 +574,8 @@
       return false;
     if (!(reportMillis == rhs.reportMillis))
       return false;
+    if (!(storeRevision == rhs.storeRevision))
+      return false;
     if (!(missed == rhs.missed))
       return false;
     return true;
--- a/packages/store/EtcdStore.cpp
+++ b/packages/store/EtcdStore.cpp
@@ -190,7 +190,7 @@
     co_return reply.arrived() ? StoreStatus::Ok : StoreStatus::Unavailable;
 }
 
-asio::awaitable<void> EtcdStore::watch(std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle)
+asio::awaitable<WatchEnd> EtcdStore::watch(std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle)
 {
     json::object create;
     create["key"] = toBase64(prefix);
@@ -219,6 +219,7 @@
         return handle(revisionIn(*result), events);
     };
     co_await m_client.stream(post("/v3/watch", body), connectTimeout, silence, onLine);
+    co_return WatchEnd::HistoryGone;
 }
 
 }
--- a/packages/store/Store.h
+++ b/packages/store/Store.h
@@ -61,6 +61,13 @@
     KeyValue value;
 };
 
+// Why a watch has ended.
+enum class WatchEnd : uint8_t {
+    NoAnswer, // it can go on from where it was
+    HistoryGone, // what it asked for is no longer told: everything must be read
+    Stopped, // by its handler
+};
+
 class Store {
 public:
     virtual ~Store() = default;
@@ -74,9 +81,9 @@
     virtual boost::asio::awaitable<StoreStatus> revokeLease(int64_t id, Millis timeout) = 0;
 
     // Calls `handle` with each batch of events from `fromRevision` on. Returns when the stream ends, is silent
-    // for longer than `silence`, or `handle` returns false.
+    // for longer than `silence`, or `handle` returns false. A store that can't tell why says that the history is gone.
     using WatchHandler = std::function<bool(int64_t revision, const std::vector<WatchEvent>&)>;
-    virtual boost::asio::awaitable<void> watch(
+    virtual boost::asio::awaitable<WatchEnd> watch(
         std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle)
         = 0;
 };
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -74,7 +74,10 @@
         co_return LeaseReply { StoreStatus::Ok, id, Millis(2000) };
     }
     boost::asio::awaitable<StoreStatus> revokeLease(int64_t, Millis) override { co_return StoreStatus::Ok; }
-    boost::asio::awaitable<void> watch(std::string, int64_t, Millis, WatchHandler) override { co_return; }
+    boost::asio::awaitable<WatchEnd> watch(std::string, int64_t, Millis, WatchHandler) override
+    {
+        co_return WatchEnd::HistoryGone;
+    }
 
 private:
     static Fault take(std::deque<Fault>& script)
