--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -127,14 +127,14 @@
     }
     if (!leader)
         applyErased(leaderKey(), reply.revision, change);
-    m_revision = std::max(m_revision, std::min(m_known.complete(), reply.revision));
+    m_revision = std::max(m_revision, std::min(std::max(m_known.complete(), m_toldUpTo), reply.revision));
     return change;
 }
 
 void PlatformView::noteComplete(int64_t lastChange, int64_t storeRevision)
 {
     if (m_known.complete() >= lastChange)
-        m_known.completeTo(storeRevision);
+        m_toldUpTo = std::max(m_toldUpTo, storeRevision);
 }
 
 PlatformView::Change PlatformView::applyItem(const KeyValue& value)
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -81,6 +81,9 @@
     int64_t m_revision = 0;
     int64_t m_readAt = 0; // of the last reading of everything
     KnownChanges m_known; // of the writes of others
+    // Nothing that this host doesn't know was written up to this revision. Apart from m_known, since hosts compare that
+    // with each other's: it moves with the writes of others only.
+    int64_t m_toldUpTo = 0;
     std::shared_ptr<const RouteRules> m_rules;
     int64_t m_rulesRevision = 0; // of the document that was read last
     std::shared_ptr<ServerMap> m_servers = std::make_shared<ServerMap>(); // copied before it changes
