What the coordinator tells stands apart from what it decides; keyed requests leave a leaving server earlier

The Coordinator had grown by the history and the repeated changes; both move with the fan-out to Announcer. No behaviour changes there. Same cause elsewhere: requests with keys may go to a leaving server until shortly before its time is over, counted from when this host learned of it; half a second of margin left nothing for learning it late. Now one second.

--- /dev/null
+++ b/packages/gateway/Announcer.cpp
@@ -0,0 +1,146 @@
+#include "gateway/Announcer.h"
+
+#include "peers/Deflate.h"
+#include "resources/GrantTableCodec.h"
+
+#include <algorithm>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr double centi = 100;
+    // Of one table, told again to hosts that miss them: at one change each 0.4 s the last six seconds, some 20 kB.
+    constexpr size_t mostRecentChanges = 16;
+
+    // The document of routes is told to every host: deflated it has a tenth of its megabyte, which takes the smallest
+    // links 0.1 s instead of 0.7 s, and a relay with ten members behind such a link 1 s instead of 7 s.
+    ItemChange changeOf(const WatchEvent& event)
+    {
+        constexpr size_t worthDeflating = 4'096; // bytes; entries of servers have some 300
+        ItemChange change { event.value.key, event.value.value, event.value.modRevision, event.erased };
+        if (change.value.size() > worthDeflating) {
+            change.plainBytes = change.value.size();
+            change.value = deflated(change.value);
+        }
+        return change;
+    }
+
+    std::vector<wire::StoreItem> itemsOf(const std::vector<ItemChange>& changes)
+    {
+        std::vector<wire::StoreItem> items;
+        items.reserve(changes.size());
+        for (const auto& change : changes) {
+            wire::StoreItem& item = items.emplace_back();
+            item.key = change.key;
+            item.value = change.value;
+            item.revision = change.revision;
+            item.erased = change.erased;
+            item.plainBytes = static_cast<int32_t>(change.plainBytes);
+            item.leftOutBytes = static_cast<int32_t>(change.leftOutBytes);
+        }
+        return items;
+    }
+
+}
+
+Announcer::Announcer(asio::any_io_executor executor, const Clock& clock, Counter& bytesSent)
+    : m_news(std::move(executor), clock, bytesSent)
+{
+}
+
+void Announcer::note(const wire::HostReport& report)
+{
+    m_news.note(report.sender, report.address, report.dataCentre, report.strengthCenti / centi);
+}
+
+void Announcer::forget(std::string_view host) { m_news.forget(host); }
+
+void Announcer::endOfOffice()
+{
+    m_news.clear();
+    m_published.clear();
+    m_recentChanges.clear();
+}
+
+void Announcer::changed(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>& events, bool inOffice)
+{
+    std::vector<ItemChange> changes;
+    changes.reserve(events.size());
+    for (const auto& event : events)
+        changes.push_back(changeOf(event));
+    m_history.add(afterChange, lastChange, changes);
+    if (!inOffice)
+        return;
+    // News reach the hosts within a few ms, at no cost to the store.
+    wire::News news;
+    news.afterChange = afterChange;
+    news.lastChange = lastChange;
+    news.items = itemsOf(changes);
+    m_news.tell(news);
+}
+
+bool Announcer::hasPublished(const std::string& service, uint64_t edition) const
+{
+    const auto published = m_published.find(service);
+    return published != m_published.end() && published->second.edition.edition >= edition;
+}
+
+void Announcer::publish(const GrantTable& table)
+{
+    const auto published = m_published.find(table.service);
+    if (published == m_published.end()) {
+        m_published.emplace(table.service, table); // each host gets its first one with the answer to a report
+        return;
+    }
+    GrantTable& told = published->second;
+    wire::News news;
+    news.tables.push_back(encodeGrantChange(changeBetween(told, table)));
+    m_news.tell(news);
+    auto& recent = m_recentChanges[table.service];
+    recent.push_back({ told.edition, news.tables.front() });
+    if (recent.size() > mostRecentChanges)
+        recent.pop_front();
+    told = table;
+}
+
+void Announcer::bringUp(const wire::HostReport& report, const Tables& tables, wire::HostAdvice& advice) const
+{
+    // Instead of a reading of everything, which takes a small link longer than the next changes take to come.
+    const auto missed = m_history.since(report.lastChange);
+    if (missed && !missed->empty()) {
+        advice.missed.afterChange = report.lastChange;
+        advice.missed.lastChange = m_history.last();
+        advice.missed.items = itemsOf(*missed);
+    }
+    for (const auto& [name, table] : tables) {
+        const auto held = std::find_if(report.services.begin(), report.services.end(),
+            [&wanted = name](const wire::ServiceUse& service) { return service.serviceName == wanted; });
+        const TableEdition known = held == report.services.end()
+            ? TableEdition {}
+            : TableEdition { held->term, static_cast<uint64_t>(held->edition) };
+        if (known < table->edition)
+            bringUpTable(*table, known, advice);
+    }
+}
+
+// Most hosts that know an older table miss its last change only, or it is on its way to them.
+void Announcer::bringUpTable(const GrantTable& table, const TableEdition& known, wire::HostAdvice& advice) const
+{
+    const auto recent = m_recentChanges.find(table.service);
+    if (recent != m_recentChanges.end()) {
+        const auto& changes = recent->second;
+        auto change = std::find_if(
+            changes.begin(), changes.end(), [&](const RecentChange& candidate) { return candidate.from == known; });
+        if (change != changes.end()) {
+            for (; change != changes.end(); ++change)
+                advice.missed.tables.push_back(change->text);
+            return;
+        }
+    }
+    advice.tables.push_back(encodeGrantTable(table));
+}
+
+}
--- /dev/null
+++ b/packages/gateway/Announcer.h
@@ -0,0 +1,55 @@
+// What the coordinator tells the other hosts: changes as they come, and with the answer to each report what its sender
+// has missed of them.
+#pragma once
+
+#include "decisions/ChangeHistory.h"
+#include "decisions/GrantTable.h"
+#include "gateway/NewsFanout.h"
+#include "peers/Coordination.h"
+#include "store/Store.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cumindale {
+
+class Announcer {
+public:
+    using Tables = std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>>; // by service
+
+    Announcer(boost::asio::any_io_executor, const Clock&, Counter& bytesSent);
+
+    // --- Who is told
+    void note(const wire::HostReport&);
+    void forget(std::string_view host);
+    void endOfOffice(); // nobody any more; what others wrote is still remembered
+
+    // --- What is told
+    // All writes of others after `afterChange`, up to `lastChange`. Out of office they are remembered only, so that a
+    // new coordinator can tell hosts what its predecessor did not.
+    void changed(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>&, bool inOffice);
+    bool hasPublished(const std::string& service, uint64_t edition) const; // it or a later one, in this office
+    void publish(const GrantTable&);
+
+    // Adds what follows the change and the tables that the sender knows.
+    void bringUp(const wire::HostReport&, const Tables&, wire::HostAdvice&) const;
+
+private:
+    struct RecentChange {
+        TableEdition from;
+        std::string text; // encoded
+    };
+
+    void bringUpTable(const GrantTable&, const TableEdition& known, wire::HostAdvice&) const;
+
+    NewsFanout m_news;
+    ChangeHistory m_history;
+    std::map<std::string, GrantTable> m_published; // by service, as the hosts were told
+    std::map<std::string, std::deque<RecentChange>>
+        m_recentChanges; // of tables, by service; each follows the one before
+};
+
+}
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -2,7 +2,6 @@
 
 #include "base/Log.h"
 #include "decisions/ServerIdentity.h"
-#include "peers/Deflate.h"
 #include "resources/GrantTableCodec.h"
 
 #include <algorithm>
@@ -21,8 +20,6 @@
     constexpr Millis idleLook { 2'000 }; // out of office; the election wakes it
     constexpr Millis cutOffAfter { 1'000 }; // most servers silent for so long: another host does it better
     constexpr double centi = 100;
-    // Of one table, told again to hosts that miss them: at one change each 0.4 s the last six seconds, some 20 kB.
-    constexpr size_t mostRecentChanges = 16;
 
 }
 
@@ -42,7 +39,7 @@
     , m_writes(metrics.counter("store_writes_tables"))
     , m_moves(metrics.counter("key_moves_planned"))
     , m_changed(executor)
-    , m_news(executor, clock, m_peerBytes)
+    , m_announcer(executor, clock, m_peerBytes)
     , m_office(m_options.office)
 {
 }
@@ -95,12 +92,10 @@
     m_plans.clear();
     m_registrations.clear();
     m_formers.clear();
-    m_published.clear();
-    m_recentChanges.clear();
     m_loads.clear();
     m_servers.clear();
     m_hosts.clear();
-    m_news.clear();
+    m_announcer.endOfOffice();
 }
 
 void Coordinator::step()
@@ -182,78 +177,25 @@
 
 void Coordinator::publish(GrantPlan& plan)
 {
-    const auto published = m_published.find(plan.service());
-    if (published != m_published.end() && published->second.edition.edition >= plan.edition())
+    if (m_announcer.hasPublished(plan.service(), plan.edition()))
         return;
     GrantTable table = tableOf(plan);
     if (table.ranges.empty() || table.ranges.front().holder.empty())
         return;
-    if (published != m_published.end()) {
-        wire::News news;
-        news.tables.push_back(encodeGrantChange(changeBetween(published->second, table)));
-        m_news.tell(news);
-        auto& recent = m_recentChanges[plan.service()];
-        recent.push_back({ published->second.edition, news.tables.front() });
-        if (recent.size() > mostRecentChanges)
-            recent.pop_front();
-    }
-    m_published[plan.service()] = table;
+    m_announcer.publish(table);
     m_sink(std::move(table));
 }
 
-namespace {
-
-    // The document of routes is told to every host: deflated it has a tenth of its megabyte, which takes the smallest
-    // links 0.1 s instead of 0.7 s, and a relay with ten members behind such a link 1 s instead of 7 s.
-    ItemChange changeOf(const WatchEvent& event)
-    {
-        constexpr size_t worthDeflating = 4'096; // bytes; entries of servers have some 300
-        ItemChange change { event.value.key, event.value.value, event.value.modRevision, event.erased };
-        if (change.value.size() > worthDeflating) {
-            change.plainBytes = change.value.size();
-            change.value = deflated(change.value);
-        }
-        return change;
-    }
-
-    std::vector<wire::StoreItem> itemsOf(const std::vector<ItemChange>& changes)
-    {
-        std::vector<wire::StoreItem> items;
-        items.reserve(changes.size());
-        for (const auto& change : changes) {
-            wire::StoreItem& item = items.emplace_back();
-            item.key = change.key;
-            item.value = change.value;
-            item.revision = change.revision;
-            item.erased = change.erased;
-            item.plainBytes = static_cast<int32_t>(change.plainBytes);
-            item.leftOutBytes = static_cast<int32_t>(change.leftOutBytes);
-        }
-        return items;
-    }
-
-}
-
 void Coordinator::onEvents(int64_t afterChange, const std::vector<WatchEvent>& events)
 {
-    std::vector<ItemChange> changes;
+    std::vector<WatchEvent> others;
     for (const auto& event : events) {
         // Tables and the office are told in other ways.
         if (m_view.isOthers(event.value.key))
-            changes.push_back(changeOf(event));
+            others.push_back(event);
     }
-    if (changes.empty())
-        return;
-    const int64_t lastChange = m_view.lastChange();
-    m_history.add(afterChange, lastChange, changes);
-    if (!m_term)
-        return;
-    // News reach the hosts within a few ms, at no cost to the store.
-    wire::News news;
-    news.afterChange = afterChange;
-    news.lastChange = lastChange;
-    news.items = itemsOf(changes);
-    m_news.tell(news);
+    if (!others.empty())
+        m_announcer.changed(afterChange, m_view.lastChange(), others, m_term != 0);
 }
 
 void Coordinator::logEvents(GrantPlan& plan)
@@ -592,7 +534,7 @@
     std::erase_if(m_hosts, [&](const auto& entry) {
         if (now - entry.second.heard <= m_options.hostSilence)
             return false;
-        m_news.forget(entry.first);
+        m_announcer.forget(entry.first);
         for (auto& [id, server] : m_servers) {
             if (server.demand)
                 server.demand->forget(entry.first);
@@ -652,23 +594,6 @@
     m_formers.erase(service);
 }
 
-// Most hosts that know an older table miss its last change only, or it is on its way to them.
-void Coordinator::bringUp(const GrantTable& table, const TableEdition& known, wire::HostAdvice& advice) const
-{
-    const auto recent = m_recentChanges.find(table.service);
-    if (recent != m_recentChanges.end()) {
-        const auto& changes = recent->second;
-        auto change = std::find_if(
-            changes.begin(), changes.end(), [&](const RecentChange& candidate) { return candidate.from == known; });
-        if (change != changes.end()) {
-            for (; change != changes.end(); ++change)
-                advice.missed.tables.push_back(change->text);
-            return;
-        }
-    }
-    advice.tables.push_back(encodeGrantTable(table));
-}
-
 wire::HostAdvice Coordinator::onReport(const wire::HostReport& report)
 {
     wire::HostAdvice advice;
@@ -685,14 +610,7 @@
     noteFormers(report.sender);
     host.strength = report.strengthCenti / centi;
     if (report.sender != m_options.host)
-        m_news.note(report.sender, report.address, report.dataCentre, host.strength);
-    // Instead of a reading of everything, which takes a small link longer than the next changes take to come.
-    const auto missed = m_history.since(report.lastChange);
-    if (missed && !missed->empty()) {
-        advice.missed.afterChange = report.lastChange;
-        advice.missed.lastChange = m_history.last();
-        advice.missed.items = itemsOf(*missed);
-    }
+        m_announcer.note(report);
     advice.standsBy = standsBy(report.sender);
     advice.reportMillis = static_cast<int32_t>(reportInterval().count());
     advice.hosts = static_cast<int32_t>(m_hosts.size());
@@ -703,15 +621,7 @@
         for (const auto& use : service.keys)
             load.add(static_cast<uint32_t>(use.key), use.busyMicros / 1000.0 / meanLife);
     }
-    for (const auto& [name, table] : m_view.tables()) {
-        const auto held = std::find_if(report.services.begin(), report.services.end(),
-            [&wanted = name](const wire::ServiceUse& service) { return service.serviceName == wanted; });
-        const TableEdition edition = held == report.services.end()
-            ? TableEdition {}
-            : TableEdition { held->term, static_cast<uint64_t>(held->edition) };
-        if (edition < table->edition)
-            bringUp(*table, edition, advice);
-    }
+    m_announcer.bringUp(report, m_view.tables(), advice);
     const auto servers = m_view.servers();
     for (const auto& use : report.servers) {
         const auto known = servers->find(use.server);
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -5,12 +5,11 @@
 #pragma once
 
 #include "control/Election.h"
-#include "decisions/ChangeHistory.h"
 #include "decisions/GrantPlan.h"
 #include "decisions/KeyBalance.h"
 #include "decisions/OfficeRules.h"
 #include "decisions/SlotShares.h"
-#include "gateway/NewsFanout.h"
+#include "gateway/Announcer.h"
 #include "gateway/PlatformAdapter.h"
 #include "gateway/PlatformView.h"
 #include "peers/Coordination.h"
@@ -91,7 +90,6 @@
     void publish(GrantPlan&);
     void noteFormers(std::string_view reporter);
     void formerStopped(const std::string& service, Instant at, std::string_view why);
-    void bringUp(const GrantTable&, const TableEdition& known, wire::HostAdvice&) const; // to this table
     bool standsBy(std::string_view host) const;
     Millis reportInterval() const;
     void balance();
@@ -135,18 +133,10 @@
     int64_t m_term = 0; // 0: not in office
     std::map<std::string, std::unique_ptr<GrantPlan>> m_plans; // by service
     std::map<std::string, Registrations> m_registrations; // of services without a plan
-    std::map<std::string, GrantTable> m_published; // by service, as the hosts were told
-    struct RecentChange {
-        TableEdition from;
-        std::string text; // encoded
-    };
-    std::map<std::string, std::deque<RecentChange>>
-        m_recentChanges; // of tables, by service; each follows the one before
     std::map<std::string, KeyLoad> m_loads; // by service
     std::map<std::string, ServerState, std::less<>> m_servers;
     std::map<std::string, HostState, std::less<>> m_hosts;
-    NewsFanout m_news;
-    ChangeHistory m_history; // of others' writes, as this host heard of them; also out of office
+    Announcer m_announcer;
     bool m_writing = false;
     OfficeRules m_office;
     std::map<std::string, std::string> m_formers; // by service: the host whose orders may still be under way
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -29,7 +29,10 @@
     // part of the slack. Three quarters of it: hosts come and go, and how many there are is known late.
     constexpr double budgetUsed = 0.75;
     constexpr Millis retryPause { 4 }; // at least, and up to as much again
-    constexpr Millis leaveMargin { 500 }; // for the way to the server, before it must get nothing new
+    // For what is left of the time until a leaving server must get nothing new: a host learns of it up to 0.6 s late (a
+    // look of the coordinator at the store, a message lost and repeated with the next report), and the way and the wait
+    // for a connection take 0.3 s.
+    constexpr Millis leaveMargin { 1'000 };
     // Of a request to this host and of its answer back. Callers are about 8 ms away; a new connection takes another
     // turn.
     constexpr Millis answerWay { 25 };
