--- a/packages/store/EtcdStore.cpp
+++ b/packages/store/EtcdStore.cpp
@@ -190,7 +190,8 @@
     co_return reply.arrived() ? StoreStatus::Ok : StoreStatus::Unavailable;
 }
 
-asio::awaitable<WatchEnd> EtcdStore::watch(std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle)
+asio::awaitable<WatchEnd> EtcdStore::watch(
+    std::string prefix, int64_t fromRevision, Millis silence, WatchHandler handle)
 {
     json::object create;
     create["key"] = toBase64(prefix);
--- a/tests/change_history_test.cpp
+++ b/tests/change_history_test.cpp
@@ -20,6 +20,7 @@
 std::vector<int64_t> revisionsOf(const std::vector<ItemChange>& changes)
 {
     std::vector<int64_t> revisions;
+    revisions.reserve(changes.size());
     for (const auto& change : changes)
         revisions.push_back(change.revision);
     return revisions;
