--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -132,11 +132,12 @@
             co_await m_changed.wait(m_options.fedPause);
             continue;
         }
+        const std::string_view why = m_hasRead ? "the watch ended" : "start";
         bool ready = false;
         if (wasFed && !outageWasLong())
             ready = co_await readOwnItems();
         else
-            ready = co_await readAll(m_hasRead ? "the watch ended" : "start");
+            ready = co_await readAll(why);
         if (!ready) {
             co_await sleepFor(pause / 2 + randomBelow(pause));
             pause = std::min(longestPause, pause * 2);
