--- a/apps/cumindalectl/Commands.cpp
+++ b/apps/cumindalectl/Commands.cpp
@@ -124,7 +124,8 @@
     {
         std::cerr << "cumindalectl: get [KIND [NAME]] | apply --file FILE | delete KIND NAME | watch | explain KEY "
                      "--service S\n"
-                     "              | status | drain SERVER | trace ID; see --help\n";
+                     "              | status | drain SERVER | trace ID\n"
+                     "              | quarantine list | quarantine clear REQUEST; see --help\n";
         return ExitUsage;
     }
 
@@ -240,6 +241,19 @@
     }
 
     // Leaving is a wish on the server's resource: read it, set it, write it back if nobody has changed it meanwhile.
+    // Requests that crash servers, on a host with a gateway.
+    int quarantine(const CommandOptions& options, const std::vector<std::string>& words)
+    {
+        const std::string target = "/v1/quarantine";
+        if (words.size() == 2 && words[1] == "list")
+            return show(options, ask(options.address, options.port, callFor(options, http::verb::get, target)));
+        if (words.size() == 3 && words[1] == "clear")
+            return show(options,
+                ask(options.address, options.port,
+                    callFor(options, http::verb::delete_, target + "?request=" + escaped(words[2]))));
+        return usage();
+    }
+
     int drain(const CommandOptions& options, const std::vector<std::string>& words)
     {
         if (words.size() != 2)
@@ -309,6 +323,8 @@
         return show(options, ask(options.address, options.port, callFor(options, http::verb::get, "/v1/status")));
     if (command == "drain")
         return drain(options, words);
+    if (command == "quarantine")
+        return quarantine(options, words);
     if (command == "trace")
         return trace(options, words);
     return usage();
--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -6,6 +6,7 @@
 #include "gateway/Gateway.h"
 #include "gateway/GatewayControl.h"
 #include "platform/Dialect.h"
+#include "resources/QuarantineCodec.h"
 #include "web/HttpServer.h"
 
 #include <atomic>
@@ -59,9 +60,7 @@
                       return answerReadiness(std::string(request.target()));
                   })
             , m_admin(m_operators.get_executor(), settings.host.operators.address, settings.host.operators.port,
-                  [this](const ServedRequest& request, boost::beast::tcp_stream&) {
-                      return answerOperator(std::string(request.target()));
-                  })
+                  [this](const ServedRequest& request, boost::beast::tcp_stream&) { return answerOperator(request); })
             , m_signals(m_routing, SIGTERM, SIGINT, SIGHUP)
         {
         }
@@ -89,16 +88,36 @@
             co_return makeResponse(m_ready ? 200 : 503, m_ready ? "{\"ready\":true}" : "{\"ready\":false}");
         }
 
-        asio::awaitable<std::optional<ServedResponse>> answerOperator(std::string target)
+        asio::awaitable<std::optional<ServedResponse>> answerOperator(const ServedRequest& request)
         {
-            const std::string path = parseTarget(target).path;
+            const Target target = parseTarget(std::string(request.target()));
+            const std::string& path = target.path;
             if (path == "/metrics")
                 co_return makeResponse(200, m_metrics.text(), "text/plain");
             if (path == "/status")
                 co_return makeResponse(200, co_await asio::co_spawn(m_control, status(), asio::use_awaitable));
+            if (path == "/v1/quarantine")
+                co_return co_await answerQuarantine(request, target);
             co_return makeResponse(404, "{}");
         }
 
+        // GET lists; DELETE with `request` in the query lets that one go to servers again.
+        asio::awaitable<std::optional<ServedResponse>> answerQuarantine(const ServedRequest& request, Target target)
+        {
+            if (request.method() == boost::beast::http::verb::get)
+                co_return makeResponse(200, co_await asio::co_spawn(m_control, quarantine(), asio::use_awaitable));
+            const std::string& token = m_settings.host.operatorToken;
+            if (!token.empty() && request[boost::beast::http::field::authorization] != "Bearer " + token)
+                co_return makeResponse(401, "{\"error\":\"the operators' token is needed\"}\n");
+            const auto fingerprint = fingerprintIn(target.parameter("request"));
+            if (request.method() != boost::beast::http::verb::delete_ || !fingerprint)
+                co_return makeResponse(400, "{\"error\":\"request: 16 hexadecimal digits\"}\n");
+            asio::post(m_control, [this, fingerprint] { m_controlDuty.releaseFromQuarantine(*fingerprint); });
+            co_return makeResponse(200, "{}\n");
+        }
+
+        asio::awaitable<std::string> quarantine() { co_return m_controlDuty.quarantineText(); }
+
         // On the control duty's thread, whose state it shows.
         asio::awaitable<std::string> status() { co_return m_controlDuty.statusText(); }
 
--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -249,6 +249,11 @@
         if (trusted && !connection->hasUnasked())
             co_return connection;
     }
+    co_return co_await connect(timeout);
+}
+
+asio::awaitable<ConnectionPointer> ServerPool::connect(Millis timeout)
+{
     auto connection = std::make_unique<BackendConnection>(m_executor);
     if (!co_await connection->connect(m_server, timeout))
         co_return nullptr;
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -84,6 +84,7 @@
 
     // --- Connections. Null: could not connect.
     boost::asio::awaitable<ConnectionPointer> take(bool idempotent, Millis timeout);
+    boost::asio::awaitable<ConnectionPointer> connect(Millis timeout); // a new one
     void giveBack(ConnectionPointer);
     void dropIdle(); // the server went silent: its old connections may be dead for good
 
--- a/packages/base/ErrorKind.cpp
+++ b/packages/base/ErrorKind.cpp
@@ -23,6 +23,7 @@
         { ErrorKind::Moving, "moving", 503, Ran::No, true, true },
         { ErrorKind::WarmingUp, "warming-up", 503, Ran::No, true, true },
         { ErrorKind::OwnerChanged, "owner-changed", 503, Ran::No, true, true },
+        { ErrorKind::Quarantined, "quarantined", 503, Ran::No, false, false },
         { ErrorKind::Overloaded, "overloaded", 503, Ran::No, true, false },
         { ErrorKind::ServerRefused, "server-refused", 503, Ran::No, true, true },
         { ErrorKind::ServerUnreachable, "server-unreachable", 503, Ran::No, true, true },
--- a/packages/base/ErrorKind.h
+++ b/packages/base/ErrorKind.h
@@ -32,6 +32,7 @@
     Moving, // the key is between two owners
     WarmingUp, // the server takes hardly any requests for now: it has just started
     OwnerChanged, // while it waited, its server left or its key moved
+    Quarantined, // it crashed the servers that ran it
     Overloaded, // the owner's queue is full, or the deadline can't be met
     ServerRefused, // the server said that it did not run it
     ServerUnreachable, // no connection: nothing was sent
--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -108,6 +108,7 @@
         bool timedOut = false;
         CallerPresence* handling = nullptr; // while the handler works for it
         bool busy = false; // a request has begun and its answer is not yet written
+        std::string address {}; // of the caller
     };
 
     tcp::acceptor acceptor;
@@ -267,6 +268,7 @@
     shared.requests.add();
     session.deadline = noDeadline;
     CallerPresence presence;
+    presence.address = session.address;
     session.handling = &presence;
     auto response = co_await shared.handler.handle(request, presence);
     session.handling = nullptr;
@@ -279,6 +281,10 @@
     std::shared_ptr<Shared> shared, std::list<Session>::iterator session)
 {
     beast::flat_buffer buffer;
+    beast::error_code unknown; // the caller has left already: the address stays empty, and nothing is served
+    const auto caller = session->stream.socket().remote_endpoint(unknown);
+    if (!unknown)
+        session->address = caller.address().to_string();
     try {
         while (co_await serveRequest(*shared, *session, buffer))
             shared->setBusy(*session, false);
--- a/packages/callers/CallerServer.h
+++ b/packages/callers/CallerServer.h
@@ -32,6 +32,7 @@
 // Whether the caller of a request is still there.
 struct CallerPresence {
     bool gone = false;
+    std::string address; // the caller's IP number
     std::function<void()> whenGone; // set it for as long as something should be ended then
 };
 
--- /dev/null
+++ b/packages/decisions/CrashEvidence.cpp
@@ -0,0 +1,229 @@
+#include "decisions/CrashEvidence.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cumindale {
+
+namespace {
+
+    // One crash may be chance and two may be a hot key; a request alone was at three servers that went away, and was
+    // never answered.
+    constexpr size_t crashesUntilQuarantine = 3;
+    // A server that falls silent is known to have gone when its entry lapses or its next incarnation registers.
+    constexpr Millis goneWithin { 6'000 };
+    constexpr Millis remembered { 60'000 }; // of a suspect since its last crash: callers come again within seconds
+    constexpr Millis quarantineLasts { 600'000 }; // one crash in ten minutes, if the request still crashes servers
+    constexpr Millis answerCountsFor { 10'000 }; // servers may change what they can bear
+    constexpr size_t mostAnswers = 4'096; // 200 kB; where a host answers more in ten seconds, the newest
+    constexpr size_t mostLost = 512; // of one host, waiting to be known
+    constexpr size_t mostReported = 64; // crashes of one host
+    constexpr size_t mostInCrash = 64; // of one host at one server: more than any takes at once
+    constexpr size_t mostSuspects = 4'096; // 200 kB at the coordinator; a data centre's loss makes some thousand
+    constexpr size_t mostTold = 256; // with each answer to a report, 2 kB
+    constexpr size_t mostQuarantined = 256;
+
+}
+
+// --- On each host
+
+void CrashWatch::sendLost(std::string_view server, Fingerprint request, Instant now)
+{
+    m_lost.push_back({ std::string(server), request, now });
+    if (m_lost.size() > mostLost)
+        m_lost.pop_front();
+}
+
+void CrashWatch::serverLives(std::string_view server)
+{
+    std::erase_if(m_lost, [&](const LostSend& send) { return send.server == server; });
+}
+
+void CrashWatch::serverGone(std::string_view server, Instant now)
+{
+    ServerCrash crash;
+    crash.server = server;
+    for (const auto& send : m_lost) {
+        const bool there = send.server == server && now - send.at <= goneWithin;
+        if (there && !wasAnswered(send.request, now) && crash.requests.size() < mostInCrash)
+            crash.requests.push_back(send.request);
+    }
+    serverLives(server);
+    if (crash.requests.empty())
+        return;
+    m_own.insert(crash.requests.begin(), crash.requests.end());
+    m_reported.push_back({ crash, now });
+    if (m_reported.size() > mostReported)
+        m_reported.pop_front();
+    m_crashes.push_back(std::move(crash));
+}
+
+bool CrashWatch::wasAnswered(Fingerprint request, Instant now) const
+{
+    const auto found = m_answeredAt.find(request);
+    return found != m_answeredAt.end() && now - found->second <= answerCountsFor;
+}
+
+void CrashWatch::answered(Fingerprint request, Instant now)
+{
+    m_answeredAt[request] = now;
+    m_answers.emplace_back(request, now);
+    while (m_answers.size() > mostAnswers || now - m_answers.front().second > answerCountsFor) {
+        const auto [oldest, at] = m_answers.front();
+        m_answers.pop_front();
+        const auto found = m_answeredAt.find(oldest);
+        if (found != m_answeredAt.end() && found->second == at)
+            m_answeredAt.erase(found);
+    }
+    if (!suspect(request) && !quarantined(request))
+        return;
+    m_answered.insert(request);
+    m_own.erase(request);
+    for (auto& own : m_reported)
+        std::erase(own.crash.requests, request);
+}
+
+void CrashWatch::told(std::set<Fingerprint> suspects, std::set<Fingerprint> quarantined, Instant now)
+{
+    m_suspects = std::move(suspects);
+    m_quarantined = std::move(quarantined);
+    for (const Fingerprint request : m_suspects) {
+        if (wasAnswered(request, now))
+            m_answered.insert(request);
+    }
+    // What the coordinator knows and doesn't name was answered, perhaps at another host.
+    std::set<Fingerprint> unreported;
+    for (const auto& crash : m_crashes)
+        unreported.insert(crash.requests.begin(), crash.requests.end());
+    const auto settled = [&](Fingerprint request) {
+        return !m_suspects.count(request) && !m_quarantined.count(request) && !unreported.count(request);
+    };
+    std::erase_if(m_own, settled);
+    for (auto& own : m_reported)
+        std::erase_if(own.crash.requests, settled);
+}
+
+void CrashWatch::repeatToNewCoordinator()
+{
+    m_crashes.clear();
+    for (const auto& own : m_reported) {
+        if (!own.crash.requests.empty())
+            m_crashes.push_back(own.crash);
+    }
+}
+
+bool CrashWatch::suspect(Fingerprint request) const { return m_suspects.count(request) || m_own.count(request); }
+
+std::vector<ServerCrash> CrashWatch::takeCrashes() { return std::exchange(m_crashes, {}); }
+
+std::vector<Fingerprint> CrashWatch::takeAnswered()
+{
+    const std::vector<Fingerprint> requests(m_answered.begin(), m_answered.end());
+    m_answered.clear();
+    return requests;
+}
+
+void CrashWatch::forgetOld(Instant now)
+{
+    while (!m_lost.empty() && now - m_lost.front().at > goneWithin)
+        m_lost.pop_front();
+    if (m_reported.empty() || now - m_reported.front().at <= remembered)
+        return;
+    while (!m_reported.empty() && now - m_reported.front().at > remembered)
+        m_reported.pop_front();
+    m_own.clear();
+    for (const auto& own : m_reported)
+        m_own.insert(own.crash.requests.begin(), own.crash.requests.end());
+}
+
+// --- At the coordinator
+
+void CrashLedger::crashed(const ServerCrash& crash, Instant now)
+{
+    forgetOld(now);
+    for (const Fingerprint request : crash.requests) {
+        const auto known = m_quarantined.find(request);
+        if (known != m_quarantined.end()) {
+            // It was on its way when the others learned, or the one try that is allowed: it has not been mended.
+            ++known->second.crashes;
+            if (known->second.until <= now)
+                ++m_edition;
+            known->second.until = now + quarantineLasts;
+            continue;
+        }
+        Suspect& suspect = m_suspects[request];
+        suspect.servers.insert(crash.server);
+        suspect.last = now;
+        if (suspect.servers.size() < crashesUntilQuarantine)
+            continue;
+        const auto crashes = static_cast<unsigned>(suspect.servers.size());
+        m_suspects.erase(request);
+        restore({ request, crashes, now, now + quarantineLasts });
+    }
+    while (m_suspects.size() > mostSuspects) {
+        m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(),
+            [](const auto& a, const auto& b) { return a.second.last < b.second.last; }));
+    }
+}
+
+void CrashLedger::restore(const QuarantinedRequest& request)
+{
+    m_quarantined.insert_or_assign(request.request, request);
+    ++m_edition;
+    if (m_quarantined.size() <= mostQuarantined)
+        return;
+    m_quarantined.erase(std::min_element(m_quarantined.begin(), m_quarantined.end(),
+        [](const auto& a, const auto& b) { return a.second.until < b.second.until; }));
+}
+
+void CrashLedger::answered(Fingerprint request)
+{
+    m_suspects.erase(request);
+    m_edition += m_quarantined.erase(request);
+}
+
+void CrashLedger::release(Fingerprint request) { answered(request); }
+
+void CrashLedger::clear()
+{
+    m_suspects.clear();
+    m_quarantined.clear();
+    m_edition = 0;
+}
+
+void CrashLedger::forgetOld(Instant now)
+{
+    std::erase_if(m_suspects, [&](const auto& entry) { return now - entry.second.last > remembered; });
+}
+
+std::vector<Fingerprint> CrashLedger::suspects(Instant now)
+{
+    forgetOld(now);
+    std::vector<std::pair<Instant, Fingerprint>> newest;
+    newest.reserve(m_suspects.size());
+    for (const auto& [request, suspect] : m_suspects)
+        newest.emplace_back(suspect.last, request);
+    // Those with the most crashes matter most, then the newest.
+    std::sort(newest.begin(), newest.end(), [&](const auto& a, const auto& b) {
+        const size_t crashesA = m_suspects.at(a.second).servers.size();
+        const size_t crashesB = m_suspects.at(b.second).servers.size();
+        return crashesA != crashesB ? crashesA > crashesB : a.first > b.first;
+    });
+    newest.resize(std::min(newest.size(), mostTold));
+    std::vector<Fingerprint> requests;
+    for (const auto& [last, request] : newest)
+        requests.push_back(request);
+    return requests;
+}
+
+std::vector<QuarantinedRequest> CrashLedger::quarantined(Instant now)
+{
+    std::vector<QuarantinedRequest> requests;
+    for (const auto& [request, entry] : m_quarantined) {
+        if (now < entry.until)
+            requests.push_back(entry);
+    }
+    return requests;
+}
+
+}
--- /dev/null
+++ b/packages/decisions/CrashEvidence.h
@@ -0,0 +1,125 @@
+// Requests that crash the servers that run them.
+//
+// Such a request comes again and again, from the same caller, at any host; each time a server falls over with
+// everything else that runs there. It is told from the others by what it has in common with itself: a fingerprint of
+// the whole request. In one crash everything that ran there is suspect. A request that was at three servers when they
+// went away, and that no server answered in between, is quarantined: hosts refuse it.
+//
+// Load pattern: a caller that repeats one such request each second, among thousands of others of which some are at the
+// same server; servers that also crash for other reasons, now and then or every few seconds.
+//
+// - CrashWatch, on each host: what was sent and got no answer counts only once its server is known to have gone. A
+// reset
+//   connection, a lost answer or a server that leaves in good order is no crash.
+// - CrashLedger, at the coordinator: the sum over all hosts. What it holds is bounded, and lapses.
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace cumindale {
+
+using Fingerprint = uint64_t; // of a request: caller, method, host, path and body
+
+// The requests that were at a server when it went away.
+struct ServerCrash {
+    std::string server;
+    std::vector<Fingerprint> requests;
+};
+
+class CrashWatch {
+public:
+    // --- What this host sees
+    void sendLost(std::string_view server, Fingerprint, Instant now); // no answer came, and it may have run
+    void serverLives(std::string_view server); // it takes connections: nothing that was lost there crashed it
+    void serverGone(std::string_view server, Instant now); // it takes none, or another incarnation is there
+    void answered(Fingerprint, Instant now); // by a server, whatever the answer
+
+    // --- What the coordinator tells
+    void told(std::set<Fingerprint> suspects, std::set<Fingerprint> quarantined, Instant now);
+    void repeatToNewCoordinator(); // it knows nothing of what its predecessor was told
+
+    // --- What follows
+    bool suspectsAny() const { return !m_suspects.empty() || !m_own.empty(); }
+    bool quarantinesAny() const { return !m_quarantined.empty(); }
+    bool suspect(Fingerprint) const; // not to be sent a second time
+    bool quarantined(Fingerprint request) const { return m_quarantined.count(request); }
+    bool hasNews() const { return !m_crashes.empty() || !m_answered.empty(); }
+    std::vector<ServerCrash> takeCrashes();
+    std::vector<Fingerprint> takeAnswered();
+    void forgetOld(Instant now);
+
+private:
+    struct LostSend {
+        std::string server;
+        Fingerprint request = 0;
+        Instant at {};
+    };
+    struct OwnCrash {
+        ServerCrash crash;
+        Instant at {};
+    };
+
+    bool wasAnswered(Fingerprint, Instant now) const;
+
+    std::deque<LostSend> m_lost; // oldest first
+    // What servers have answered lately. A request that crashes servers is never answered: one that was a moment ago
+    // was only there by chance, as the requests for a hot key are whose server crashes every few seconds.
+    std::unordered_map<Fingerprint, Instant> m_answeredAt;
+    std::deque<std::pair<Fingerprint, Instant>> m_answers; // the same, oldest first
+    std::deque<OwnCrash> m_reported; // for a new coordinator
+    std::vector<ServerCrash> m_crashes; // not reported yet
+    std::set<Fingerprint> m_answered; // likewise
+    std::set<Fingerprint> m_own; // suspects of this host's own crashes
+    std::set<Fingerprint> m_suspects; // of all hosts
+    std::set<Fingerprint> m_quarantined;
+};
+
+struct QuarantinedRequest {
+    Fingerprint request = 0;
+    unsigned crashes = 0;
+    Instant since {};
+    Instant until {}; // then one try is allowed: the servers may have been mended
+};
+
+class CrashLedger {
+public:
+    // --- From reports
+    void crashed(const ServerCrash&, Instant now);
+    void answered(Fingerprint); // it is innocent, or the servers have been mended
+    void release(Fingerprint); // by an operator
+
+    // --- From a predecessor
+    void restore(const QuarantinedRequest&);
+    void clear();
+
+    // --- What follows
+    std::vector<Fingerprint> suspects(Instant now); // that hosts must look out for; not the quarantined ones
+    std::vector<QuarantinedRequest> quarantined(Instant now);
+    uint64_t edition() const { return m_edition; } // of the quarantine; it grows with each change
+
+private:
+    struct Suspect {
+        std::set<std::string, std::less<>> servers; // that went away with it
+        Instant last {}; // crash
+    };
+
+    void forgetOld(Instant now);
+
+    std::map<Fingerprint, Suspect> m_suspects;
+    std::map<Fingerprint, QuarantinedRequest> m_quarantined;
+    uint64_t m_edition = 0;
+};
+
+}
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 #include "decisions/ServerIdentity.h"
 #include "resources/GrantTableCodec.h"
+#include "resources/QuarantineCodec.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -81,6 +82,9 @@
     m_listedAt = m_clock.now();
     m_office = OfficeRules(m_options.office);
     m_office.setListed(m_view.listedHosts());
+    for (const auto& request : m_view.quarantine())
+        m_crashes.restore(request);
+    m_quarantineWritten = m_crashes.edition();
     logChange(
         LogLevel::Info, "coordination-begun", { { "term", m_term }, { "listedHosts", m_office.listed().size() } });
 }
@@ -97,6 +101,7 @@
     m_loads.clear();
     m_servers.clear();
     m_shares.clear();
+    m_crashes.clear();
     m_hosts.clear();
     m_announcer.endOfOffice();
 }
@@ -375,15 +380,17 @@
         return conditions;
     }
 
-    std::vector<WriteOperation> writesOf(
-        const std::vector<GrantTable>& tables, const std::set<std::string, std::less<>>& hosts)
+    std::vector<WriteOperation> writesOf(const std::vector<GrantTable>& tables,
+        const std::set<std::string, std::less<>>& hosts, const std::optional<std::string>& quarantine)
     {
         std::vector<WriteOperation> writes;
-        writes.reserve(tables.size() + 1);
+        writes.reserve(tables.size() + 2);
         for (const auto& table : tables)
             writes.push_back({ grantTableKey(table.service), encodeGrantTable(table) });
         if (!hosts.empty())
             writes.push_back({ listedHostsKey(), encodeListedHosts(hosts) });
+        if (quarantine)
+            writes.push_back({ quarantineKey(), *quarantine });
         return writes;
     }
 
@@ -415,7 +422,11 @@
         writing.hosts = hostsToList();
     if (overdue)
         m_listedAt = now;
-    if (writing.tables.empty() && writing.hosts.empty())
+    if (m_crashes.edition() != m_quarantineWritten) {
+        writing.quarantine = encodeQuarantine(m_crashes.quarantined(now), now, m_clock.unixMillis());
+        writing.quarantineEdition = m_crashes.edition();
+    }
+    if (writing.tables.empty() && writing.hosts.empty() && !writing.quarantine)
         return;
     m_writing = true;
     asio::co_spawn(m_executor, write(std::move(writing), m_term), asio::detached);
@@ -444,7 +455,7 @@
 asio::awaitable<void> Coordinator::write(Writing writing, int64_t term)
 {
     const auto conditions = conditionsFor(m_election.fence(), writing.tables, m_view);
-    const auto writes = writesOf(writing.tables, writing.hosts);
+    const auto writes = writesOf(writing.tables, writing.hosts, writing.quarantine);
     m_writes.add();
     const TxnReply reply = co_await m_store.txn(conditions, writes, m_options.storeTimeout);
     int64_t revision = reply.status == StoreStatus::Ok && reply.succeeded ? reply.revision : 0;
@@ -461,6 +472,8 @@
         if (plan != m_plans.end())
             plan->second->onWritten(table.edition.edition, now);
     }
+    if (writing.quarantine)
+        m_quarantineWritten = writing.quarantineEdition;
     if (!writing.hosts.empty()) {
         m_view.noteListed(writing.hosts, revision);
         m_office.setListed(std::move(writing.hosts));
@@ -631,9 +644,36 @@
     }
     m_announcer.bringUp(report, m_view.tables(), advice);
     takeUses(report, host.heard, advice);
+    takeCrashes(report, host.heard, advice);
     return advice;
 }
 
+void Coordinator::takeCrashes(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
+{
+    const uint64_t before = m_crashes.edition();
+    for (const auto& crash : report.crashes)
+        m_crashes.crashed({ crash.server, { crash.requests.begin(), crash.requests.end() } }, now);
+    for (const int64_t request : report.answered)
+        m_crashes.answered(static_cast<Fingerprint>(request));
+    for (const int64_t request : report.released)
+        m_crashes.release(static_cast<Fingerprint>(request));
+    const auto suspects = m_crashes.suspects(now);
+    const auto quarantined = m_crashes.quarantined(now);
+    advice.suspects.assign(suspects.begin(), suspects.end());
+    for (const auto& request : quarantined)
+        advice.quarantined.push_back(static_cast<int64_t>(request.request));
+    if (m_crashes.edition() == before)
+        return;
+    logChange(LogLevel::Warning, "quarantine-changed",
+        { { "requests", quarantined.size() }, { "suspects", suspects.size() }, { "reporter", report.sender } });
+    for (const auto& request : quarantined) {
+        if (request.since == now)
+            logChange(LogLevel::Warning, "request-quarantined",
+                { { "fingerprint", fingerprintText(request.request) }, { "crashes", request.crashes } });
+    }
+    m_changed.notifyAll();
+}
+
 void Coordinator::takeUses(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
 {
     m_shares.setHosts(m_hosts.size(), reportInterval());
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "control/Election.h"
+#include "decisions/CrashEvidence.h"
 #include "decisions/GrantPlan.h"
 #include "decisions/KeyBalance.h"
 #include "decisions/OfficeRules.h"
@@ -105,8 +106,11 @@
     struct Writing {
         std::vector<GrantTable> tables;
         std::set<std::string, std::less<>> hosts; // empty: as they are
+        std::optional<std::string> quarantine; // nothing: as it is
+        uint64_t quarantineEdition = 0;
     };
 
+    void takeCrashes(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void takeUses(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void tellCrowded(std::span<const std::string>);
     void expectCrowds(std::span<const BalanceMove>, const KeyLoad&);
@@ -140,6 +144,8 @@
     std::map<std::string, KeyLoad> m_loads; // by service
     std::map<std::string, ServerState, std::less<>> m_servers;
     ServerShares m_shares;
+    CrashLedger m_crashes;
+    uint64_t m_quarantineWritten = 0; // its edition
     std::map<std::string, HostState, std::less<>> m_hosts;
     Announcer m_announcer;
     bool m_writing = false;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Gateway.h"
 
+#include "base/Hash.h"
 #include "base/Log.h"
 #include "base/Random.h"
 #include "decisions/ServerChoice.h"
@@ -146,6 +147,10 @@
     }
     if (serversChanged)
         applyServers();
+    if (update.crashes)
+        m_crashes.told(update.crashes->suspects, update.crashes->quarantined, m_clock.now());
+    if (update.newCoordinator)
+        m_crashes.repeatToNewCoordinator();
     if (update.shares)
         applyShares(*update.shares);
     for (const auto& id : update.crowded) {
@@ -208,9 +213,15 @@
 {
     std::erase_if(m_servers, [&](const auto& entry) {
         const bool gone = !m_registered->count(entry.first);
-        if (gone)
-            entry.second->pool.evictQueue();
-        return gone;
+        if (!gone)
+            return false;
+        entry.second->pool.evictQueue();
+        // One that left in good order crashed from nothing.
+        if (entry.second->entry.leaving)
+            m_crashes.serverLives(entry.first);
+        else
+            m_crashes.serverGone(entry.first, m_clock.now());
+        return true;
     });
     m_byService.clear();
     const Instant now = m_clock.now();
@@ -297,6 +308,8 @@
     const ErrorKind fault = prepare(job);
     if (fault != ErrorKind::None)
         co_return refuse(job, fault);
+    if (m_crashes.quarantinesAny() && m_crashes.quarantined(fingerprintOf(job)))
+        co_return refuse(job, ErrorKind::Quarantined);
     CallerResponse response = co_await run(job);
     const int64_t total = m_clock.monotonicMicros() - job.arrivedMicros;
     m_latency.add(static_cast<double>(total));
@@ -330,6 +343,9 @@
         return false;
     if (job.maybeRan && !job.route->idempotent())
         return false;
+    // The server that went away with it may not have gone by chance: the next one is not put at risk.
+    if (job.sends && m_crashes.suspectsAny() && m_crashes.suspect(fingerprintOf(job)))
+        return false;
     // Waiting for an owner, or for a connection, is no send: only what reached for a server spends the budget.
     if (error == ErrorKind::OwnerChanged)
         return true;
@@ -559,7 +575,10 @@
         held->pool.giveBack(std::move(connection));
     if (error == ErrorKind::ServerRefused && result.response.result_int() == misdirected)
         held->holdsNothingUntil = endedAt + refusesAgainFor;
-    if (!worked) {
+    if (worked) {
+        m_crashes.answered(fingerprintOf(job), endedAt);
+    } else {
+        noteLostSend(job, held, error);
         if (answerFor(error).ran != Ran::No) {
             job.maybeRan = true;
             job.unknown = error;
@@ -585,6 +604,49 @@
     co_return ErrorKind::None;
 }
 
+// --- Requests that crash servers
+
+// Without the request's id and the time that is left: these differ each time that it comes.
+Fingerprint Gateway::fingerprintOf(const Job& job) const
+{
+    const CallerRequest& request = job.request;
+    const uint64_t seed = hashOf(0, { m_options.settings.fingerprintKey });
+    return hashOf(seed,
+        { job.presence.address, request.method_string(), request[http::field::host], request.target(),
+            request.body() });
+}
+
+void Gateway::noteLostSend(const Job& job, const std::shared_ptr<Upstream>& server, ErrorKind error)
+{
+    const bool unanswered = error == ErrorKind::ConnectionLost || error == ErrorKind::DeadlineAfterSend;
+    if (!unanswered || job.presence.gone || server->entry.leaving)
+        return;
+    m_crashes.sendLost(server->entry.id, fingerprintOf(job), m_clock.now());
+    if (error == ErrorKind::ConnectionLost && !std::exchange(server->lookedAfter, true))
+        spawnLoop(m_executor, "server-look", lookAfter(server));
+}
+
+// A connection may end for many reasons. Whether its server is still there tells a crash from all others within
+// milliseconds; the connection is kept for the next request.
+asio::awaitable<void> Gateway::lookAfter(std::shared_ptr<Upstream> server)
+{
+    auto connection = co_await server->pool.connect(m_options.connectTimeout);
+    server->lookedAfter = false;
+    const std::string& id = server->entry.id;
+    if (connection) {
+        server->pool.giveBack(std::move(connection));
+        m_crashes.serverLives(id);
+        co_return;
+    }
+    server->connectFailed();
+    m_crashes.serverGone(id, m_clock.now());
+    if (!m_crashes.hasNews())
+        co_return;
+    logChange(LogLevel::Warning, "server-crashed", { { "server", id }, { "service", server->entry.service } });
+    m_metrics.counter("servers_crashed").add();
+    reportEarly();
+}
+
 bool Gateway::answeredByAnother(const ExchangeResult& result, std::string_view server) const
 {
     const std::string_view from = result.response[m_names.server];
@@ -684,6 +746,8 @@
     line["serversAsOf"] = m_registeredAsOf;
     line["rules"] = job.rules ? job.rules->version : 0;
     line["edition"] = table == m_tables.end() ? 0 : table->second->edition.edition;
+    if (error == ErrorKind::Quarantined)
+        line["fingerprint"] = pointText(fingerprintOf(job));
     line["leftOut"] = std::exchange(m_linesLeftOut, 0);
     logChange(LogLevel::Info, event, std::move(line));
 }
@@ -697,6 +761,9 @@
     report.over = now - std::exchange(m_lastReport, now);
     report.sharesSeen = m_sharesSeen;
     report.heldBack = std::exchange(m_isHeldBack, false);
+    m_crashes.forgetOld(now);
+    report.crashes = m_crashes.takeCrashes();
+    report.answered = m_crashes.takeAnswered();
     for (auto& [service, uses] : m_keyUse) {
         auto& keys = report.keys[service];
         for (const auto& [key, micros] : uses)
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -7,6 +7,7 @@
 
 #include "base/Metrics.h"
 #include "callers/CallerServer.h"
+#include "decisions/CrashEvidence.h"
 #include "decisions/RetryBudget.h"
 #include "decisions/RouteRules.h"
 #include "decisions/WarmUp.h"
@@ -67,6 +68,9 @@
     Located locateKey(const Job&);
     Located choose(const Job&);
     Located chooseWarmingUp(const Job&); // no server is warm
+    Fingerprint fingerprintOf(const Job&) const;
+    void noteLostSend(const Job&, const std::shared_ptr<Upstream>&, ErrorKind);
+    boost::asio::awaitable<void> lookAfter(std::shared_ptr<Upstream>); // whether it still takes connections
     bool maySendTo(const Upstream&, Instant now) const; // false: it is warming up, and this host must wait
     bool anyWarm(const std::string& service, Instant now) const;
     boost::asio::awaitable<CallerResponse> run(Job&);
@@ -104,6 +108,7 @@
     int64_t m_registeredAsOf = 0; // change of the store
     size_t m_hosts = 0; // that share the servers; 0: not known yet
     HostCount m_hostCount;
+    CrashWatch m_crashes;
     uint64_t m_sharesSeen = 0;
     std::vector<std::string> m_shared; // servers of which this host has a share
     std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_tables; // by service
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -4,6 +4,7 @@
 #include "base/Random.h"
 #include "peers/Deflate.h"
 #include "resources/GrantTableCodec.h"
+#include "resources/QuarantineCodec.h"
 
 #include <boost/json.hpp>
 #include <cmath>
@@ -147,6 +148,7 @@
     update.serversAsOf = m_view.lastChange();
     for (const auto& [service, table] : m_view.tables())
         update.tables.push_back(table);
+    update.crashes = m_crashNews;
     push(std::move(update));
 }
 
@@ -167,6 +169,8 @@
         update.tables.push_back(m_view.table(service));
     if (change.rules || change.servers || !change.tables.empty())
         push(std::move(update));
+    if (change.quarantine)
+        tellCrashes();
     if (change.any())
         m_coordinator.wake();
 }
@@ -237,6 +241,8 @@
     m_isHeldBack |= report.heldBack;
     if (report.heldBack)
         m_heldBack.notifyAll();
+    m_use.crashes.insert(m_use.crashes.end(), report.crashes.begin(), report.crashes.end());
+    m_use.answered.insert(m_use.answered.end(), report.answered.begin(), report.answered.end());
     for (auto& [service, keys] : report.keys) {
         auto& all = m_use.keys[service];
         all.insert(all.end(), keys.begin(), keys.end());
@@ -275,6 +281,13 @@
         server.overdue = static_cast<int32_t>(use.overdue);
         report.servers.push_back(std::move(server));
     }
+    for (const auto& crash : m_use.crashes) {
+        wire::ServerCrash& told = report.crashes.emplace_back();
+        told.server = crash.server;
+        told.requests.assign(crash.requests.begin(), crash.requests.end());
+    }
+    report.answered.assign(m_use.answered.begin(), m_use.answered.end());
+    report.released.assign(m_released.begin(), m_released.end());
     m_use = {};
     return report;
 }
@@ -319,9 +332,47 @@
     for (const auto& share : advice.shares)
         shares->servers[share.server] = adviceIn(share);
     m_shares = shares;
+    m_suspects = { advice.suspects.begin(), advice.suspects.end() };
+    m_quarantined = { advice.quarantined.begin(), advice.quarantined.end() };
+    m_released.clear();
     GatewayUpdate update;
     update.shares = shares;
+    update.newCoordinator = std::exchange(m_reportedTerm, advice.term) != advice.term;
     push(std::move(update));
+    tellCrashes();
+}
+
+// A host that has no answer of a coordinator yet goes by the store.
+void GatewayControl::tellCrashes()
+{
+    CrashNews news { m_suspects, m_quarantined };
+    if (!m_reportedTerm) {
+        for (const auto& request : m_view.quarantine())
+            news.quarantined.insert(request.request);
+    }
+    if (m_crashNews && *m_crashNews == news)
+        return;
+    m_crashNews = std::make_shared<const CrashNews>(std::move(news));
+    GatewayUpdate update;
+    update.crashes = m_crashNews;
+    push(std::move(update));
+}
+
+void GatewayControl::releaseFromQuarantine(Fingerprint request)
+{
+    logChange(LogLevel::Info, "quarantine-release-asked", { { "fingerprint", fingerprintText(request) } });
+    m_released.push_back(request);
+}
+
+std::string GatewayControl::quarantineText() const
+{
+    json::array requests;
+    for (const Fingerprint request : m_crashNews ? m_crashNews->quarantined : std::set<Fingerprint> {})
+        requests.emplace_back(fingerprintText(request));
+    json::array suspects;
+    for (const Fingerprint request : m_crashNews ? m_crashNews->suspects : std::set<Fingerprint> {})
+        suspects.emplace_back(fingerprintText(request));
+    return json::serialize(json::object { { "quarantined", requests }, { "suspects", suspects } }) + "\n";
 }
 
 // Nothing: no answer, or no address to send to.
@@ -365,6 +416,8 @@
             advice = co_await reportTo(leader.address, report);
     }
     const bool answers = advice && advice->coordinates;
+    if (!answers)
+        m_reportedTerm = 0; // what the report told is told again, to whoever answers next
     if (answers)
         m_lastAdvice = m_clock.now();
     // An early report that gets no answer is followed by the next one; until then the coordinator is as it was.
@@ -398,6 +451,21 @@
     }
 }
 
+namespace {
+
+    size_t holdersIn(const GrantTable& table, const ServerMap& servers, const std::string& dataCentre)
+    {
+        std::set<std::string_view> holders;
+        for (const auto& range : table.ranges) {
+            const auto server = servers.find(range.holder);
+            if (server != servers.end() && server->second.dataCentre == dataCentre)
+                holders.insert(range.holder);
+        }
+        return holders.size();
+    }
+
+}
+
 std::string GatewayControl::statusText() const
 {
     json::object status;
@@ -411,6 +479,15 @@
     for (const auto& [id, server] : *m_view.servers())
         servers.push_back(json::object { { "id", id }, { "service", server.service }, { "leaving", server.leaving } });
     status["servers"] = std::move(servers);
+    json::array evacuated;
+    for (const auto& [centre, since] : m_view.evacuations()) {
+        size_t holders = 0; // of keys there, or on their way from there
+        for (const auto& [service, table] : m_view.tables())
+            holders += holdersIn(*table, *m_view.servers(), centre);
+        evacuated.push_back(json::object {
+            { "dataCentre", centre }, { "sinceMs", (m_clock.now() - since).count() }, { "keyHolders", holders } });
+    }
+    status["evacuated"] = std::move(evacuated);
     json::array tables;
     for (const auto& [service, table] : m_view.tables()) {
         const auto parsed = json::parse(encodeGrantTable(*table));
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 
 namespace cumindale {
@@ -29,6 +30,8 @@
     // host could be elected, and without renewals every key would be refused after one hold.
     boost::asio::awaitable<void> leave(Instant until);
     std::string statusText() const; // JSON, for operators
+    std::string quarantineText() const; // likewise
+    void releaseFromQuarantine(Fingerprint); // told to the coordinator with the next report
 
 private:
     void onViewChange(const PlatformView::Change&);
@@ -42,6 +45,7 @@
     void takeAdvice(const wire::HostAdvice&, std::span<const std::string> named); // `named`: servers in the report
     unsigned permitsUnseen(const std::string& server) const; // by the routing duty's last figures
     void takeTable(const std::string& text);
+    void tellCrashes(); // to the routing duty, if they differ from what it knows
     Millis standDelay() const;
 
     boost::asio::any_io_executor m_executor;
@@ -69,6 +73,11 @@
     bool m_pushFailed = false;
     std::shared_ptr<const HostShares> m_shares; // the last answer; null: none yet
     bool m_isHeldBack = false; // since the last report
+    std::set<Fingerprint> m_suspects; // as the coordinator said last
+    std::set<Fingerprint> m_quarantined; // likewise
+    std::shared_ptr<const CrashNews> m_crashNews; // as the routing duty knows it; null: nothing yet
+    std::vector<Fingerprint> m_released; // not told to the coordinator yet
+    int64_t m_reportedTerm = 0; // of the coordinator that answered last
     Instant m_lastReport {};
     Instant m_lastAdvice {};
 };
--- a/packages/gateway/Messages.h
+++ b/packages/gateway/Messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "decisions/CrashEvidence.h"
 #include "decisions/GrantPlan.h"
 #include "decisions/GrantTable.h"
 #include "decisions/RouteRules.h"
@@ -9,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,13 @@
     std::map<std::string, ServerAdvice, std::less<>> servers; // by id
 };
 
+// What is known over all hosts of requests that crash servers.
+struct CrashNews {
+    std::set<Fingerprint> suspects;
+    std::set<Fingerprint> quarantined;
+    bool operator==(const CrashNews&) const = default;
+};
+
 // Control to routing. Empty members mean "as before".
 struct GatewayUpdate {
     std::shared_ptr<const RouteRules> rules;
@@ -39,6 +48,8 @@
     int64_t serversAsOf = 0; // with `servers`: the newest change of others that the host knew of
     std::vector<std::shared_ptr<const GrantTable>> tables;
     std::shared_ptr<const HostShares> shares;
+    std::shared_ptr<const CrashNews> crashes;
+    bool newCoordinator = false; // it hasn't heard of what its predecessor was told
     std::vector<std::string> crowded; // servers to which nothing goes without a permit from now on
 };
 
@@ -64,6 +75,8 @@
     std::map<std::string, ServerUse> servers; // by id; idle ones are left out
     uint64_t sharesSeen = 0; // number of the newest answer that the report knows of
     bool heldBack = false; // a request waits for a permit
+    std::vector<ServerCrash> crashes;
+    std::vector<Fingerprint> answered; // of the suspects
 };
 
 }
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "resources/GrantTableCodec.h"
+#include "resources/QuarantineCodec.h"
 #include "resources/ResourceCodec.h"
 
 #include <algorithm>
@@ -360,6 +361,14 @@
         noteListed(decodeListedHosts(value.value), value.modRevision);
         return;
     }
+    if (value.key == quarantineKey()) {
+        if (value.modRevision <= m_quarantineRevision)
+            return;
+        m_quarantineRevision = value.modRevision;
+        m_quarantine = decodeQuarantine(value.value, m_clock.now(), m_clock.unixMillis());
+        change.quarantine = true;
+        return;
+    }
     if (isGrantTableKey(value.key)) {
         int64_t& revision = m_tableRevisions[value.key];
         if (value.modRevision <= revision)
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "control/LeaderSource.h"
+#include "decisions/CrashEvidence.h"
 #include "decisions/GrantTable.h"
 #include "decisions/KnownChanges.h"
 #include "gateway/Messages.h"
@@ -24,9 +25,10 @@
         bool rules = false;
         bool servers = false;
         bool leader = false;
+        bool quarantine = false;
         std::set<std::string> tables; // services
 
-        bool any() const { return rules || servers || leader || !tables.empty(); }
+        bool any() const { return rules || servers || leader || quarantine || !tables.empty(); }
     };
 
     PlatformView(const PlatformAdapter&, const Clock&);
@@ -56,6 +58,7 @@
     bool knows(std::string_view key, int64_t revision) const; // that write of others to the key, or a later one
     const std::shared_ptr<const RouteRules>& rules() const { return m_rules; } // null: none yet
     std::shared_ptr<const ServerMap> servers() const { return m_servers; }
+    const std::vector<QuarantinedRequest>& quarantine() const { return m_quarantine; } // as in the store
     std::map<std::string, Instant> evacuations() const; // in force: by data centre, since when it is known
     bool missingAny() const { return !m_missing.empty(); }
     std::shared_ptr<const GrantTable> table(std::string_view service) const; // the newest; null: none
@@ -116,6 +119,8 @@
     LeaderView m_leader;
     std::set<std::string, std::less<>> m_listedHosts;
     int64_t m_listedRevision = 0;
+    std::vector<QuarantinedRequest> m_quarantine;
+    int64_t m_quarantineRevision = 0;
 };
 
 }
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -24,6 +24,12 @@
     7: i32 overdue // of those there: without an answer for several times the usual work
 }
 
+// Requests that were at a server when it went away, by fingerprint.
+struct ServerCrash {
+    1: string server
+    2: list<i64> requests
+}
+
 struct HostReport {
     1: string sender
     2: string address // "IP:port" where the sender answers
@@ -32,6 +38,9 @@
     7: i64 lastChange // revision of the newest write of others that the host knows of
     8: i32 strengthCenti // processor time that the host has, in hundredths of a core
     9: string dataCentre
+    10: list<ServerCrash> crashes // since the last report
+    11: list<i64> answered // suspects that a server has answered since
+    12: list<i64> released // from quarantine, by an operator
 }
 
 struct ServerShare {
@@ -73,6 +82,8 @@
     8: bool standsBy // the host is to follow the store itself, to take over at once
     9: i32 reportMillis // until the next report
     11: i64 storeRevision // of the store: up to it there is no write of others after lastChange
+    12: list<i64> suspects // fingerprints of requests that were at a server when it went away
+    13: list<i64> quarantined // of requests that no host is to send
     10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
 }
 
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -510,6 +510,138 @@
 }
 
 
+ServerCrash::~ServerCrash() noexcept {
+}
+
+
+void ServerCrash::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerCrash::__set_requests(const std::vector<int64_t> & val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->requests.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += iprot->readI64(this->requests[_i16]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerCrash");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->requests.size()));
+    std::vector<int64_t> ::const_iterator _iter17;
+    for (_iter17 = this->requests.begin(); _iter17 != this->requests.end(); ++_iter17)
+    {
+      xfer += oprot->writeI64((*_iter17));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerCrash &a, ServerCrash &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+ServerCrash::ServerCrash(const ServerCrash& other18) {
+  server = other18.server;
+  requests = other18.requests;
+  __isset = other18.__isset;
+}
+ServerCrash& ServerCrash::operator=(const ServerCrash& other19) {
+  server = other19.server;
+  requests = other19.requests;
+  __isset = other19.__isset;
+  return *this;
+}
+void ServerCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerCrash(";
+  out << "server=" << to_string(server);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
 HostReport::~HostReport() noexcept {
 }
 
@@ -541,6 +673,18 @@
 void HostReport::__set_dataCentre(const std::string& val) {
   this->dataCentre = val;
 }
+
+void HostReport::__set_crashes(const std::vector<ServerCrash> & val) {
+  this->crashes = val;
+}
+
+void HostReport::__set_answered(const std::vector<int64_t> & val) {
+  this->answered = val;
+}
+
+void HostReport::__set_released(const std::vector<int64_t> & val) {
+  this->released = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -589,14 +733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->services.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->services.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->services[_i16].read(iprot);
+              xfer += this->services[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -609,14 +753,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->servers.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->servers.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->servers[_i21].read(iprot);
+              xfer += this->servers[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -649,6 +793,66 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->crashes.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->crashes[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->answered.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += iprot->readI64(this->answered[_i39]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->released.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->released.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += iprot->readI64(this->released[_i44]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -677,10 +881,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceUse> ::const_iterator _iter22;
-    for (_iter22 = this->services.begin(); _iter22 != this->services.end(); ++_iter22)
+    std::vector<ServiceUse> ::const_iterator _iter45;
+    for (_iter45 = this->services.begin(); _iter45 != this->services.end(); ++_iter45)
     {
-      xfer += (*_iter22).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -689,10 +893,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerUse> ::const_iterator _iter23;
-    for (_iter23 = this->servers.begin(); _iter23 != this->servers.end(); ++_iter23)
+    std::vector<ServerUse> ::const_iterator _iter46;
+    for (_iter46 = this->servers.begin(); _iter46 != this->servers.end(); ++_iter46)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -710,6 +914,42 @@
   xfer += oprot->writeString(this->dataCentre);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<ServerCrash> ::const_iterator _iter47;
+    for (_iter47 = this->crashes.begin(); _iter47 != this->crashes.end(); ++_iter47)
+    {
+      xfer += (*_iter47).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered.size()));
+    std::vector<int64_t> ::const_iterator _iter48;
+    for (_iter48 = this->answered.begin(); _iter48 != this->answered.end(); ++_iter48)
+    {
+      xfer += oprot->writeI64((*_iter48));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("released", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->released.size()));
+    std::vector<int64_t> ::const_iterator _iter49;
+    for (_iter49 = this->released.begin(); _iter49 != this->released.end(); ++_iter49)
+    {
+      xfer += oprot->writeI64((*_iter49));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -724,28 +964,37 @@
   swap(a.lastChange, b.lastChange);
   swap(a.strengthCenti, b.strengthCenti);
   swap(a.dataCentre, b.dataCentre);
+  swap(a.crashes, b.crashes);
+  swap(a.answered, b.answered);
+  swap(a.released, b.released);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other24) {
-  sender = other24.sender;
-  address = other24.address;
-  services = other24.services;
-  servers = other24.servers;
-  lastChange = other24.lastChange;
-  strengthCenti = other24.strengthCenti;
-  dataCentre = other24.dataCentre;
-  __isset = other24.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other25) {
-  sender = other25.sender;
-  address = other25.address;
-  services = other25.services;
-  servers = other25.servers;
-  lastChange = other25.lastChange;
-  strengthCenti = other25.strengthCenti;
-  dataCentre = other25.dataCentre;
-  __isset = other25.__isset;
+HostReport::HostReport(const HostReport& other50) {
+  sender = other50.sender;
+  address = other50.address;
+  services = other50.services;
+  servers = other50.servers;
+  lastChange = other50.lastChange;
+  strengthCenti = other50.strengthCenti;
+  dataCentre = other50.dataCentre;
+  crashes = other50.crashes;
+  answered = other50.answered;
+  released = other50.released;
+  __isset = other50.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other51) {
+  sender = other51.sender;
+  address = other51.address;
+  services = other51.services;
+  servers = other51.servers;
+  lastChange = other51.lastChange;
+  strengthCenti = other51.strengthCenti;
+  dataCentre = other51.dataCentre;
+  crashes = other51.crashes;
+  answered = other51.answered;
+  released = other51.released;
+  __isset = other51.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -758,6 +1007,9 @@
   out << ", " << "lastChange=" << to_string(lastChange);
   out << ", " << "strengthCenti=" << to_string(strengthCenti);
   out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "answered=" << to_string(answered);
+  out << ", " << "released=" << to_string(released);
   out << ")";
 }
 
@@ -905,21 +1157,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerShare::ServerShare(const ServerShare& other26) {
-  server = other26.server;
-  slotsCenti = other26.slotsCenti;
-  crowded = other26.crowded;
-  permits = other26.permits;
-  pauseMillis = other26.pauseMillis;
-  __isset = other26.__isset;
-}
-ServerShare& ServerShare::operator=(const ServerShare& other27) {
-  server = other27.server;
-  slotsCenti = other27.slotsCenti;
-  crowded = other27.crowded;
-  permits = other27.permits;
-  pauseMillis = other27.pauseMillis;
-  __isset = other27.__isset;
+ServerShare::ServerShare(const ServerShare& other52) {
+  server = other52.server;
+  slotsCenti = other52.slotsCenti;
+  crowded = other52.crowded;
+  permits = other52.permits;
+  pauseMillis = other52.pauseMillis;
+  __isset = other52.__isset;
+}
+ServerShare& ServerShare::operator=(const ServerShare& other53) {
+  server = other53.server;
+  slotsCenti = other53.slotsCenti;
+  crowded = other53.crowded;
+  permits = other53.permits;
+  pauseMillis = other53.pauseMillis;
+  __isset = other53.__isset;
   return *this;
 }
 void ServerShare::printTo(std::ostream& out) const {
@@ -1094,23 +1346,23 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreItem::StoreItem(const StoreItem& other28) {
-  key = other28.key;
-  value = other28.value;
-  revision = other28.revision;
-  erased = other28.erased;
-  leftOutBytes = other28.leftOutBytes;
-  plainBytes = other28.plainBytes;
-  __isset = other28.__isset;
-}
-StoreItem& StoreItem::operator=(const StoreItem& other29) {
-  key = other29.key;
-  value = other29.value;
-  revision = other29.revision;
-  erased = other29.erased;
-  leftOutBytes = other29.leftOutBytes;
-  plainBytes = other29.plainBytes;
-  __isset = other29.__isset;
+StoreItem::StoreItem(const StoreItem& other54) {
+  key = other54.key;
+  value = other54.value;
+  revision = other54.revision;
+  erased = other54.erased;
+  leftOutBytes = other54.leftOutBytes;
+  plainBytes = other54.plainBytes;
+  __isset = other54.__isset;
+}
+StoreItem& StoreItem::operator=(const StoreItem& other55) {
+  key = other55.key;
+  value = other55.value;
+  revision = other55.revision;
+  erased = other55.erased;
+  leftOutBytes = other55.leftOutBytes;
+  plainBytes = other55.plainBytes;
+  __isset = other55.__isset;
   return *this;
 }
 void StoreItem::printTo(std::ostream& out) const {
@@ -1201,14 +1453,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->items.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->items.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->items[_i34].read(iprot);
+              xfer += this->items[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1221,14 +1473,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->tables.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->tables.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += iprot->readString(this->tables[_i39]);
+              xfer += iprot->readString(this->tables[_i65]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1241,14 +1493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forwardTo.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->forwardTo.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->forwardTo.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += iprot->readString(this->forwardTo[_i44]);
+              xfer += iprot->readString(this->forwardTo[_i70]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1261,14 +1513,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crowded.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->crowded.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->crowded.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += iprot->readString(this->crowded[_i49]);
+              xfer += iprot->readString(this->crowded[_i75]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1305,10 +1557,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItem> ::const_iterator _iter50;
-    for (_iter50 = this->items.begin(); _iter50 != this->items.end(); ++_iter50)
+    std::vector<StoreItem> ::const_iterator _iter76;
+    for (_iter76 = this->items.begin(); _iter76 != this->items.end(); ++_iter76)
     {
-      xfer += (*_iter50).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1317,10 +1569,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter51;
-    for (_iter51 = this->tables.begin(); _iter51 != this->tables.end(); ++_iter51)
+    std::vector<std::string> ::const_iterator _iter77;
+    for (_iter77 = this->tables.begin(); _iter77 != this->tables.end(); ++_iter77)
     {
-      xfer += oprot->writeString((*_iter51));
+      xfer += oprot->writeString((*_iter77));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1329,10 +1581,10 @@
   xfer += oprot->writeFieldBegin("forwardTo", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forwardTo.size()));
-    std::vector<std::string> ::const_iterator _iter52;
-    for (_iter52 = this->forwardTo.begin(); _iter52 != this->forwardTo.end(); ++_iter52)
+    std::vector<std::string> ::const_iterator _iter78;
+    for (_iter78 = this->forwardTo.begin(); _iter78 != this->forwardTo.end(); ++_iter78)
     {
-      xfer += oprot->writeString((*_iter52));
+      xfer += oprot->writeString((*_iter78));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1341,10 +1593,10 @@
   xfer += oprot->writeFieldBegin("crowded", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crowded.size()));
-    std::vector<std::string> ::const_iterator _iter53;
-    for (_iter53 = this->crowded.begin(); _iter53 != this->crowded.end(); ++_iter53)
+    std::vector<std::string> ::const_iterator _iter79;
+    for (_iter79 = this->crowded.begin(); _iter79 != this->crowded.end(); ++_iter79)
     {
-      xfer += oprot->writeString((*_iter53));
+      xfer += oprot->writeString((*_iter79));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1366,23 +1618,23 @@
   swap(a.__isset, b.__isset);
 }
 
-News::News(const News& other54) {
-  afterChange = other54.afterChange;
-  lastChange = other54.lastChange;
-  items = other54.items;
-  tables = other54.tables;
-  forwardTo = other54.forwardTo;
-  crowded = other54.crowded;
-  __isset = other54.__isset;
-}
-News& News::operator=(const News& other55) {
-  afterChange = other55.afterChange;
-  lastChange = other55.lastChange;
-  items = other55.items;
-  tables = other55.tables;
-  forwardTo = other55.forwardTo;
-  crowded = other55.crowded;
-  __isset = other55.__isset;
+News::News(const News& other80) {
+  afterChange = other80.afterChange;
+  lastChange = other80.lastChange;
+  items = other80.items;
+  tables = other80.tables;
+  forwardTo = other80.forwardTo;
+  crowded = other80.crowded;
+  __isset = other80.__isset;
+}
+News& News::operator=(const News& other81) {
+  afterChange = other81.afterChange;
+  lastChange = other81.lastChange;
+  items = other81.items;
+  tables = other81.tables;
+  forwardTo = other81.forwardTo;
+  crowded = other81.crowded;
+  __isset = other81.__isset;
   return *this;
 }
 void News::printTo(std::ostream& out) const {
@@ -1442,6 +1694,14 @@
   this->storeRevision = val;
 }
 
+void HostAdvice::__set_suspects(const std::vector<int64_t> & val) {
+  this->suspects = val;
+}
+
+void HostAdvice::__set_quarantined(const std::vector<int64_t> & val) {
+  this->quarantined = val;
+}
+
 void HostAdvice::__set_missed(const News& val) {
   this->missed = val;
 }
@@ -1501,14 +1761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->shares.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->shares.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->shares[_i60].read(iprot);
+              xfer += this->shares[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1521,14 +1781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->tables.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->tables.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readString(this->tables[_i65]);
+              xfer += iprot->readString(this->tables[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1577,6 +1837,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->suspects.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
+            {
+              xfer += iprot->readI64(this->suspects[_i96]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->quarantined.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
+            {
+              xfer += iprot->readI64(this->quarantined[_i101]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->missed.read(iprot);
@@ -1617,10 +1917,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ServerShare> ::const_iterator _iter66;
-    for (_iter66 = this->shares.begin(); _iter66 != this->shares.end(); ++_iter66)
+    std::vector<ServerShare> ::const_iterator _iter102;
+    for (_iter102 = this->shares.begin(); _iter102 != this->shares.end(); ++_iter102)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1629,10 +1929,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter67;
-    for (_iter67 = this->tables.begin(); _iter67 != this->tables.end(); ++_iter67)
+    std::vector<std::string> ::const_iterator _iter103;
+    for (_iter103 = this->tables.begin(); _iter103 != this->tables.end(); ++_iter103)
     {
-      xfer += oprot->writeString((*_iter67));
+      xfer += oprot->writeString((*_iter103));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1662,6 +1962,30 @@
   xfer += oprot->writeI64(this->storeRevision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<int64_t> ::const_iterator _iter104;
+    for (_iter104 = this->suspects.begin(); _iter104 != this->suspects.end(); ++_iter104)
+    {
+      xfer += oprot->writeI64((*_iter104));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<int64_t> ::const_iterator _iter105;
+    for (_iter105 = this->quarantined.begin(); _iter105 != this->quarantined.end(); ++_iter105)
+    {
+      xfer += oprot->writeI64((*_iter105));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1679,37 +2003,43 @@
   swap(a.standsBy, b.standsBy);
   swap(a.reportMillis, b.reportMillis);
   swap(a.storeRevision, b.storeRevision);
+  swap(a.suspects, b.suspects);
+  swap(a.quarantined, b.quarantined);
   swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
 }
 
-HostAdvice::HostAdvice(const HostAdvice& other68) {
-  coordinates = other68.coordinates;
-  term = other68.term;
-  hosts = other68.hosts;
-  shares = other68.shares;
-  tables = other68.tables;
-  storeSilentMillis = other68.storeSilentMillis;
-  lastChange = other68.lastChange;
-  standsBy = other68.standsBy;
-  reportMillis = other68.reportMillis;
-  storeRevision = other68.storeRevision;
-  missed = other68.missed;
-  __isset = other68.__isset;
-}
-HostAdvice& HostAdvice::operator=(const HostAdvice& other69) {
-  coordinates = other69.coordinates;
-  term = other69.term;
-  hosts = other69.hosts;
-  shares = other69.shares;
-  tables = other69.tables;
-  storeSilentMillis = other69.storeSilentMillis;
-  lastChange = other69.lastChange;
-  standsBy = other69.standsBy;
-  reportMillis = other69.reportMillis;
-  storeRevision = other69.storeRevision;
-  missed = other69.missed;
-  __isset = other69.__isset;
+HostAdvice::HostAdvice(const HostAdvice& other106) {
+  coordinates = other106.coordinates;
+  term = other106.term;
+  hosts = other106.hosts;
+  shares = other106.shares;
+  tables = other106.tables;
+  storeSilentMillis = other106.storeSilentMillis;
+  lastChange = other106.lastChange;
+  standsBy = other106.standsBy;
+  reportMillis = other106.reportMillis;
+  storeRevision = other106.storeRevision;
+  suspects = other106.suspects;
+  quarantined = other106.quarantined;
+  missed = other106.missed;
+  __isset = other106.__isset;
+}
+HostAdvice& HostAdvice::operator=(const HostAdvice& other107) {
+  coordinates = other107.coordinates;
+  term = other107.term;
+  hosts = other107.hosts;
+  shares = other107.shares;
+  tables = other107.tables;
+  storeSilentMillis = other107.storeSilentMillis;
+  lastChange = other107.lastChange;
+  standsBy = other107.standsBy;
+  reportMillis = other107.reportMillis;
+  storeRevision = other107.storeRevision;
+  suspects = other107.suspects;
+  quarantined = other107.quarantined;
+  missed = other107.missed;
+  __isset = other107.__isset;
   return *this;
 }
 void HostAdvice::printTo(std::ostream& out) const {
@@ -1725,6 +2055,8 @@
   out << ", " << "standsBy=" << to_string(standsBy);
   out << ", " << "reportMillis=" << to_string(reportMillis);
   out << ", " << "storeRevision=" << to_string(storeRevision);
+  out << ", " << "suspects=" << to_string(suspects);
+  out << ", " << "quarantined=" << to_string(quarantined);
   out << ", " << "missed=" << to_string(missed);
   out << ")";
 }
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -27,6 +27,8 @@
 
 class ServerUse;
 
+class ServerCrash;
+
 class HostReport;
 
 class ServerShare;
@@ -235,8 +237,57 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
 
+typedef struct _ServerCrash__isset {
+  _ServerCrash__isset() : server(false), requests(false) {}
+  bool server :1;
+  bool requests :1;
+} _ServerCrash__isset;
+
+class ServerCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerCrash(const ServerCrash&);
+  ServerCrash& operator=(const ServerCrash&);
+  ServerCrash() noexcept
+              : server() {
+  }
+
+  virtual ~ServerCrash() noexcept;
+  std::string server;
+  std::vector<int64_t>  requests;
+
+  _ServerCrash__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_requests(const std::vector<int64_t> & val);
+
+  bool operator == (const ServerCrash & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerCrash &a, ServerCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerCrash& obj);
+
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -244,6 +295,9 @@
   bool lastChange :1;
   bool strengthCenti :1;
   bool dataCentre :1;
+  bool crashes :1;
+  bool answered :1;
+  bool released :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -267,6 +321,9 @@
   int64_t lastChange;
   int32_t strengthCenti;
   std::string dataCentre;
+  std::vector<ServerCrash>  crashes;
+  std::vector<int64_t>  answered;
+  std::vector<int64_t>  released;
 
   _HostReport__isset __isset;
 
@@ -284,6 +341,12 @@
 
   void __set_dataCentre(const std::string& val);
 
+  void __set_crashes(const std::vector<ServerCrash> & val);
+
+  void __set_answered(const std::vector<int64_t> & val);
+
+  void __set_released(const std::vector<int64_t> & val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -300,6 +363,12 @@
       return false;
     if (!(dataCentre == rhs.dataCentre))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(answered == rhs.answered))
+      return false;
+    if (!(released == rhs.released))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -542,7 +611,7 @@
 std::ostream& operator<<(std::ostream& out, const News& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), suspects(false), quarantined(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -553,6 +622,8 @@
   bool standsBy :1;
   bool reportMillis :1;
   bool storeRevision :1;
+  bool suspects :1;
+  bool quarantined :1;
   bool missed :1;
 } _HostAdvice__isset;
 
@@ -583,6 +654,8 @@
   bool standsBy;
   int32_t reportMillis;
   int64_t storeRevision;
+  std::vector<int64_t>  suspects;
+  std::vector<int64_t>  quarantined;
   News missed;
 
   _HostAdvice__isset __isset;
@@ -607,6 +680,10 @@
 
   void __set_storeRevision(const int64_t val);
 
+  void __set_suspects(const std::vector<int64_t> & val);
+
+  void __set_quarantined(const std::vector<int64_t> & val);
+
   void __set_missed(const News& val);
 
   bool operator == (const HostAdvice & rhs) const
@@ -631,6 +708,10 @@
       return false;
     if (!(storeRevision == rhs.storeRevision))
       return false;
+    if (!(suspects == rhs.suspects))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
     if (!(missed == rhs.missed))
       return false;
     return true;
--- a/packages/resources/Settings.cpp
+++ b/packages/resources/Settings.cpp
@@ -103,6 +103,7 @@
         gateway.leaveWithin = readSeconds(reader, "leaveWithinSeconds", 0.1, gateway.leaveWithin);
         gateway.evacuateWithin = readSeconds(reader, "evacuateWithinSeconds", 0.1, gateway.evacuateWithin);
         gateway.grace = readSeconds(reader, "graceSeconds", 1, gateway.grace);
+        gateway.fingerprintKey = reader.text("fingerprintKey", false);
         gateway.retryRatio = reader.ratio("retryRatio", 0, 1, gateway.retryRatio);
         constexpr double mostSlack = 1'000'000;
         gateway.retrySlack = reader.ratio("retrySlack", 0, mostSlack, gateway.retrySlack);
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -43,6 +43,7 @@
     Millis leaveWithin { 2'000 }; // after a server has announced that it leaves, nothing new may reach it
     Millis evacuateWithin { 5'000 }; // after operators have asked for it, nothing new may reach a data centre
     Millis grace { 6'000 }; // between the request to stop and the end
+    std::string fingerprintKey; // of requests that crash servers, in logs and in the store; the same on all hosts
     double retryRatio = 0.2; // sends beyond the first, over all hosts: so many for each request ...
     double retrySlack = 60; // ... and so many more in a window
 };
--- /dev/null
+++ b/tests/crash_evidence_test.cpp
@@ -0,0 +1,335 @@
+// Requests that crash servers, among many that don't and servers that crash for other reasons.
+#include "decisions/CrashEvidence.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace cumindale;
+
+namespace {
+
+constexpr Instant begin { Millis(100'000) };
+constexpr Millis step { 20 };
+constexpr Millis work { 100 };
+constexpr Millis down { 2'500 }; // a server, after a crash
+constexpr Millis calmAfter { 3'000 }; // from then on after the third crash nothing more is to come through
+
+struct Load {
+    size_t hosts = 58;
+    Millis reportEvery { 250 };
+    size_t badRequests = 1;
+    bool loseCoordinator = false;
+    bool cutHosts = false;
+    bool otherCrashes = true; // servers flap, and a third of them loses power once
+};
+
+struct Outcome {
+    size_t crashes = 0; // by bad requests
+    size_t lateRetries = 0; // at most of one of them at servers, from hosts in touch, later than `calmAfter` after the
+                            // third crash of the request
+    size_t innocentsRefused = 0;
+    size_t innocentsSent = 0;
+    bool quarantined = false;
+};
+
+struct Server {
+    std::string id;
+    unsigned life = 0;
+    Instant upFrom {};
+    struct Running {
+        Fingerprint request;
+        size_t host;
+        Instant ends;
+    };
+    std::vector<Running> running;
+
+    std::string name() const { return id + "@" + std::to_string(life); }
+};
+
+struct Bad {
+    Fingerprint request = 0;
+    Instant next {};
+    unsigned crashes = 0;
+    size_t lateRetries = 0;
+    Instant third = Instant::max();
+};
+
+class History {
+public:
+    History(Load load, unsigned seed)
+        : m_load(load)
+        , m_random(seed)
+        , m_hosts(load.hosts)
+        , m_cutUntil(load.hosts)
+        , m_toReport(load.hosts)
+    {
+        for (size_t i = 0; i < servers; ++i)
+            m_servers.push_back({ "s" + std::to_string(i) });
+        for (size_t i = 0; i < load.badRequests; ++i)
+            m_bad.push_back({ 1'000'000 + i, begin + Millis(below(2'000)) });
+    }
+
+    Outcome play()
+    {
+        const Instant powerOff = begin + Millis(5'000 + below(10'000));
+        const Instant coordinatorLost = m_load.loseCoordinator ? begin + Millis(below(8'000)) : Instant::max();
+        for (m_now = begin; m_now < begin + Millis(30'000); m_now += step) {
+            finishWork();
+            if (m_load.otherCrashes) {
+                if (m_now >= powerOff && m_now < powerOff + step)
+                    for (size_t i = 0; i < servers / 3; ++i)
+                        crash(m_servers[i]);
+                if (below(1'500) == 0)
+                    crash(m_servers[static_cast<size_t>(below(servers))]);
+                // One with a hot key, every two seconds.
+                if ((m_now - begin).count() % 2'000 == 0)
+                    crash(m_servers.back());
+            }
+            if (m_now >= coordinatorLost && m_now < coordinatorLost + step)
+                loseCoordinator();
+            if (m_load.cutHosts && below(100) == 0)
+                m_cutUntil[pickHost()] = m_now + Millis(below(6'000));
+            for (int i = 0; i < 4; ++i)
+                sendInnocent();
+            sendHot();
+            for (auto& bad : m_bad)
+                comeAgain(bad);
+            report();
+        }
+        return m_outcome;
+    }
+
+private:
+    static constexpr int servers = 30;
+    static constexpr Fingerprint hotRequests = 40; // callers of the hot key, each with its own request
+
+    int below(int most) { return static_cast<int>(m_random() % static_cast<unsigned>(most)); }
+    size_t pickHost() { return static_cast<size_t>(below(static_cast<int>(m_load.hosts))); }
+
+    void crash(Server& server)
+    {
+        if (m_now < server.upFrom)
+            return;
+        const std::string name = server.name();
+        ++server.life;
+        server.upFrom = m_now + down;
+        std::vector<size_t> hosts;
+        const auto cutOff = std::exchange(server.running, {});
+        for (const auto& running : cutOff) {
+            m_hosts[running.host].sendLost(name, running.request, m_now);
+            hosts.push_back(running.host);
+            // Its caller tries once more.
+            if (running.request < 1'000'000)
+                m_again.emplace_back(running.request, m_now + Millis(100 + below(500)));
+        }
+        for (const size_t host : hosts)
+            m_hosts[host].serverGone(name, m_now);
+    }
+
+    void finishWork()
+    {
+        for (auto& server : m_servers) {
+            std::erase_if(server.running, [&](const Server::Running& running) {
+                if (running.ends > m_now)
+                    return false;
+                m_hosts[running.host].answered(running.request, m_now);
+                return true;
+            });
+        }
+    }
+
+    bool send(Fingerprint request, size_t host, Server& server, bool innocent)
+    {
+        if (m_hosts[host].quarantined(request)) {
+            m_outcome.innocentsRefused += innocent;
+            return false;
+        }
+        if (m_now < server.upFrom)
+            return false; // no connection: nothing was sent
+        m_outcome.innocentsSent += innocent;
+        server.running.push_back({ request, host, m_now + work });
+        return true;
+    }
+
+    Server& anyServer() { return m_servers[static_cast<size_t>(below(servers))]; }
+
+    void sendInnocent()
+    {
+        // A fifth come again with the same content within a while, as lookups do.
+        const bool again = below(5) == 0 && m_fresh > 200;
+        const auto request = again ? static_cast<Fingerprint>(200 + below(static_cast<int>(m_fresh) - 199)) : ++m_fresh;
+        send(request, pickHost(), anyServer(), true);
+        std::erase_if(m_again, [&](const auto& retry) {
+            if (retry.second > m_now)
+                return false;
+            send(retry.first, pickHost(), anyServer(), true);
+            return true;
+        });
+    }
+
+    void sendHot() { send(static_cast<Fingerprint>(1 + below(hotRequests)), pickHost(), m_servers.back(), true); }
+
+    void comeAgain(Bad& bad)
+    {
+        if (m_now < bad.next)
+            return;
+        bad.next = m_now + Millis(300 + below(1'200));
+        const size_t host = pickHost();
+        Server& server = anyServer();
+        if (!send(bad.request, host, server, false))
+            return;
+        const bool inTouch = m_now >= m_cutUntil[host] + calmAfter;
+        if (m_now - bad.third > calmAfter && inTouch)
+            m_outcome.lateRetries = std::max(m_outcome.lateRetries, ++bad.lateRetries);
+        ++m_outcome.crashes;
+        if (++bad.crashes == 3)
+            bad.third = m_now;
+        crash(server);
+    }
+
+    void loseCoordinator()
+    {
+        const auto stored = m_ledger.quarantined(m_now); // as in the store
+        m_ledger.clear();
+        for (const auto& request : stored)
+            m_ledger.restore(request);
+        ++m_term;
+        m_silentUntil = m_now + Millis(2'000);
+    }
+
+    void report()
+    {
+        for (size_t i = 0; i < m_load.hosts; ++i) {
+            CrashWatch& host = m_hosts[i];
+            const auto turn = static_cast<int64_t>(i) * step.count() % m_load.reportEvery.count();
+            const bool due = (m_now - begin).count() % m_load.reportEvery.count() == turn;
+            if (!due || m_now < m_silentUntil || m_now < m_cutUntil[i])
+                continue;
+            auto& term = m_toReport[i];
+            if (std::exchange(term, m_term) != m_term)
+                host.repeatToNewCoordinator();
+            host.forgetOld(m_now);
+            for (const auto& crash : host.takeCrashes())
+                m_ledger.crashed(crash, m_now);
+            for (const Fingerprint request : host.takeAnswered())
+                m_ledger.answered(request);
+            const auto suspects = m_ledger.suspects(m_now);
+            std::set<Fingerprint> quarantined;
+            for (const auto& request : m_ledger.quarantined(m_now))
+                quarantined.insert(request.request);
+            m_outcome.quarantined |= !quarantined.empty();
+            host.told({ suspects.begin(), suspects.end() }, std::move(quarantined), m_now);
+        }
+    }
+
+    Load m_load;
+    std::mt19937 m_random;
+    std::vector<CrashWatch> m_hosts;
+    std::vector<Instant> m_cutUntil;
+    std::vector<uint64_t> m_toReport; // term that each host reported in
+    CrashLedger m_ledger;
+    uint64_t m_term = 1;
+    Instant m_silentUntil {};
+    std::vector<Server> m_servers;
+    std::vector<Bad> m_bad;
+    std::vector<std::pair<Fingerprint, Instant>> m_again;
+    Fingerprint m_fresh = 100;
+    Instant m_now {};
+    Outcome m_outcome;
+};
+
+Outcome playMany(Load load, unsigned histories, unsigned firstSeed = 1)
+{
+    Outcome sum;
+    for (unsigned seed = firstSeed; seed < firstSeed + histories; ++seed) {
+        const Outcome one = History(load, seed).play();
+        sum.crashes += one.crashes;
+        sum.lateRetries = std::max(sum.lateRetries, one.lateRetries); // worst
+        sum.innocentsRefused += one.innocentsRefused;
+        sum.innocentsSent += one.innocentsSent;
+        sum.quarantined |= one.quarantined;
+    }
+    return sum;
+}
+
+}
+
+// What callers saw: for minutes one server after the other fell over with everything that ran there. One caller asked
+// for something that crashed whoever began with it, and asked again each second; every host sent it on.
+TEST_CASE("a request that crashes servers is refused everywhere three seconds after the third crash")
+{
+    constexpr unsigned histories = 60;
+    constexpr size_t mostRetries = 3;
+    for (const auto& [hosts, every] : { std::pair<size_t, int>(4, 250), { 58, 250 }, { 300, 940 } }) {
+        Load load;
+        load.hosts = hosts;
+        load.reportEvery = Millis(every);
+        load.badRequests = 2;
+        SUBCASE("as a rule") { }
+        SUBCASE("while the coordinator is lost") { load.loseCoordinator = true; }
+        SUBCASE("while hosts are cut off and come back") { load.cutHosts = true; }
+        const Outcome outcome = playMany(load, histories);
+        MESSAGE(hosts << " hosts: " << static_cast<double>(outcome.crashes) / histories
+                      << " crashes by two requests, at most " << outcome.lateRetries << " late retries");
+        CHECK(outcome.quarantined);
+        CHECK(outcome.lateRetries <= mostRetries);
+        CHECK(outcome.innocentsRefused == 0);
+    }
+}
+
+// What callers saw: while servers crashed for reasons of their own, requests that were there by chance were refused for
+// minutes.
+TEST_CASE("no request is refused because its server crashed for another reason")
+{
+    constexpr unsigned histories = 1'000;
+    Load load;
+    load.hosts = 20;
+    load.badRequests = 0;
+    const Outcome outcome = playMany(load, histories, 10'000);
+    MESSAGE(outcome.innocentsSent << " requests, " << outcome.innocentsRefused << " refused");
+    CHECK(outcome.innocentsRefused == 0);
+    CHECK_FALSE(outcome.quarantined);
+}
+
+TEST_CASE("what is known of bad requests is bounded and lapses, and one answer clears a request")
+{
+    CrashLedger ledger;
+    for (Fingerprint request = 1; request <= 20'000; ++request)
+        ledger.crashed({ "s" + std::to_string(request), { request } }, begin);
+    CHECK(ledger.suspects(begin).size() <= 256);
+    CHECK(ledger.suspects(begin + Millis(61'000)).empty());
+    for (const auto* server : { "a", "b", "b", "b" })
+        ledger.crashed({ server, { 7 } }, begin);
+    CHECK(ledger.quarantined(begin).empty()); // one server's crash counts once
+    ledger.answered(7);
+    ledger.crashed({ "c", { 7 } }, begin);
+    CHECK(ledger.quarantined(begin).empty());
+    ledger.crashed({ "d", { 7 } }, begin);
+    ledger.crashed({ "e", { 7 } }, begin);
+    REQUIRE(ledger.quarantined(begin).size() == 1);
+    // After ten minutes one try; if it still crashes its server, ten minutes more.
+    const Instant later = begin + Millis(600'001);
+    CHECK(ledger.quarantined(later).empty());
+    ledger.crashed({ "f", { 7 } }, later);
+    CHECK(ledger.quarantined(later).size() == 1);
+    ledger.release(7);
+    CHECK(ledger.quarantined(later).empty());
+}
+
+TEST_CASE("a connection that is reset, a lost answer and a server that lives are no crashes")
+{
+    CrashWatch watch;
+    watch.sendLost("a", 1, begin);
+    watch.serverLives("a");
+    watch.serverGone("a", begin + Millis(100));
+    CHECK(watch.takeCrashes().empty());
+    watch.sendLost("a", 2, begin);
+    watch.serverGone("a", begin + Millis(10'000)); // long after: it left for another reason
+    CHECK(watch.takeCrashes().empty());
+}
