A crowded server that no report names any more gives its place back

Cause: one of the six places for crowded servers was freed only by a report that named the server; one that went away while it was crowded kept its place until the office ended, and after six such no server got permits. Ruled out: freeing it when the server's entry goes; a key that moves away leaves the server registered and unnamed. Seen to fail before: server_shares_test.cpp.

--- a/packages/gateway/ServerShares.cpp
+++ b/packages/gateway/ServerShares.cpp
@@ -113,15 +113,18 @@
 // --- Crowds
 
 // Where one request from each host is no more than the server takes, shares alone keep its queue from overflowing.
-bool ServerShares::mayBeCrowded(const std::string& server, unsigned slots) const
+bool ServerShares::mayBeCrowded(const std::string& server, unsigned slots, Instant now)
 {
+    // A crowded server that has gone, or whose keys have moved, is named by no report. Were its place not given back,
+    // after six such no server got permits any more until the office ended. Hosts believe in a crowd as long.
+    std::erase_if(m_crowded, [&](const auto& entry) { return now - entry.second > ServerLimitOptions {}.crowdedFor; });
     return hostsOverflow(m_hosts, slots) && (m_crowded.count(server) || m_crowded.size() < crowdedAtOnce);
 }
 
 bool ServerShares::crowded(const std::string& server, State& state, unsigned slots, Instant now)
 {
-    if (mayBeCrowded(server, slots) && state.demand.crowded(slots, now)) {
-        m_crowded.insert(server);
+    if (mayBeCrowded(server, slots, now) && state.demand.crowded(slots, now)) {
+        m_crowded[server] = now;
         return true;
     }
     m_crowded.erase(server);
@@ -132,10 +135,10 @@
 {
     State& state = stateOf(server);
     const double asked = busyMillis / 1000 * workOrUsual(state) / m_usualWorkMillis; // requests at once
-    if (asked < m_options.crowdedFrom * slots || !mayBeCrowded(server, slots))
+    if (asked < m_options.crowdedFrom * slots || !mayBeCrowded(server, slots, now))
         return false;
     state.demand.expectCrowd(now);
-    m_crowded.insert(server);
+    m_crowded[server] = now;
     return true;
 }
 
--- a/packages/gateway/ServerShares.h
+++ b/packages/gateway/ServerShares.h
@@ -9,7 +9,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -52,14 +51,15 @@
 
     State& stateOf(const std::string& server);
     bool crowded(const std::string& server, State&, unsigned slots, Instant now);
-    bool mayBeCrowded(const std::string& server, unsigned slots) const;
+    bool mayBeCrowded(const std::string& server, unsigned slots, Instant now);
     double workOrUsual(const State&) const;
 
     ShareOptions m_options;
     double m_usualWorkMillis;
     size_t m_hosts = 0;
     Millis m_reportEvery { 250 };
-    std::set<std::string, std::less<>> m_crowded; // servers to which nothing goes without a permit
+    // Servers to which nothing goes without a permit, and when a report last said so.
+    std::map<std::string, Instant, std::less<>> m_crowded;
     std::map<std::string, State, std::less<>> m_servers;
 };
 
