Operators evacuate a data centre by a resource of its own; status tells what is left there

Cause: the product had no such wish of its own; each server had to be drained alone, and new ones there got work. Ruled out: a list in each Service, which operators would have to change for all services at once. Change: kind Evacuation, named as the data centre; refused for one without servers; cumindalectl evacuate. Status counts the slices that are still owned there.

--- a/apps/cumindalectl/Commands.cpp
+++ b/apps/cumindalectl/Commands.cpp
@@ -124,8 +124,8 @@
     {
         std::cerr << "cumindalectl: get [KIND [NAME]] | apply --file FILE | delete KIND NAME | watch | explain KEY "
                      "--service S\n"
-                     "              | status | drain SERVER | trace ID\n"
-                     "              | quarantine list | quarantine clear REQUEST; see --help\n";
+                     "              | status | drain SERVER | evacuate DATA-CENTRE\n"
+                     "              | trace ID | quarantine list | quarantine clear REQUEST; see --help\n";
         return ExitUsage;
     }
 
@@ -254,6 +254,14 @@
         return usage();
     }
 
+    int evacuate(const CommandOptions& options, const std::vector<std::string>& words)
+    {
+        if (words.size() != 2)
+            return usage();
+        const json::object resource { { "kind", "Evacuation" }, { "name", words[1] }, { "spec", json::object {} } };
+        return applyOne(options, json::serialize(resource));
+    }
+
     int drain(const CommandOptions& options, const std::vector<std::string>& words)
     {
         if (words.size() != 2)
@@ -323,6 +331,8 @@
         return show(options, ask(options.address, options.port, callFor(options, http::verb::get, "/v1/status")));
     if (command == "drain")
         return drain(options, words);
+    if (command == "evacuate")
+        return evacuate(options, words);
     if (command == "quarantine")
         return quarantine(options, words);
     if (command == "trace")
--- a/apps/cumindalectl/main.cpp
+++ b/apps/cumindalectl/main.cpp
@@ -45,6 +45,7 @@
         "  cumindalectl status\n"
         "  cumindalectl drain SERVER [--wait]\n"
         "  cumindalectl trace TRACE-ID\n"
+        "  cumindalectl evacuate DATA-CENTRE [--wait]; taken back by delete Evacuation DATA-CENTRE\n"
         "  cumindalectl quarantine list | quarantine clear REQUEST\n"
         "Exit status: 0 done, 1 refused, 2 bad usage, 3 conflict, 4 unavailable, 5 not yet in force.");
     absl::FlagsUsageConfig config;
--- a/packages/decisions/Resources.cpp
+++ b/packages/decisions/Resources.cpp
@@ -12,6 +12,11 @@
     return best;
 }
 
+bool Resources::wanted(const ServerResource& server) const
+{
+    return server.wish == ServerWish::Live && !evacuations.count(server.dataCentre);
+}
+
 std::vector<const ServerResource*> Resources::serversOf(std::string_view service) const
 {
     std::vector<const ServerResource*> found;
--- a/packages/decisions/Resources.h
+++ b/packages/decisions/Resources.h
@@ -1,5 +1,5 @@
-// What operators declare: services, backend servers and placement wishes. Plain values; their JSON form and its
-// checks are in the package `resources`.
+// What operators declare: services, backend servers, placement wishes and evacuations. Plain values; their JSON form
+// and its checks are in the package `resources`.
 #pragma once
 
 #include "base/Time.h"
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,8 +80,10 @@
     std::map<std::string, ServiceResource, std::less<>> services;
     std::map<std::string, ServerResource, std::less<>> servers;
     std::map<std::string, PlacementResource, std::less<>> placements;
+    std::set<std::string, std::less<>> evacuations; // data centres whose servers are to get nothing
 
     const ServiceResource* serviceForPath(std::string_view path) const; // longest prefix wins
+    bool wanted(const ServerResource&) const; // it neither leaves nor is evacuated
     std::vector<const ServerResource*> serversOf(std::string_view service) const;
 };
 
--- a/packages/operators/ResourceWriter.cpp
+++ b/packages/operators/ResourceWriter.cpp
@@ -79,8 +79,10 @@
             resources.services.erase(document.name);
         else if (document.kind == "BackendServer")
             resources.servers.erase(document.name);
-        else
+        else if (document.kind == "Placement")
             resources.placements.erase(document.name);
+        else
+            resources.evacuations.erase(document.name);
     }
 
     std::optional<FieldFault> faultAfter(Resources resources, const WriteOrder& order)
@@ -90,6 +92,8 @@
                 erase(resources, order.document);
             else
                 BOOST_LEAF_CHECK(addToResources(resources, order.document));
+            if (!order.erase && order.document.kind == "Evacuation")
+                BOOST_LEAF_CHECK(checkEvacuation(resources, order.document.name));
             return checkReferences(resources);
         });
     }
--- a/packages/operators/StatusJson.cpp
+++ b/packages/operators/StatusJson.cpp
@@ -91,6 +91,25 @@
         return services;
     }
 
+    // Slices that are still owned there: 0 once nothing is sent any more.
+    json::object evacuationsJson(const StatusSnapshot& snapshot)
+    {
+        json::object evacuated;
+        for (const auto& centre : snapshot.resources->evacuations) {
+            size_t slices = 0;
+            for (const auto& [name, table] : snapshot.tables) {
+                for (const auto& slice : table->slices) {
+                    const auto server = snapshot.resources->servers.find(table->serverName(slice.owner));
+                    const bool there
+                        = server != snapshot.resources->servers.end() && server->second.dataCentre == centre;
+                    slices += slice.state != SliceState::Unowned && there;
+                }
+            }
+            evacuated[centre] = slices;
+        }
+        return evacuated;
+    }
+
 }
 
 json::object statusJson(const StatusSnapshot& snapshot)
@@ -108,6 +127,7 @@
     status["rosterVersion"] = snapshot.roster->version;
     status["hosts"] = hostsJson(snapshot);
     status["services"] = servicesJson(snapshot);
+    status["slicesLeftInEvacuated"] = evacuationsJson(snapshot);
     return status;
 }
 
--- a/packages/resources/ResourceCodec.cpp
+++ b/packages/resources/ResourceCodec.cpp
@@ -1,6 +1,7 @@
 #include "resources/ResourceCodec.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/json/serialize.hpp>
 #include <boost/leaf/error.hpp>
 
@@ -9,7 +10,7 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-// Sections: names, services, servers, placements, documents, references.
+// Sections: names, services, servers, evacuations, placements, documents, references.
 
 namespace {
 
@@ -98,6 +99,16 @@
         return server;
     }
 
+    // --- Evacuations
+
+    // Named as the data centre; there is nothing else to say.
+    void readEvacuation(Resources& resources, const ResourceDocument& document, FieldFault& fault)
+    {
+        FieldReader reader(document.spec, "spec", fault);
+        reader.finish();
+        resources.evacuations.insert(document.name);
+    }
+
     // --- Placements
 
     PlacementResource readPlacement(const std::string& name, const json::object& spec, FieldFault& fault)
@@ -133,7 +144,13 @@
 
 std::string leaderKey() { return std::string(storePrefix) + "leader"; }
 
-bool isKind(std::string_view kind) { return kind == "Service" || kind == "BackendServer" || kind == "Placement"; }
+namespace {
+
+    constexpr std::array<std::string_view, 4> kinds { "Service", "BackendServer", "Placement", "Evacuation" };
+
+}
+
+bool isKind(std::string_view kind) { return std::find(kinds.begin(), kinds.end(), kind) != kinds.end(); }
 
 std::string_view kindOf(std::string_view key)
 {
@@ -149,7 +166,7 @@
     ResourceDocument readDocument(FieldReader& reader)
     {
         ResourceDocument document;
-        document.kind = reader.oneOf("kind", { "Service", "BackendServer", "Placement" }, {});
+        document.kind = reader.oneOf("kind", { kinds.begin(), kinds.end() }, {});
         document.name = reader.text("name", true);
         if (!isName(document.name))
             reader.fail("name", "1 to 63 letters, digits, '-', '_' or '.'");
@@ -199,8 +216,10 @@
         resources.services[document.name] = readService(document.name, document.spec, fault);
     else if (document.kind == "BackendServer")
         resources.servers[document.name] = readServer(document.name, document.spec, fault);
-    else
+    else if (document.kind == "Placement")
         resources.placements[document.name] = readPlacement(document.name, document.spec, fault);
+    else
+        readEvacuation(resources, document, fault);
     if (fault.any())
         return leaf::new_error(fault);
     return {};
@@ -224,6 +243,15 @@
 
 // --- References
 
+leaf::result<void> checkEvacuation(const Resources& resources, std::string_view dataCentre)
+{
+    for (const auto& [name, server] : resources.servers) {
+        if (server.dataCentre == dataCentre)
+            return {};
+    }
+    return leaf::new_error(FieldFault { "Evacuation name", "a data centre in which a BackendServer stands" });
+}
+
 leaf::result<void> checkReferences(const Resources& resources)
 {
     for (const auto& [name, server] : resources.servers) {
--- a/packages/resources/ResourceCodec.h
+++ b/packages/resources/ResourceCodec.h
@@ -42,6 +42,8 @@
 boost::leaf::result<ResourceDocument> parseDocument(std::string_view text);
 boost::leaf::result<StoredResource> parseStored(std::string_view text);
 boost::leaf::result<void> addToResources(Resources&, const ResourceDocument&); // replaces one of the same name
+// An evacuation that is to be declared. Not a reference: its servers may go while it stands.
+boost::leaf::result<void> checkEvacuation(const Resources&, std::string_view dataCentre);
 boost::leaf::result<void> checkReferences(const Resources&);
 
 std::string storedText(const StoredResource&);
--- a/tests/resources_test.cpp
+++ b/tests/resources_test.cpp
@@ -94,3 +94,28 @@
     roster.members.push_back({ "a", "dc-1", "10.0.0.1", 1, 2, 3, MemberState::Departed });
     CHECK(*decodeRoster(encodeRoster(roster)) == roster);
 }
+
+// What operators saw: an evacuation with a mistyped name was accepted, and the data centre that was meant went on being
+// used.
+TEST_CASE("an evacuation names a data centre with servers, says nothing else, and its servers are wanted no more")
+{
+    Resources resources;
+    ServerResource server;
+    server.name = "a";
+    server.dataCentre = "dc-1";
+    resources.servers.emplace("a", server);
+    CHECK(resources.wanted(server));
+    const auto faultOf = [](auto&& check) { return faultIn(check); };
+    CHECK_FALSE(faultOf([&] { return checkEvacuation(resources, "dc-1"); }));
+    CHECK(faultOf([&] { return checkEvacuation(resources, "dc-2"); }));
+    const auto add = [&](const char* text) {
+        return faultOf([&]() -> boost::leaf::result<void> {
+            ResourceDocument document;
+            BOOST_LEAF_ASSIGN(document, parseDocument(text));
+            return addToResources(resources, document);
+        });
+    };
+    CHECK(add(R"({"kind":"Evacuation","name":"dc-1","spec":{"until":"tomorrow"}})"));
+    CHECK_FALSE(add(R"({"kind":"Evacuation","name":"dc-1","spec":{}})"));
+    CHECK_FALSE(resources.wanted(server));
+}
