--- a/packages/decisions/CrashEvidence.cpp
+++ b/packages/decisions/CrashEvidence.cpp
@@ -10,6 +10,9 @@
     // One crash may be chance and two may be a hot key; a request alone was at three servers that went away, and was
     // never answered.
     constexpr size_t crashesUntilQuarantine = 3;
+    // Hosts that are told of a suspect say so if a server has answered it. Reports of several crashes may come at once,
+    // of a host that was cut off.
+    constexpr Millis hostsAnswerWithin { 1'000 };
     // A server that falls silent is known to have gone when its entry lapses or its next incarnation registers.
     constexpr Millis goneWithin { 6'000 };
     constexpr Millis remembered { 60'000 }; // of a suspect since its last crash: callers come again within seconds
@@ -20,7 +23,6 @@
     constexpr size_t mostReported = 64; // crashes of one host
     constexpr size_t mostInCrash = 64; // of one host at one server: more than any takes at once
     constexpr size_t mostSuspects = 4'096; // 200 kB at the coordinator; a data centre's loss makes some thousand
-    constexpr size_t mostTold = 256; // with each answer to a report, 2 kB
     constexpr size_t mostQuarantined = 256;
 
 }
@@ -154,15 +156,27 @@
         Suspect& suspect = m_suspects[request];
         suspect.servers.insert(crash.server);
         suspect.last = now;
-        if (suspect.servers.size() < crashesUntilQuarantine)
-            continue;
-        const auto crashes = static_cast<unsigned>(suspect.servers.size());
-        m_suspects.erase(request);
-        restore({ request, crashes, now, now + quarantineLasts });
+        const bool near = suspect.servers.size() + 1 >= crashesUntilQuarantine;
+        if (near && m_nearQuarantine.insert(request).second)
+            suspect.nearSince = now;
     }
     while (m_suspects.size() > mostSuspects) {
-        m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(),
-            [](const auto& a, const auto& b) { return a.second.last < b.second.last; }));
+        const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(),
+            [](const auto& a, const auto& b) { return a.second.last < b.second.last; });
+        forget(oldest->first);
+    }
+}
+
+void CrashLedger::quarantineProven(Instant now)
+{
+    const auto near = m_nearQuarantine; // a copy: what is proven leaves it
+    for (const Fingerprint request : near) {
+        const Suspect& suspect = m_suspects.at(request);
+        const auto crashes = static_cast<unsigned>(suspect.servers.size());
+        if (crashes < crashesUntilQuarantine || now - suspect.nearSince < hostsAnswerWithin)
+            continue;
+        forget(request);
+        restore({ request, crashes, now, now + quarantineLasts });
     }
 }
 
@@ -178,46 +192,50 @@
 
 void CrashLedger::answered(Fingerprint request)
 {
-    m_suspects.erase(request);
+    forget(request);
     m_edition += m_quarantined.erase(request);
 }
 
+void CrashLedger::forget(Fingerprint request)
+{
+    m_suspects.erase(request);
+    m_nearQuarantine.erase(request);
+}
+
 void CrashLedger::release(Fingerprint request) { answered(request); }
 
 void CrashLedger::clear()
 {
     m_suspects.clear();
+    m_nearQuarantine.clear();
     m_quarantined.clear();
     m_edition = 0;
 }
 
 void CrashLedger::forgetOld(Instant now)
 {
-    std::erase_if(m_suspects, [&](const auto& entry) { return now - entry.second.last > remembered; });
+    constexpr Millis forgetEvery { 1'000 };
+    if (now - m_forgotAt < forgetEvery)
+        return;
+    m_forgotAt = now;
+    std::erase_if(m_suspects, [&](const auto& entry) {
+        const bool old = now - entry.second.last > remembered;
+        if (old)
+            m_nearQuarantine.erase(entry.first);
+        return old;
+    });
 }
 
 std::vector<Fingerprint> CrashLedger::suspects(Instant now)
 {
     forgetOld(now);
-    std::vector<std::pair<Instant, Fingerprint>> newest;
-    newest.reserve(m_suspects.size());
-    for (const auto& [request, suspect] : m_suspects)
-        newest.emplace_back(suspect.last, request);
-    // Those with the most crashes matter most, then the newest.
-    std::sort(newest.begin(), newest.end(), [&](const auto& a, const auto& b) {
-        const size_t crashesA = m_suspects.at(a.second).servers.size();
-        const size_t crashesB = m_suspects.at(b.second).servers.size();
-        return crashesA != crashesB ? crashesA > crashesB : a.first > b.first;
-    });
-    newest.resize(std::min(newest.size(), mostTold));
-    std::vector<Fingerprint> requests;
-    for (const auto& [last, request] : newest)
-        requests.push_back(request);
-    return requests;
+    quarantineProven(now);
+    return { m_nearQuarantine.begin(), m_nearQuarantine.end() };
 }
 
 std::vector<QuarantinedRequest> CrashLedger::quarantined(Instant now)
 {
+    quarantineProven(now);
     std::vector<QuarantinedRequest> requests;
     for (const auto& [request, entry] : m_quarantined) {
         if (now < entry.until)
--- a/packages/decisions/CrashEvidence.h
+++ b/packages/decisions/CrashEvidence.h
@@ -105,7 +105,9 @@
     void clear();
 
     // --- What follows
-    std::vector<Fingerprint> suspects(Instant now); // that hosts must look out for; not the quarantined ones
+    // That one more crash would bring into quarantine: all hosts look whether a server has answered them. Of the others
+    // there may be thousands after a data centre's loss, and telling them would cost more than it helps.
+    std::vector<Fingerprint> suspects(Instant now);
     std::vector<QuarantinedRequest> quarantined(Instant now);
     uint64_t edition() const { return m_edition; } // of the quarantine; it grows with each change
 
@@ -113,11 +115,16 @@
     struct Suspect {
         std::set<std::string, std::less<>> servers; // that went away with it
         Instant last {}; // crash
+        Instant nearSince {}; // hosts are told of it
     };
 
     void forgetOld(Instant now);
+    void forget(Fingerprint); // a suspect
+    void quarantineProven(Instant now);
 
     std::map<Fingerprint, Suspect> m_suspects;
+    std::set<Fingerprint> m_nearQuarantine; // of these
+    Instant m_forgotAt {};
     std::map<Fingerprint, QuarantinedRequest> m_quarantined;
     uint64_t m_edition = 0;
 };
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -514,7 +514,9 @@
     const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
     const Instant connectedAt = m_clock.now();
     const bool late = connectedAt + leastTime >= job.deadline;
-    const bool heldOff = !server->connected(connectedAt) || !maySendTo(*server, connectedAt);
+    // One that started anew holds no keys, and refuses them until its entry is known.
+    const bool startedAnew = !job.keyed && !server->connected(connectedAt);
+    const bool heldOff = startedAnew || !maySendTo(*server, connectedAt);
     if (moved || heldOff || late || job.presence.gone) {
         giveUp();
         server->pool.giveBack(std::move(connection));
@@ -634,8 +636,9 @@
     server->lookedAfter = false;
     const std::string& id = server->entry.id;
     if (connection) {
+        // It may have started again already, or something before it takes connections in its place: whether it went
+        // away its entry tells.
         server->pool.giveBack(std::move(connection));
-        m_crashes.serverLives(id);
         co_return;
     }
     server->connectFailed();
