--- a/packages/decisions/CrashEvidence.cpp
+++ b/packages/decisions/CrashEvidence.cpp
@@ -120,7 +120,7 @@
 
 std::vector<Fingerprint> CrashWatch::takeAnswered()
 {
-    const std::vector<Fingerprint> requests(m_answered.begin(), m_answered.end());
+    std::vector<Fingerprint> requests(m_answered.begin(), m_answered.end());
     m_answered.clear();
     return requests;
 }
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -163,7 +163,7 @@
     {
         // A fifth come again with the same content within a while, as lookups do.
         const bool again = below(5) == 0 && m_fresh > 200;
-        const auto request = again ? static_cast<Fingerprint>(200 + below(static_cast<int>(m_fresh) - 199)) : ++m_fresh;
+        const auto request = again ? 200 + static_cast<Fingerprint>(below(static_cast<int>(m_fresh) - 199)) : ++m_fresh;
         send(request, pickHost(), anyServer(), true);
         std::erase_if(m_again, [&](const auto& retry) {
             if (retry.second > m_now)
@@ -173,7 +173,7 @@
         });
     }
 
-    void sendHot() { send(static_cast<Fingerprint>(1 + below(hotRequests)), pickHost(), m_servers.back(), true); }
+    void sendHot() { send(1 + static_cast<Fingerprint>(below(hotRequests)), pickHost(), m_servers.back(), true); }
 
     void comeAgain(Bad& bad)
     {
