--- a/packages/decisions/KeyBalance.cpp
+++ b/packages/decisions/KeyBalance.cpp
@@ -135,9 +135,7 @@
 namespace {
 
     // Load pattern: a third of a service's requests ask for one key for some seconds, more than one server can do,
-    // while the others have room. All that helps is the server at which it lies: speeds differ by three. Callers got
-    // 0.803 of what they were owed, less prices, instead of 0.795 (mean of four days of four seeds, 9 hosts and 34
-    // servers).
+    // while the others have room. All that helps is the server at which it lies: speeds differ by three.
     class HeavyKeys {
     public:
         HeavyKeys(const KeyLoad& load, const BalanceOptions& options)
--- a/packages/decisions/ServerLimit.h
+++ b/packages/decisions/ServerLimit.h
@@ -11,8 +11,8 @@
 //   server.
 //
 // Load pattern: 95 hosts and one key that asks for ten times what its server can do. With a fixed limit of one and a
-// half times the slots on each host, 87% of what was sent overflowed the server's queue, and 17 of 133 answers came
-// within their target; with permits 0.6%, and 125 of 129 (replay, mean of eight seeds).
+// half times the slots on each host most of what is sent overflows the server's queue, and hardly an answer comes
+// within its target.
 #pragma once
 
 #include "base/Time.h"
--- a/packages/decisions/SlotShares.h
+++ b/packages/decisions/SlotShares.h
@@ -27,7 +27,7 @@
     // what comes to a host by chance is not held back from a slot that is free.
     double evenPerSlot = 3;
     // With so many requests at the server for each of its slots it is crowded. Servers queue about four for each slot;
-    // until all hosts know, as many come again (95 hosts, a key that asks for ten times what its server can do).
+    // until all hosts know, as many come again.
     double crowdedFrom = 1.5;
     double crowdedWanted = 4; // the same, at the server or waiting for it
     double crowdedUntil = 1; // at the server or waiting; below, it is no longer crowded
@@ -59,8 +59,6 @@
     // of one that says no more counts for less with each report that it must have sent since. Load pattern: dozens of
     // hosts that each send a server a request now and then. Counted as they last said, they made an idle server look
     // pressed.
-    // Callers got 0.691 of what they were owed, less prices, instead of 0.687 (four days, 70 hosts and 201 servers),
-    // and 0.808 instead of 0.806 (six days of four seeds, 9 hosts and 34 servers).
     void report(std::string_view host, const Demand&, Instant now);
     double inFlight(Instant now); // of all hosts
     bool pressed(unsigned slots, Instant now);
--- a/packages/gateway/Announcer.cpp
+++ b/packages/gateway/Announcer.cpp
@@ -15,8 +15,8 @@
     // Of one table, told again to hosts that miss them: at one change each 0.4 s the last six seconds, some 20 kB.
     constexpr size_t mostRecentChanges = 16;
 
-    // The document of routes is told to every host: deflated it has a tenth of its megabyte, which takes the smallest
-    // links 0.1 s instead of 0.7 s, and a relay with ten members behind such a link 1 s instead of 7 s.
+    // The document of routes is told to every host: deflated it has a tenth of its megabyte. Plain, a relay with
+    // ten members behind a small link would need longer than a configuration may take to be in force.
     ItemChange changeOf(const WatchEvent& event)
     {
         constexpr size_t worthDeflating = 4'096; // bytes; entries of servers have some 300
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -356,8 +356,8 @@
         co_return;
     const uint64_t before = plan->second->edition();
     plan->second->onAnswer(answer);
-    // A renewal changes nothing that can't wait for the next look. Looking over all ranges after each of them cost the
-    // coordinator of 300 hosts, with some thousand answers a second, a third of a core.
+    // A renewal changes nothing that can't wait for the next look. Looking over all ranges after each of them costs a
+    // coordinator of hundreds of hosts more than everything else that it does.
     const bool moves = order.kind == GrantOrder::Kind::Release || plan->second->edition() != before;
     if (moves || plan->second->deposed())
         m_changed.notifyAll();
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -565,8 +565,7 @@
         held->countWork(took);
     } else if (!job.presence.gone) {
         // Also one that refuses because it is full: it answers at once and has measured no work, so that it would look
-        // like the quickest of all and be asked again and again. While servers are replaced 0.3% of the requests were
-        // refused instead of 2.6% (87 hosts, 128 servers of the service, two seeds).
+        // like the quickest of all and be asked again and again, most of all while servers are replaced.
         held->failed(endedAt);
     }
     if (error == ErrorKind::ServerRefused && answeredByAnother(result, id)) {
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -40,7 +40,7 @@
     // The coordinator follows the store and tells this host of every change: it needn't ask itself. A change that the
     // coordinator knows of and this host doesn't is read after all. `storeSilence`: since the store answered the
     // coordinator. This host hasn't asked it; were that taken for the store's silence, servers that are gone would be
-    // kept as after an outage (a request reached one 2.8 s after its entry had been removed).
+    // kept as after an outage, and get requests for seconds after their entries were removed.
     void fed(int64_t coordinatorsChange, Millis storeSilence);
     // The coordinator has told everybody of an item too large to be repeated. If it isn't here after `within`, the
     // message is lost, and the item is read alone.
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -40,8 +40,8 @@
     Change applySnapshot(const RangeReply&, bool afterOutage);
     Change dropMissing();
     // From the coordinator: all changes of others after `afterChange`, up to `lastChange`. They count also where a part
-    // before them is still missing, since each item only moves forward. Dropped, they left a host behind as long as
-    // servers went on leaving: it knew of one after 2.9 s instead of 0.3 s (readings of 1.2 s, a change each 0.25 s).
+    // before them is still missing, since each item only moves forward. Dropped, they would leave a host behind
+    // for as long as servers go on leaving: its readings take longer than the next change.
     Change applyNews(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>&);
     bool isOthers(std::string_view key) const { return m_adapter.itemOf(key) != StoreItem::Other; }
     // What the hosts themselves keep in the store, read alone. A watch then goes on from what this host was told.
--- a/packages/gateway/ServerShares.cpp
+++ b/packages/gateway/ServerShares.cpp
@@ -12,8 +12,7 @@
 
     constexpr double centi = 100;
     // A few keys are hot at a time. When much of a deployment is overloaded at once, permits for all of it cost the
-    // hosts and the coordinator more than they save: with permits for all, 87 hosts and 319 servers served 55% of the
-    // requests of a day of bursts.
+    // hosts and the coordinator more than they save.
     constexpr size_t crowdedAtOnce = 6;
 
     unsigned countIn(int32_t told) { return static_cast<unsigned>(std::max(0, told)); }
@@ -59,7 +58,7 @@
     if (use.workMicros <= 0)
         return;
     // What is at the server beyond its slots waits there: by Little's law that part of the time is no work.
-    // 0.795 of what callers were owed, less prices, instead of 0.787 (four days of four seeds, 9 hosts, 34 servers).
+    // Taken for work, it made servers under load look slow, and their keys moved away for it.
     constexpr double newest = 0.1;
     const double working = std::min(1.0, slots / std::max(1.0, state.demand.inFlight(now)));
     const double work = working * use.workMicros / 1000.0;
