A server is looked after once in five seconds at the most

Its servers reset connections while they are full; each reset made a host open another connection, to see whether the server was gone, and that one took a place there. Ruled out: looking never (a crash would be known only when the entry lapses, 2.6 s later). Change: a host looks at a server again after 5 s at the earliest.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -622,9 +622,16 @@
     const bool unanswered = error == ErrorKind::ConnectionLost || error == ErrorKind::DeadlineAfterSend;
     if (!unanswered || job.presence.gone || server->entry.leaving)
         return;
-    m_crashes.sendLost(server->entry.id, fingerprintOf(job), m_clock.now());
-    if (error == ErrorKind::ConnectionLost && !std::exchange(server->lookedAfter, true))
-        spawnLoop(m_executor, "server-look", lookAfter(server));
+    const Instant now = m_clock.now();
+    m_crashes.sendLost(server->entry.id, fingerprintOf(job), now);
+    // Some servers reset connections while they are full. There each look would be one connection more that takes a
+    // place, and make more of them; a crash is seen the first time.
+    constexpr Millis lookAgainAfter { 5'000 };
+    const bool lookedLately = server->lookedAt != Instant {} && now - server->lookedAt < lookAgainAfter;
+    if (error != ErrorKind::ConnectionLost || lookedLately)
+        return;
+    server->lookedAt = now;
+    spawnLoop(m_executor, "server-look", lookAfter(server));
 }
 
 // A connection may end for many reasons. Whether its server is still there tells a crash from all others within
@@ -632,7 +639,6 @@
 asio::awaitable<void> Gateway::lookAfter(std::shared_ptr<Upstream> server)
 {
     auto connection = co_await server->pool.connect(m_options.connectTimeout);
-    server->lookedAfter = false;
     const std::string& id = server->entry.id;
     if (connection) {
         // It may have started again already, or something before it takes connections in its place: whether it went
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -51,7 +51,7 @@
 
     RegisteredServer entry;
     ServerPool pool;
-    bool lookedAfter = false; // a connection is being tried, since one was lost
+    Instant lookedAt {}; // when a connection was last tried only because another one had been lost
     bool ended = false; // another server answers at its address: it is gone, whatever its entry says
     Instant leavingSince {}; // when this host learned that it leaves
     Instant evacuatedSince {}; // when this host learned of its data centre's evacuation
