--- a/packages/decisions/CrashEvidence.h
+++ b/packages/decisions/CrashEvidence.h
@@ -8,9 +8,8 @@
 // Load pattern: a caller that repeats one such request each second, among thousands of others of which some are at the
 // same server; servers that also crash for other reasons, now and then or every few seconds.
 //
-// - CrashWatch, on each host: what was sent and got no answer counts only once its server is known to have gone. A
-// reset
-//   connection, a lost answer or a server that leaves in good order is no crash.
+// - CrashWatch, on each host: what was sent and got no answer counts only once its server is known to have gone.
+//   A reset connection, a lost answer or a server that leaves in good order is no crash.
 // - CrashLedger, at the coordinator: the sum over all hosts. What it holds is bounded, and lapses.
 #pragma once
 
@@ -42,7 +41,7 @@
 public:
     // --- What this host sees
     void sendLost(std::string_view server, Fingerprint, Instant now); // no answer came, and it may have run
-    void serverLives(std::string_view server); // it takes connections: nothing that was lost there crashed it
+    void serverLives(std::string_view server); // or left in good order: what was lost there crashed nothing
     void serverGone(std::string_view server, Instant now); // it takes none, or another incarnation is there
     void answered(Fingerprint, Instant now); // by a server, whatever the answer
 
