Logs tell how a request came to be suspected, cleared or quarantined

Callers saw one lookup crash server after server. The logs could not tell whether the request was not recognised, was cleared, or its crashes were not counted. Now they can: a line about a request has its caller's address, and its fingerprint if it was sent and got no answer; server-crashed names the requests that were there and why the server is taken for gone, also when its entry tells it; the coordinator logs request-suspected from the second crash on, request-quarantined and request-cleared with the host that reported; a host logs suspect-answered. No decision changes.

--- a/packages/decisions/CrashEvidence.cpp
+++ b/packages/decisions/CrashEvidence.cpp
@@ -24,6 +24,7 @@
     constexpr size_t mostInCrash = 64; // of one host at one server: more than any takes at once
     constexpr size_t mostSuspects = 4'096; // 200 kB at the coordinator; a data centre's loss makes some thousand
     constexpr size_t mostQuarantined = 256;
+    constexpr size_t mostEvents = 256; // not taken yet
 
 }
 
@@ -41,7 +42,7 @@
     std::erase_if(m_lost, [&](const LostSend& send) { return send.server == server; });
 }
 
-void CrashWatch::serverGone(std::string_view server, Instant now)
+std::vector<Fingerprint> CrashWatch::serverGone(std::string_view server, Instant now)
 {
     ServerCrash crash;
     crash.server = server;
@@ -52,12 +53,13 @@
     }
     serverLives(server);
     if (crash.requests.empty())
-        return;
+        return {};
     m_own.insert(crash.requests.begin(), crash.requests.end());
     m_reported.push_back({ crash, now });
     if (m_reported.size() > mostReported)
         m_reported.pop_front();
-    m_crashes.push_back(std::move(crash));
+    m_crashes.push_back(crash);
+    return std::move(crash.requests);
 }
 
 bool CrashWatch::wasAnswered(Fingerprint request, Instant now) const
@@ -85,13 +87,17 @@
         std::erase(own.crash.requests, request);
 }
 
-void CrashWatch::told(std::set<Fingerprint> suspects, std::set<Fingerprint> quarantined, Instant now)
+std::vector<Fingerprint> CrashWatch::told(
+    std::set<Fingerprint> suspects, std::set<Fingerprint> quarantined, Instant now)
 {
     m_suspects = std::move(suspects);
     m_quarantined = std::move(quarantined);
+    std::vector<Fingerprint> innocent;
     for (const Fingerprint request : m_suspects) {
-        if (wasAnswered(request, now))
-            m_answered.insert(request);
+        if (!wasAnswered(request, now))
+            continue;
+        m_answered.insert(request);
+        innocent.push_back(request);
     }
     // What the coordinator knows and doesn't name was answered, perhaps at another host.
     std::set<Fingerprint> unreported;
@@ -103,6 +109,7 @@
     std::erase_if(m_own, settled);
     for (auto& own : m_reported)
         std::erase_if(own.crash.requests, settled);
+    return innocent;
 }
 
 void CrashWatch::repeatToNewCoordinator()
@@ -157,8 +164,11 @@
         suspect.servers.insert(crash.server);
         suspect.last = now;
         const bool near = suspect.servers.size() + 1 >= crashesUntilQuarantine;
-        if (near && m_nearQuarantine.insert(request).second)
+        if (!near)
+            continue;
+        if (m_nearQuarantine.insert(request).second)
             suspect.nearSince = now;
+        note({ CrashEvent::What::Suspected, request, static_cast<unsigned>(suspect.servers.size()), crash.server });
     }
     while (m_suspects.size() > mostSuspects) {
         const auto oldest = std::min_element(m_suspects.begin(), m_suspects.end(),
@@ -177,6 +187,7 @@
             continue;
         forget(request);
         restore({ request, crashes, now, now + quarantineLasts });
+        note({ CrashEvent::What::Quarantined, request, crashes });
     }
 }
 
@@ -192,10 +203,36 @@
 
 void CrashLedger::answered(Fingerprint request)
 {
+    const auto quarantined = m_quarantined.find(request);
+    if (quarantined != m_quarantined.end())
+        note({ CrashEvent::What::Cleared, request, quarantined->second.crashes });
+    else if (m_nearQuarantine.count(request))
+        note({ CrashEvent::What::Cleared, request, static_cast<unsigned>(m_suspects.at(request).servers.size()) });
     forget(request);
     m_edition += m_quarantined.erase(request);
 }
 
+void CrashLedger::note(CrashEvent event)
+{
+    if (m_events.size() < mostEvents)
+        m_events.push_back(std::move(event));
+}
+
+std::vector<CrashEvent> CrashLedger::takeEvents() { return std::exchange(m_events, {}); }
+
+std::string_view toString(CrashEvent::What what)
+{
+    switch (what) {
+    case CrashEvent::What::Suspected:
+        return "request-suspected";
+    case CrashEvent::What::Cleared:
+        return "request-cleared";
+    case CrashEvent::What::Quarantined:
+        return "request-quarantined";
+    }
+    return "request";
+}
+
 void CrashLedger::forget(Fingerprint request)
 {
     m_suspects.erase(request);
@@ -210,6 +247,7 @@
     m_nearQuarantine.clear();
     m_quarantined.clear();
     m_edition = 0;
+    m_events.clear();
 }
 
 void CrashLedger::forgetOld(Instant now)
--- a/packages/decisions/CrashEvidence.h
+++ b/packages/decisions/CrashEvidence.h
@@ -42,11 +42,13 @@
     // --- What this host sees
     void sendLost(std::string_view server, Fingerprint, Instant now); // no answer came, and it may have run
     void serverLives(std::string_view server); // or left in good order: what was lost there crashed nothing
-    void serverGone(std::string_view server, Instant now); // it takes none, or another incarnation is there
+    // It takes no requests, or another incarnation is there. Returns the requests that were there.
+    std::vector<Fingerprint> serverGone(std::string_view server, Instant now);
     void answered(Fingerprint, Instant now); // by a server, whatever the answer
 
     // --- What the coordinator tells
-    void told(std::set<Fingerprint> suspects, std::set<Fingerprint> quarantined, Instant now);
+    // Returns the suspects that a server has answered here lately.
+    std::vector<Fingerprint> told(std::set<Fingerprint> suspects, std::set<Fingerprint> quarantined, Instant now);
     void repeatToNewCoordinator(); // it knows nothing of what its predecessor was told
 
     // --- What follows
@@ -85,6 +87,17 @@
     std::set<Fingerprint> m_quarantined;
 };
 
+// What the ledger makes of the reports, for the log. Requests with a single crash are left out.
+struct CrashEvent {
+    enum class What : uint8_t { Suspected, Cleared, Quarantined };
+    What what = What::Suspected;
+    Fingerprint request = 0;
+    unsigned crashes = 0;
+    std::string server; // that crashed last; empty unless suspected
+};
+
+std::string_view toString(CrashEvent::What);
+
 struct QuarantinedRequest {
     Fingerprint request = 0;
     unsigned crashes = 0;
@@ -109,6 +122,7 @@
     std::vector<Fingerprint> suspects(Instant now);
     std::vector<QuarantinedRequest> quarantined(Instant now);
     uint64_t edition() const { return m_edition; } // of the quarantine; it grows with each change
+    std::vector<CrashEvent> takeEvents(); // since the last call
 
 private:
     struct Suspect {
@@ -120,12 +134,14 @@
     void forgetOld(Instant now);
     void forget(Fingerprint); // a suspect
     void quarantineProven(Instant now);
+    void note(CrashEvent);
 
     std::map<Fingerprint, Suspect> m_suspects;
     std::set<Fingerprint> m_nearQuarantine; // of these
     Instant m_forgotAt {};
     std::map<Fingerprint, QuarantinedRequest> m_quarantined;
     uint64_t m_edition = 0;
+    std::vector<CrashEvent> m_events;
 };
 
 }
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -662,15 +662,14 @@
     advice.suspects.assign(suspects.begin(), suspects.end());
     for (const auto& request : quarantined)
         advice.quarantined.push_back(static_cast<int64_t>(request.request));
+    for (const auto& event : m_crashes.takeEvents())
+        logChange(LogLevel::Warning, toString(event.what),
+            { { "fingerprint", fingerprintText(event.request) }, { "crashes", event.crashes },
+                { "server", event.server }, { "reporter", report.sender } });
     if (m_crashes.edition() == before)
         return;
     logChange(LogLevel::Warning, "quarantine-changed",
         { { "requests", quarantined.size() }, { "suspects", suspects.size() }, { "reporter", report.sender } });
-    for (const auto& request : quarantined) {
-        if (request.since == now)
-            logChange(LogLevel::Warning, "request-quarantined",
-                { { "fingerprint", fingerprintText(request.request) }, { "crashes", request.crashes } });
-    }
     m_changed.notifyAll();
 }
 
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include "base/Random.h"
 #include "decisions/ServerChoice.h"
 #include "decisions/ServerIdentity.h"
+#include "resources/QuarantineCodec.h"
 #include "routing/Refusals.h"
 #include "routing/RequestHeaders.h"
 
@@ -64,6 +65,12 @@
         return PriorityClass::Background;
     }
 
+    // The request was sent and got no answer.
+    bool mayHaveCrashedServer(ErrorKind error)
+    {
+        return error == ErrorKind::ConnectionLost || error == ErrorKind::DeadlineAfterSend;
+    }
+
     std::string_view hostOf(std::string_view header) { return header.substr(0, header.find(':')); }
 
     uint64_t numberIn(std::string_view text, uint64_t otherwise)
@@ -147,8 +154,11 @@
     }
     if (serversChanged)
         applyServers();
-    if (update.crashes)
-        m_crashes.told(update.crashes->suspects, update.crashes->quarantined, m_clock.now());
+    if (update.crashes) {
+        const auto innocent = m_crashes.told(update.crashes->suspects, update.crashes->quarantined, m_clock.now());
+        for (const Fingerprint request : innocent)
+            logChange(LogLevel::Info, "suspect-answered", { { "fingerprint", fingerprintText(request) } });
+    }
     if (update.newCoordinator)
         m_crashes.repeatToNewCoordinator();
     if (update.shares)
@@ -220,7 +230,7 @@
         if (entry.second->entry.leaving)
             m_crashes.serverLives(entry.first);
         else
-            m_crashes.serverGone(entry.first, m_clock.now());
+            noteCrash(*entry.second, "its entry was removed");
         return true;
     });
     m_byService.clear();
@@ -577,7 +587,10 @@
     if (error == ErrorKind::ServerRefused && result.response.result_int() == misdirected)
         held->holdsNothingUntil = endedAt + refusesAgainFor;
     if (worked) {
-        m_crashes.answered(fingerprintOf(job), endedAt);
+        const Fingerprint fingerprint = fingerprintOf(job);
+        if (m_crashes.suspect(fingerprint))
+            logRequest(job, "suspect-answered", error, id);
+        m_crashes.answered(fingerprint, endedAt);
     } else {
         noteLostSend(job, held, error);
         if (answerFor(error).ran != Ran::No) {
@@ -619,8 +632,7 @@
 
 void Gateway::noteLostSend(const Job& job, const std::shared_ptr<Upstream>& server, ErrorKind error)
 {
-    const bool unanswered = error == ErrorKind::ConnectionLost || error == ErrorKind::DeadlineAfterSend;
-    if (!unanswered || job.presence.gone || server->entry.leaving)
+    if (!mayHaveCrashedServer(error) || job.presence.gone || server->entry.leaving)
         return;
     const Instant now = m_clock.now();
     m_crashes.sendLost(server->entry.id, fingerprintOf(job), now);
@@ -639,7 +651,6 @@
 asio::awaitable<void> Gateway::lookAfter(std::shared_ptr<Upstream> server)
 {
     auto connection = co_await server->pool.connect(m_options.connectTimeout);
-    const std::string& id = server->entry.id;
     if (connection) {
         // It may have started again already, or something before it takes connections in its place: whether it went
         // away its entry tells.
@@ -647,12 +658,23 @@
         co_return;
     }
     server->connectFailed();
-    m_crashes.serverGone(id, m_clock.now());
-    if (!m_crashes.hasNews())
-        co_return;
-    logChange(LogLevel::Warning, "server-crashed", { { "server", id }, { "service", server->entry.service } });
+    if (noteCrash(*server, "it takes no connections"))
+        reportEarly();
+}
+
+bool Gateway::noteCrash(const Upstream& server, std::string_view why)
+{
+    const auto requests = m_crashes.serverGone(server.entry.id, m_clock.now());
+    if (requests.empty())
+        return false;
+    boost::json::array fingerprints;
+    for (const Fingerprint request : requests)
+        fingerprints.emplace_back(fingerprintText(request));
+    logChange(LogLevel::Warning, "server-crashed",
+        { { "server", server.entry.id }, { "service", server.entry.service }, { "why", why },
+            { "requests", std::move(fingerprints) } });
     m_metrics.counter("servers_crashed").add();
-    reportEarly();
+    return true;
 }
 
 bool Gateway::answeredByAnother(const ExchangeResult& result, std::string_view server) const
@@ -738,6 +760,7 @@
     const auto table = m_tables.find(job.service);
     boost::json::object line;
     line["request"] = job.id;
+    line["caller"] = job.presence.address;
     line["error"] = answerFor(error).name;
     line["ran"] = toString(answerFor(error).ran);
     line["route"] = job.route ? job.route->name : std::string();
@@ -754,8 +777,8 @@
     line["serversAsOf"] = m_registeredAsOf;
     line["rules"] = job.rules ? job.rules->version : 0;
     line["edition"] = table == m_tables.end() ? 0 : table->second->edition.edition;
-    if (error == ErrorKind::Quarantined)
-        line["fingerprint"] = pointText(fingerprintOf(job));
+    if (error == ErrorKind::Quarantined || mayHaveCrashedServer(error))
+        line["fingerprint"] = fingerprintText(fingerprintOf(job));
     line["leftOut"] = std::exchange(m_linesLeftOut, 0);
     logChange(LogLevel::Info, event, std::move(line));
 }
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -326,6 +326,25 @@
     CHECK(ledger.quarantined(later).empty());
 }
 
+TEST_CASE("the ledger tells each step from the second crash to the release, for the log")
+{
+    using What = CrashEvent::What;
+    CrashLedger ledger;
+    ledger.crashed({ "a", { 7 } }, begin);
+    CHECK(ledger.takeEvents().empty());
+    ledger.crashed({ "b", { 7 } }, begin);
+    ledger.crashed({ "c", { 7 } }, begin);
+    ledger.suspects(begin + Millis(1'000));
+    ledger.release(7);
+    const auto events = ledger.takeEvents();
+    REQUIRE(events.size() == 4);
+    CHECK((events[0].what == What::Suspected && events[0].server == "b" && events[0].crashes == 2));
+    CHECK((events[1].what == What::Suspected && events[1].server == "c" && events[1].crashes == 3));
+    CHECK((events[2].what == What::Quarantined && events[2].crashes == 3));
+    CHECK((events[3].what == What::Cleared && events[3].crashes == 3));
+    CHECK(ledger.takeEvents().empty());
+}
+
 TEST_CASE("a connection that is reset, a lost answer and a server that lives are no crashes")
 {
     CrashWatch watch;
