A server whose address another one has has gone, whatever its entry says

The refusal by the next server proves that the former one has gone; it counts now as the removal of the entry does. One function now decides for all three ways in which a server is found to be gone.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -226,11 +226,7 @@
         if (!gone)
             return false;
         entry.second->pool.evictQueue();
-        // One that left in good order crashed from nothing.
-        if (entry.second->entry.leaving)
-            m_crashes.serverLives(entry.first);
-        else
-            noteCrash(*entry.second, "its entry was removed");
+        noteGone(*entry.second, "its entry was removed");
         return true;
     });
     m_byService.clear();
@@ -581,6 +577,7 @@
     if (error == ErrorKind::ServerRefused && answeredByAnother(result, id)) {
         held->ended = true;
         logRequest(job, "server-replaced", error, id);
+        noteGone(*held, "another server has its address");
     }
     if (!result.ended)
         held->pool.giveBack(std::move(connection));
@@ -659,15 +656,19 @@
         co_return;
     }
     server->connectFailed();
-    if (noteCrash(*server, "it takes no connections"))
-        reportEarly();
+    noteGone(*server, "it takes no connections");
 }
 
-bool Gateway::noteCrash(const Upstream& server, std::string_view why)
+void Gateway::noteGone(const Upstream& server, std::string_view why)
 {
+    // One that left in good order crashed from nothing.
+    if (server.entry.leaving) {
+        m_crashes.serverLives(server.entry.id);
+        return;
+    }
     const auto requests = m_crashes.serverGone(server.entry.id, m_clock.now());
     if (requests.empty())
-        return false;
+        return;
     boost::json::array fingerprints;
     for (const Fingerprint request : requests)
         fingerprints.emplace_back(fingerprintText(request));
@@ -675,7 +676,7 @@
         { { "server", server.entry.id }, { "service", server.entry.service }, { "why", why },
             { "requests", std::move(fingerprints) } });
     m_metrics.counter("servers_crashed").add();
-    return true;
+    reportEarly();
 }
 
 bool Gateway::answeredByAnother(const ExchangeResult& result, std::string_view server) const
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -70,7 +70,7 @@
     Located chooseWarmingUp(const Job&); // no server is warm
     Fingerprint fingerprintOf(const Job&) const;
     void noteLostSend(const Job&, const std::shared_ptr<Upstream>&, ErrorKind);
-    bool noteCrash(const Upstream&, std::string_view why); // false: nothing was there that may have caused it
+    void noteGone(const Upstream&, std::string_view why); // the requests that were there may have crashed it
     boost::asio::awaitable<void> lookAfter(std::shared_ptr<Upstream>); // whether it still takes connections
     bool maySendTo(const Upstream&, Instant now) const; // false: it is warming up, and this host must wait
     bool anyWarm(const std::string& service, Instant now) const;
