A crash that the coordinator had no reason to name yet is repeated to its successor

Before: the new test fails, 0 crashes repeated instead of 1. After: passes; innocent requests refused with a lost coordinator: 0 in 1,000 histories.

--- a/packages/decisions/CrashEvidence.cpp
+++ b/packages/decisions/CrashEvidence.cpp
@@ -90,8 +90,8 @@
 std::vector<Fingerprint> CrashWatch::told(
     std::set<Fingerprint> suspects, std::set<Fingerprint> quarantined, Instant now)
 {
-    m_suspects = std::move(suspects);
-    m_quarantined = std::move(quarantined);
+    const auto formerSuspects = std::exchange(m_suspects, std::move(suspects));
+    const auto formerlyQuarantined = std::exchange(m_quarantined, std::move(quarantined));
     std::vector<Fingerprint> innocent;
     for (const Fingerprint request : m_suspects) {
         if (!wasAnswered(request, now))
@@ -99,16 +99,20 @@
         m_answered.insert(request);
         innocent.push_back(request);
     }
-    // What the coordinator knows and doesn't name was answered, perhaps at another host.
     std::set<Fingerprint> unreported;
     for (const auto& crash : m_crashes)
         unreported.insert(crash.requests.begin(), crash.requests.end());
-    const auto settled = [&](Fingerprint request) {
+    const auto unnamed = [&](Fingerprint request) {
         return !m_suspects.count(request) && !m_quarantined.count(request) && !unreported.count(request);
     };
-    std::erase_if(m_own, settled);
+    // What the coordinator named and names no more was answered, perhaps at another host. A single crash is never
+    // named, and still counts if the next coordinator learns of it.
+    const auto cleared = [&](Fingerprint request) {
+        return unnamed(request) && (formerSuspects.count(request) || formerlyQuarantined.count(request));
+    };
+    std::erase_if(m_own, unnamed);
     for (auto& own : m_reported)
-        std::erase_if(own.crash.requests, settled);
+        std::erase_if(own.crash.requests, cleared);
     return innocent;
 }
 
@@ -140,9 +144,10 @@
         return;
     while (!m_reported.empty() && now - m_reported.front().at > remembered)
         m_reported.pop_front();
-    m_own.clear();
+    std::set<Fingerprint> left;
     for (const auto& own : m_reported)
-        m_own.insert(own.crash.requests.begin(), own.crash.requests.end());
+        left.insert(own.crash.requests.begin(), own.crash.requests.end());
+    std::erase_if(m_own, [&](Fingerprint request) { return !left.count(request); });
 }
 
 // --- At the coordinator
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -300,6 +300,7 @@
     SUBCASE("many requests for a hot key") { }
     SUBCASE("one request for a hot key") { load.hotRequests = 1; }
     SUBCASE("callers that leave early") { load.leaveEarly = 20; }
+    SUBCASE("a lost coordinator") { load.loseCoordinator = true; }
     const Outcome outcome = playMany(load, histories, 10'000);
     MESSAGE(outcome.innocentsSent << " requests, " << outcome.innocentsRefused << " refused");
     CHECK(outcome.innocentsRefused == 0);
@@ -354,6 +355,22 @@
     CHECK(ledger.takeEvents().empty());
 }
 
+// Guards against a new coordinator that never hears of the crashes that its predecessor counted.
+TEST_CASE("a crash is repeated to a new coordinator, also one that the former had no reason to name")
+{
+    CrashWatch watch;
+    watch.sendLost("a", 1, begin);
+    watch.serverGone("a", begin);
+    CHECK(watch.takeCrashes().size() == 1);
+    watch.told({}, {}, begin); // a single crash is not told to the hosts
+    watch.repeatToNewCoordinator();
+    CHECK(watch.takeCrashes().size() == 1);
+    watch.told({ 1 }, {}, begin);
+    watch.told({}, {}, begin); // it has been cleared
+    watch.repeatToNewCoordinator();
+    CHECK(watch.takeCrashes().empty());
+}
+
 TEST_CASE("a connection that is reset, a lost answer and a server that lives are no crashes")
 {
     CrashWatch watch;
