Logs tell what a server says of itself in an answer

Callers saw requests reach servers that had said they leave, and refusals where a server had asked for rest. No line had what an answer said of its server, or when. server-notice tells both, with the request, bounded as all lines about requests are; a part that can't be read is told as odd. Nothing acts on it yet.

--- /dev/null
+++ b/packages/decisions/ServerNotice.h
@@ -0,0 +1,27 @@
+// What a server says of itself in its answers: that it is about to leave, or that it wants no requests for a while.
+//
+// Load pattern: while the store is away, or can't be reached by the server, its answers are the only way in which a
+// server can tell that it leaves. A server that is overloaded asks the hosts for rest; those that send on, and send
+// what was refused again, keep it overloaded.
+#pragma once
+
+#include "base/Time.h"
+
+#include <string_view>
+
+namespace cumindale {
+
+struct ServerNotice {
+    bool leaves = false;
+    Millis rest { 0 }; // from the answer on
+    bool odd = false; // a part of it could not be understood, and counts as not said
+
+    bool any() const { return leaves || rest > Millis(0) || odd; }
+    bool operator==(const ServerNotice&) const = default;
+};
+
+// `leaving` and `retryAfter`: values of the answer's headers, empty without them. Rest is asked for by a refusal (503)
+// only, in seconds with or without a fraction.
+ServerNotice noticeIn(unsigned status, std::string_view leaving, std::string_view retryAfter);
+
+}
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include "base/Random.h"
 #include "decisions/ServerChoice.h"
 #include "decisions/ServerIdentity.h"
+#include "decisions/ServerNotice.h"
 #include "resources/QuarantineCodec.h"
 #include "routing/Refusals.h"
 #include "routing/RequestHeaders.h"
@@ -574,6 +575,8 @@
         // like the quickest of all and be asked again and again, most of all while servers are replaced.
         held->failed(endedAt);
     }
+    if (result.error == ErrorKind::None && !answeredByAnother(result, id))
+        takeNotice(job, *held, result.response);
     if (error == ErrorKind::ServerRefused && answeredByAnother(result, id)) {
         held->ended = true;
         logRequest(job, "server-replaced", error, id);
@@ -679,6 +682,20 @@
     reportEarly();
 }
 
+void Gateway::takeNotice(const Job& job, Upstream& server, const BackendResponse& answer)
+{
+    const ServerNotice notice
+        = noticeIn(answer.result_int(), answer[m_names.leaving], answer[http::field::retry_after]);
+    if (!notice.any())
+        return;
+    m_metrics.counter("server_notices").add();
+    if (!mayLog())
+        return;
+    logChange(LogLevel::Info, "server-notice",
+        { { "request", job.id }, { "server", server.entry.id }, { "leaves", notice.leaves },
+            { "restMs", notice.rest.count() }, { "odd", notice.odd } });
+}
+
 bool Gateway::answeredByAnother(const ExchangeResult& result, std::string_view server) const
 {
     const std::string_view from = result.response[m_names.server];
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -77,6 +77,7 @@
     boost::asio::awaitable<CallerResponse> run(Job&);
     boost::asio::awaitable<ErrorKind> tryOnce(Job&, CallerResponse&);
     boost::asio::awaitable<ErrorKind> exchange(Job&, Upstream&, ConnectionPointer, CallerResponse&);
+    void takeNotice(const Job&, Upstream&, const BackendResponse&); // what a server says of itself in an answer
     bool answeredByAnother(const ExchangeResult&, std::string_view server) const;
     ErrorKind judge(const Job&, const ExchangeResult&) const; // what the server's answer means for the request
     bool mayTryAgain(Job&, ErrorKind);
--- a/packages/gateway/PlatformAdapter.h
+++ b/packages/gateway/PlatformAdapter.h
@@ -25,6 +25,7 @@
     std::string notExecuted; // on answers: the server did not run the request
     std::string server; // on answers: the server's name
     std::string key; // number of the request's key, in decimals
+    std::string leaving; // on answers: "1" if the server is about to leave
 };
 
 // Which item of the store an entry is.
