A server that says in its answers that it leaves is believed

Callers of a leaving server's keys were served by it later than two seconds after it had said that it leaves: hosts knew of it from the store alone, and the store was down. Cause: what a server says in its answers was not read. Each host now counts from the first such answer that it got itself: without keys the server gets nothing from then on, with keys nothing after the time for leaving, held and queued requests included. Hosts report it; the coordinator takes such servers for leaving, so that their keys move, also when only the server is cut off from the store. While the store is away no move can be announced, and keys stay where they are. Before: three cases of server_notices fail (20 of 20 and 5 of 5 requests late, 20 of 20 without keys). After: they pass; keyed requests are served by the next owner, in an outage refused at once with a Retry-After.

--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -100,6 +100,7 @@
     m_formers.clear();
     m_loads.clear();
     m_servers.clear();
+    m_sayLeaving.clear();
     m_shares.clear();
     m_crashes.clear();
     m_hosts.clear();
@@ -115,11 +116,12 @@
         return;
     rememberServers();
     ensurePlans();
+    const auto known = servers();
     bool cutOff = false;
     for (auto& [service, plan] : m_plans) {
         const RoutedService* rules = m_view.rules()->service(service);
         plan->sparesWarmingUp(rules && rules->warmUp.perSecond > 0);
-        plan->maintain(*m_view.servers(), now);
+        plan->maintain(*known, now);
         for (auto& order : plan->due(now))
             send(std::move(order), service);
         logEvents(*plan);
@@ -513,14 +515,15 @@
     return measured ? sum / static_cast<double>(measured) : m_options.balance.requestMillis;
 }
 
-std::vector<ServerCapacity> Coordinator::capacities(const GrantPlan& plan) const
+std::vector<ServerCapacity> Coordinator::capacities(const GrantPlan& plan)
 {
     const double mean = meanWorkMillis(plan);
     const Instant now = m_clock.now();
     const RoutedService* service = m_view.rules()->service(plan.service());
     const bool sparesWarmingUp = service && service->warmUp.perSecond > 0;
-    std::vector<ServerCapacity> servers;
-    for (const auto& [id, server] : *m_view.servers()) {
+    std::vector<ServerCapacity> usable;
+    const auto known = servers();
+    for (const auto& [id, server] : *known) {
         if (server.service != plan.service() || server.withdrawn() || plan.isSilent(id))
             continue;
         if (sparesWarmingUp && server.warmingUp(now))
@@ -531,9 +534,9 @@
         constexpr double fastest = 2;
         const double work = m_shares.workMillis(id);
         const double speed = work > 0 ? std::clamp(mean / work, slowest, fastest) : 1;
-        servers.push_back({ id, speed * std::max(1U, server.slots) });
+        usable.push_back({ id, speed * std::max(1U, server.slots) });
     }
-    return servers;
+    return usable;
 }
 
 void Coordinator::balance()
@@ -643,11 +646,38 @@
             load.add(static_cast<uint32_t>(use.key), use.busyMicros / 1000.0 / meanLife);
     }
     m_announcer.bringUp(report, m_view.tables(), advice);
+    takeLeaving(report);
     takeUses(report, host.heard, advice);
     takeCrashes(report, host.heard, advice);
     return advice;
 }
 
+std::shared_ptr<const GrantPlan::Servers> Coordinator::servers()
+{
+    const auto registered = m_view.servers();
+    std::erase_if(m_sayLeaving, [&](const std::string& id) {
+        const auto server = registered->find(id);
+        return server == registered->end() || server->second.leaving;
+    });
+    if (m_sayLeaving.empty() || m_storeSilence > m_options.storeAwayAfter)
+        return registered;
+    auto told = std::make_shared<GrantPlan::Servers>(*registered);
+    for (const auto& id : m_sayLeaving)
+        told->at(id).leaving = true;
+    return told;
+}
+
+void Coordinator::takeLeaving(const wire::HostReport& report)
+{
+    const auto registered = m_view.servers();
+    for (const auto& id : report.leaving) {
+        if (!registered->count(id) || !m_sayLeaving.insert(id).second)
+            continue;
+        logChange(LogLevel::Info, "server-reported-leaving", { { "server", id }, { "reporter", report.sender } });
+        m_changed.notifyAll();
+    }
+}
+
 void Coordinator::takeCrashes(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
 {
     const uint64_t before = m_crashes.edition();
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -47,6 +47,8 @@
     Millis hostSilence { 3'000 }; // a host that has not reported for so long no longer counts
     Millis listEvery { 2'000 }; // the hosts that report are written to the store, if they have changed
     Millis storeTimeout { 1'000 };
+    // Without the store's answer for so long no move can be announced: keys stay where they are.
+    Millis storeAwayAfter { 1'500 };
 };
 
 class Coordinator {
@@ -96,7 +98,7 @@
     void balance();
     double meanLifeSeconds() const; // of what is known of the keys' load
     double meanWorkMillis(const GrantPlan&) const; // of one request, at the servers of this service
-    std::vector<ServerCapacity> capacities(const GrantPlan&) const;
+    std::vector<ServerCapacity> capacities(const GrantPlan&);
     void send(GrantOrder, const std::string& service);
     void startSender(const std::string& server, ServerState&);
     void overtakeUnanswered();
@@ -110,6 +112,9 @@
         uint64_t quarantineEdition = 0;
     };
 
+    // As registered; those that say in their answers that they leave count as leaving.
+    std::shared_ptr<const GrantPlan::Servers> servers();
+    void takeLeaving(const wire::HostReport&);
     void takeCrashes(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void takeUses(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void tellCrowded(std::span<const std::string>);
@@ -143,6 +148,7 @@
     std::map<std::string, Registrations> m_registrations; // of services without a plan
     std::map<std::string, KeyLoad> m_loads; // by service
     std::map<std::string, ServerState, std::less<>> m_servers;
+    std::set<std::string, std::less<>> m_sayLeaving; // whose entries don't
     ServerShares m_shares;
     CrashLedger m_crashes;
     uint64_t m_quarantineWritten = 0; // its edition
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -42,6 +42,8 @@
     // look of the coordinator at the store, a message lost and repeated with the next report), and the way and the wait
     // for a connection take 0.3 s.
     constexpr Millis leaveMargin { 1'000 };
+    // The same, where the server itself told this host: the way and the wait for a connection only.
+    constexpr Millis toldMargin { 250 };
     // Of a request to this host and of its answer back. Callers are about 8 ms away; a new connection takes another
     // turn.
     constexpr Millis answerWay { 25 };
@@ -390,9 +392,11 @@
     const Instant now = m_clock.now();
     const auto overdue = [&](Instant since, Millis within) { return now - since > within - leaveMargin; };
     const bool left = upstream->entry.leaving && overdue(upstream->leavingSince, m_options.settings.leaveWithin);
+    const bool saidSo
+        = upstream->saysLeaving() && now - upstream->saysLeavingSince() > m_options.settings.leaveWithin - toldMargin;
     const bool cleared
         = upstream->entry.evacuated && overdue(upstream->evacuatedSince, m_options.settings.evacuateWithin);
-    if (left || cleared)
+    if (left || saidSo || cleared)
         return { ErrorKind::NoOwner, nullptr, false };
     if (range->moving() && now < upstream->holdsNothingUntil)
         return { ErrorKind::Moving, nullptr, false };
@@ -413,7 +417,7 @@
     for (const auto& server : found->second) {
         const auto& admission = server->pool.admission();
         ServerCandidate candidate;
-        candidate.usable = !server->entry.withdrawn() && !server->ended && !server->warmingUp(now)
+        candidate.usable = !server->withdrawn() && !server->ended && !server->warmingUp(now)
             && std::find(job.tried.begin(), job.tried.end(), server->entry.id) == job.tried.end();
         candidate.resting = server->resting(now) || server->entry.unconfirmed;
         candidate.sameCentre = server->entry.dataCentre == m_options.dataCentre;
@@ -443,7 +447,7 @@
     for (size_t i = 0; i < servers.size(); ++i) {
         const auto& server = servers[(start + i) % servers.size()];
         const bool tried = std::find(job.tried.begin(), job.tried.end(), server->entry.id) != job.tried.end();
-        if (server->entry.withdrawn() || server->ended || tried)
+        if (server->withdrawn() || server->ended || tried)
             continue;
         if (maySendTo(*server, now))
             return { ErrorKind::None, server };
@@ -466,9 +470,8 @@
 {
     const auto found = m_byService.find(service);
     return found != m_byService.end()
-        && std::any_of(found->second.begin(), found->second.end(), [&](const auto& server) {
-               return !server->entry.withdrawn() && !server->ended && !server->warmingUp(now);
-           });
+        && std::any_of(found->second.begin(), found->second.end(),
+            [&](const auto& server) { return !server->withdrawn() && !server->ended && !server->warmingUp(now); });
 }
 
 // --- One try
@@ -517,7 +520,7 @@
     }
     // The wait for a slot or a connection may have outlived the table, the server or the caller.
     const bool moved = job.keyed ? locate(job).server != server
-                                 : server->entry.withdrawn() || server->ended || !m_servers.count(server->entry.id);
+                                 : server->withdrawn() || server->ended || !m_servers.count(server->entry.id);
     const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
     const Instant connectedAt = m_clock.now();
     const bool late = connectedAt + leastTime >= job.deadline;
@@ -633,7 +636,7 @@
 {
     // This host ends an idempotent request when its caller leaves: that tells nothing of the server.
     const bool endedHere = job.presence.gone && job.route->idempotent();
-    if (!mayHaveCrashedServer(error) || endedHere || server->entry.leaving)
+    if (!mayHaveCrashedServer(error) || endedHere || server->leaving())
         return;
     const Instant now = m_clock.now();
     m_crashes.sendLost(server->entry.id, fingerprintOf(job), now);
@@ -665,7 +668,7 @@
 void Gateway::noteGone(const Upstream& server, std::string_view why)
 {
     // One that left in good order crashed from nothing.
-    if (server.entry.leaving) {
+    if (server.leaving()) {
         m_crashes.serverLives(server.entry.id);
         return;
     }
@@ -686,14 +689,18 @@
 {
     const ServerNotice notice
         = noticeIn(answer.result_int(), answer[m_names.leaving], answer[http::field::retry_after]);
-    if (!notice.any())
-        return;
-    m_metrics.counter("server_notices").add();
-    if (!mayLog())
-        return;
-    logChange(LogLevel::Info, "server-notice",
-        { { "request", job.id }, { "server", server.entry.id }, { "leaves", notice.leaves },
-            { "restMs", notice.rest.count() }, { "odd", notice.odd } });
+    const Instant now = m_clock.now();
+    const std::string& id = server.entry.id;
+    if (notice.leaves && !server.saysLeaving()) {
+        server.sayLeaving(now);
+        m_metrics.counter("servers_saying_they_leave").add();
+        logChange(LogLevel::Info, "server-says-leaving", { { "server", id }, { "request", job.id } });
+        reportEarly();
+    }
+    if (notice.odd && !std::exchange(server.noticeIsOdd, true))
+        logChange(LogLevel::Warning, "server-notice-odd",
+            { { "server", id }, { "request", job.id }, { "leaving", answer[m_names.leaving] },
+                { "retryAfter", answer[http::field::retry_after] } });
 }
 
 bool Gateway::answeredByAnother(const ExchangeResult& result, std::string_view server) const
@@ -821,6 +828,8 @@
     }
     m_keyUse.clear();
     for (const auto& [id, server] : m_servers) {
+        if (server->saysLeaving() && !server->entry.leaving)
+            report.leaving.push_back(id);
         if (const auto use = server->takeUse(now, report.over))
             report.servers.emplace(id, *use);
         server->dropPermits(now);
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -238,6 +238,7 @@
     // Means over the last report's time; uses of keys add up until they are sent.
     m_use.servers = std::move(report.servers);
     m_use.sharesSeen = report.sharesSeen;
+    m_use.leaving = std::move(report.leaving);
     m_isHeldBack |= report.heldBack;
     if (report.heldBack)
         m_heldBack.notifyAll();
@@ -288,6 +289,7 @@
     }
     report.answered.assign(m_use.answered.begin(), m_use.answered.end());
     report.released.assign(m_released.begin(), m_released.end());
+    report.leaving = m_use.leaving;
     m_use = {};
     return report;
 }
--- a/packages/gateway/Messages.h
+++ b/packages/gateway/Messages.h
@@ -77,6 +77,7 @@
     bool heldBack = false; // a request waits for a permit
     std::vector<ServerCrash> crashes;
     std::vector<Fingerprint> answered; // of the suspects
+    std::vector<std::string> leaving; // servers that say so in their answers and whose entries don't
 };
 
 }
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -44,17 +44,25 @@
         leavingSince = now;
     if (registered.evacuated && !entry.evacuated)
         evacuatedSince = now;
-    const bool wasOpen = !entry.withdrawn() && !warmingUp(now);
+    const bool wasOpen = !withdrawn() && !warmingUp(now);
     entry = registered;
     if (service)
         m_warmUp = service->warmUp;
-    if (wasOpen && (entry.withdrawn() || warmingUp(now)))
+    if (wasOpen && (withdrawn() || warmingUp(now)))
         pool.evictQueue(); // what waits here looks for another server, or for the keys' next owner
     pool.update(resourceOf(registered, service), hosts);
     m_limit.setSharers(registered.slots, hosts);
     applyLimit(now);
 }
 
+void Upstream::sayLeaving(Instant now)
+{
+    if (saysLeaving())
+        return;
+    m_saysLeavingSince = now;
+    pool.evictQueue();
+}
+
 // --- Limits
 
 void Upstream::advise(const ServerAdvice& advice, Instant now)
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -29,6 +29,14 @@
     void answered() { failures = 0; }
     void failed(Instant now);
 
+    // --- What it said itself, in its answers
+    void sayLeaving(Instant now);
+    bool saysLeaving() const { return m_saysLeavingSince != Instant {}; }
+    Instant saysLeavingSince() const { return m_saysLeavingSince; }
+    bool leaving() const { return entry.leaving || saysLeaving(); }
+    bool withdrawn() const { return entry.withdrawn() || saysLeaving(); } // it gets nothing new
+    bool noticeIsOdd = false; // told in the log once
+
     // --- Warming up
     bool warmingUp(Instant now) const { return m_warmUp.perSecond > 0 && now < warmAt(); }
     Instant warmAt() const { return std::max(entry.warmAt, m_heldOffUntil); }
@@ -62,6 +70,7 @@
     Instant holdsNothingUntil {};
 
 private:
+    Instant m_saysLeavingSince {};
     WarmUpBound m_warmUp;
     Instant m_nextWarmUpTurn {};
     bool m_connectFailed = false; // the last time
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -41,6 +41,7 @@
     10: list<ServerCrash> crashes // since the last report
     11: list<i64> answered // suspects that a server has answered since
     12: list<i64> released // from quarantine, by an operator
+    13: list<string> leaving // servers that say so in their answers and whose entries don't
 }
 
 struct ServerShare {
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -685,6 +685,10 @@
 void HostReport::__set_released(const std::vector<int64_t> & val) {
   this->released = val;
 }
+
+void HostReport::__set_leaving(const std::vector<std::string> & val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -853,6 +857,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->leaving.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
+            {
+              xfer += iprot->readString(this->leaving[_i49]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -881,10 +905,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServiceUse> ::const_iterator _iter45;
-    for (_iter45 = this->services.begin(); _iter45 != this->services.end(); ++_iter45)
+    std::vector<ServiceUse> ::const_iterator _iter50;
+    for (_iter50 = this->services.begin(); _iter50 != this->services.end(); ++_iter50)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter50).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -893,10 +917,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerUse> ::const_iterator _iter46;
-    for (_iter46 = this->servers.begin(); _iter46 != this->servers.end(); ++_iter46)
+    std::vector<ServerUse> ::const_iterator _iter51;
+    for (_iter51 = this->servers.begin(); _iter51 != this->servers.end(); ++_iter51)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -917,10 +941,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<ServerCrash> ::const_iterator _iter47;
-    for (_iter47 = this->crashes.begin(); _iter47 != this->crashes.end(); ++_iter47)
+    std::vector<ServerCrash> ::const_iterator _iter52;
+    for (_iter52 = this->crashes.begin(); _iter52 != this->crashes.end(); ++_iter52)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -929,10 +953,10 @@
   xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered.size()));
-    std::vector<int64_t> ::const_iterator _iter48;
-    for (_iter48 = this->answered.begin(); _iter48 != this->answered.end(); ++_iter48)
+    std::vector<int64_t> ::const_iterator _iter53;
+    for (_iter53 = this->answered.begin(); _iter53 != this->answered.end(); ++_iter53)
     {
-      xfer += oprot->writeI64((*_iter48));
+      xfer += oprot->writeI64((*_iter53));
     }
     xfer += oprot->writeListEnd();
   }
@@ -941,10 +965,22 @@
   xfer += oprot->writeFieldBegin("released", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->released.size()));
-    std::vector<int64_t> ::const_iterator _iter49;
-    for (_iter49 = this->released.begin(); _iter49 != this->released.end(); ++_iter49)
+    std::vector<int64_t> ::const_iterator _iter54;
+    for (_iter54 = this->released.begin(); _iter54 != this->released.end(); ++_iter54)
+    {
+      xfer += oprot->writeI64((*_iter54));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<std::string> ::const_iterator _iter55;
+    for (_iter55 = this->leaving.begin(); _iter55 != this->leaving.end(); ++_iter55)
     {
-      xfer += oprot->writeI64((*_iter49));
+      xfer += oprot->writeString((*_iter55));
     }
     xfer += oprot->writeListEnd();
   }
@@ -967,34 +1003,37 @@
   swap(a.crashes, b.crashes);
   swap(a.answered, b.answered);
   swap(a.released, b.released);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-HostReport::HostReport(const HostReport& other50) {
-  sender = other50.sender;
-  address = other50.address;
-  services = other50.services;
-  servers = other50.servers;
-  lastChange = other50.lastChange;
-  strengthCenti = other50.strengthCenti;
-  dataCentre = other50.dataCentre;
-  crashes = other50.crashes;
-  answered = other50.answered;
-  released = other50.released;
-  __isset = other50.__isset;
-}
-HostReport& HostReport::operator=(const HostReport& other51) {
-  sender = other51.sender;
-  address = other51.address;
-  services = other51.services;
-  servers = other51.servers;
-  lastChange = other51.lastChange;
-  strengthCenti = other51.strengthCenti;
-  dataCentre = other51.dataCentre;
-  crashes = other51.crashes;
-  answered = other51.answered;
-  released = other51.released;
-  __isset = other51.__isset;
+HostReport::HostReport(const HostReport& other56) {
+  sender = other56.sender;
+  address = other56.address;
+  services = other56.services;
+  servers = other56.servers;
+  lastChange = other56.lastChange;
+  strengthCenti = other56.strengthCenti;
+  dataCentre = other56.dataCentre;
+  crashes = other56.crashes;
+  answered = other56.answered;
+  released = other56.released;
+  leaving = other56.leaving;
+  __isset = other56.__isset;
+}
+HostReport& HostReport::operator=(const HostReport& other57) {
+  sender = other57.sender;
+  address = other57.address;
+  services = other57.services;
+  servers = other57.servers;
+  lastChange = other57.lastChange;
+  strengthCenti = other57.strengthCenti;
+  dataCentre = other57.dataCentre;
+  crashes = other57.crashes;
+  answered = other57.answered;
+  released = other57.released;
+  leaving = other57.leaving;
+  __isset = other57.__isset;
   return *this;
 }
 void HostReport::printTo(std::ostream& out) const {
@@ -1010,6 +1049,7 @@
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "answered=" << to_string(answered);
   out << ", " << "released=" << to_string(released);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -1157,21 +1197,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerShare::ServerShare(const ServerShare& other52) {
-  server = other52.server;
-  slotsCenti = other52.slotsCenti;
-  crowded = other52.crowded;
-  permits = other52.permits;
-  pauseMillis = other52.pauseMillis;
-  __isset = other52.__isset;
-}
-ServerShare& ServerShare::operator=(const ServerShare& other53) {
-  server = other53.server;
-  slotsCenti = other53.slotsCenti;
-  crowded = other53.crowded;
-  permits = other53.permits;
-  pauseMillis = other53.pauseMillis;
-  __isset = other53.__isset;
+ServerShare::ServerShare(const ServerShare& other58) {
+  server = other58.server;
+  slotsCenti = other58.slotsCenti;
+  crowded = other58.crowded;
+  permits = other58.permits;
+  pauseMillis = other58.pauseMillis;
+  __isset = other58.__isset;
+}
+ServerShare& ServerShare::operator=(const ServerShare& other59) {
+  server = other59.server;
+  slotsCenti = other59.slotsCenti;
+  crowded = other59.crowded;
+  permits = other59.permits;
+  pauseMillis = other59.pauseMillis;
+  __isset = other59.__isset;
   return *this;
 }
 void ServerShare::printTo(std::ostream& out) const {
@@ -1346,23 +1386,23 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreItem::StoreItem(const StoreItem& other54) {
-  key = other54.key;
-  value = other54.value;
-  revision = other54.revision;
-  erased = other54.erased;
-  leftOutBytes = other54.leftOutBytes;
-  plainBytes = other54.plainBytes;
-  __isset = other54.__isset;
-}
-StoreItem& StoreItem::operator=(const StoreItem& other55) {
-  key = other55.key;
-  value = other55.value;
-  revision = other55.revision;
-  erased = other55.erased;
-  leftOutBytes = other55.leftOutBytes;
-  plainBytes = other55.plainBytes;
-  __isset = other55.__isset;
+StoreItem::StoreItem(const StoreItem& other60) {
+  key = other60.key;
+  value = other60.value;
+  revision = other60.revision;
+  erased = other60.erased;
+  leftOutBytes = other60.leftOutBytes;
+  plainBytes = other60.plainBytes;
+  __isset = other60.__isset;
+}
+StoreItem& StoreItem::operator=(const StoreItem& other61) {
+  key = other61.key;
+  value = other61.value;
+  revision = other61.revision;
+  erased = other61.erased;
+  leftOutBytes = other61.leftOutBytes;
+  plainBytes = other61.plainBytes;
+  __isset = other61.__isset;
   return *this;
 }
 void StoreItem::printTo(std::ostream& out) const {
@@ -1453,14 +1493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->items.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->items.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->items[_i60].read(iprot);
+              xfer += this->items[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1473,14 +1513,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->tables.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->tables.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += iprot->readString(this->tables[_i65]);
+              xfer += iprot->readString(this->tables[_i71]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1493,14 +1533,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forwardTo.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->forwardTo.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->forwardTo.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += iprot->readString(this->forwardTo[_i70]);
+              xfer += iprot->readString(this->forwardTo[_i76]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1513,14 +1553,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crowded.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->crowded.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->crowded.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += iprot->readString(this->crowded[_i75]);
+              xfer += iprot->readString(this->crowded[_i81]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1557,10 +1597,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItem> ::const_iterator _iter76;
-    for (_iter76 = this->items.begin(); _iter76 != this->items.end(); ++_iter76)
+    std::vector<StoreItem> ::const_iterator _iter82;
+    for (_iter82 = this->items.begin(); _iter82 != this->items.end(); ++_iter82)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1569,10 +1609,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter77;
-    for (_iter77 = this->tables.begin(); _iter77 != this->tables.end(); ++_iter77)
+    std::vector<std::string> ::const_iterator _iter83;
+    for (_iter83 = this->tables.begin(); _iter83 != this->tables.end(); ++_iter83)
     {
-      xfer += oprot->writeString((*_iter77));
+      xfer += oprot->writeString((*_iter83));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1581,10 +1621,10 @@
   xfer += oprot->writeFieldBegin("forwardTo", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forwardTo.size()));
-    std::vector<std::string> ::const_iterator _iter78;
-    for (_iter78 = this->forwardTo.begin(); _iter78 != this->forwardTo.end(); ++_iter78)
+    std::vector<std::string> ::const_iterator _iter84;
+    for (_iter84 = this->forwardTo.begin(); _iter84 != this->forwardTo.end(); ++_iter84)
     {
-      xfer += oprot->writeString((*_iter78));
+      xfer += oprot->writeString((*_iter84));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1593,10 +1633,10 @@
   xfer += oprot->writeFieldBegin("crowded", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crowded.size()));
-    std::vector<std::string> ::const_iterator _iter79;
-    for (_iter79 = this->crowded.begin(); _iter79 != this->crowded.end(); ++_iter79)
+    std::vector<std::string> ::const_iterator _iter85;
+    for (_iter85 = this->crowded.begin(); _iter85 != this->crowded.end(); ++_iter85)
     {
-      xfer += oprot->writeString((*_iter79));
+      xfer += oprot->writeString((*_iter85));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1618,23 +1658,23 @@
   swap(a.__isset, b.__isset);
 }
 
-News::News(const News& other80) {
-  afterChange = other80.afterChange;
-  lastChange = other80.lastChange;
-  items = other80.items;
-  tables = other80.tables;
-  forwardTo = other80.forwardTo;
-  crowded = other80.crowded;
-  __isset = other80.__isset;
-}
-News& News::operator=(const News& other81) {
-  afterChange = other81.afterChange;
-  lastChange = other81.lastChange;
-  items = other81.items;
-  tables = other81.tables;
-  forwardTo = other81.forwardTo;
-  crowded = other81.crowded;
-  __isset = other81.__isset;
+News::News(const News& other86) {
+  afterChange = other86.afterChange;
+  lastChange = other86.lastChange;
+  items = other86.items;
+  tables = other86.tables;
+  forwardTo = other86.forwardTo;
+  crowded = other86.crowded;
+  __isset = other86.__isset;
+}
+News& News::operator=(const News& other87) {
+  afterChange = other87.afterChange;
+  lastChange = other87.lastChange;
+  items = other87.items;
+  tables = other87.tables;
+  forwardTo = other87.forwardTo;
+  crowded = other87.crowded;
+  __isset = other87.__isset;
   return *this;
 }
 void News::printTo(std::ostream& out) const {
@@ -1761,14 +1801,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->shares.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->shares.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->shares[_i86].read(iprot);
+              xfer += this->shares[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1781,14 +1821,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->tables.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->tables.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += iprot->readString(this->tables[_i91]);
+              xfer += iprot->readString(this->tables[_i97]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1841,14 +1881,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->suspects.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->suspects.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += iprot->readI64(this->suspects[_i96]);
+              xfer += iprot->readI64(this->suspects[_i102]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1861,14 +1901,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->quarantined.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->quarantined.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += iprot->readI64(this->quarantined[_i101]);
+              xfer += iprot->readI64(this->quarantined[_i107]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1917,10 +1957,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ServerShare> ::const_iterator _iter102;
-    for (_iter102 = this->shares.begin(); _iter102 != this->shares.end(); ++_iter102)
+    std::vector<ServerShare> ::const_iterator _iter108;
+    for (_iter108 = this->shares.begin(); _iter108 != this->shares.end(); ++_iter108)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter108).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1929,10 +1969,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter103;
-    for (_iter103 = this->tables.begin(); _iter103 != this->tables.end(); ++_iter103)
+    std::vector<std::string> ::const_iterator _iter109;
+    for (_iter109 = this->tables.begin(); _iter109 != this->tables.end(); ++_iter109)
     {
-      xfer += oprot->writeString((*_iter103));
+      xfer += oprot->writeString((*_iter109));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1965,10 +2005,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter104;
-    for (_iter104 = this->suspects.begin(); _iter104 != this->suspects.end(); ++_iter104)
+    std::vector<int64_t> ::const_iterator _iter110;
+    for (_iter110 = this->suspects.begin(); _iter110 != this->suspects.end(); ++_iter110)
     {
-      xfer += oprot->writeI64((*_iter104));
+      xfer += oprot->writeI64((*_iter110));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1977,10 +2017,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter105;
-    for (_iter105 = this->quarantined.begin(); _iter105 != this->quarantined.end(); ++_iter105)
+    std::vector<int64_t> ::const_iterator _iter111;
+    for (_iter111 = this->quarantined.begin(); _iter111 != this->quarantined.end(); ++_iter111)
     {
-      xfer += oprot->writeI64((*_iter105));
+      xfer += oprot->writeI64((*_iter111));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2009,37 +2049,37 @@
   swap(a.__isset, b.__isset);
 }
 
-HostAdvice::HostAdvice(const HostAdvice& other106) {
-  coordinates = other106.coordinates;
-  term = other106.term;
-  hosts = other106.hosts;
-  shares = other106.shares;
-  tables = other106.tables;
-  storeSilentMillis = other106.storeSilentMillis;
-  lastChange = other106.lastChange;
-  standsBy = other106.standsBy;
-  reportMillis = other106.reportMillis;
-  storeRevision = other106.storeRevision;
-  suspects = other106.suspects;
-  quarantined = other106.quarantined;
-  missed = other106.missed;
-  __isset = other106.__isset;
-}
-HostAdvice& HostAdvice::operator=(const HostAdvice& other107) {
-  coordinates = other107.coordinates;
-  term = other107.term;
-  hosts = other107.hosts;
-  shares = other107.shares;
-  tables = other107.tables;
-  storeSilentMillis = other107.storeSilentMillis;
-  lastChange = other107.lastChange;
-  standsBy = other107.standsBy;
-  reportMillis = other107.reportMillis;
-  storeRevision = other107.storeRevision;
-  suspects = other107.suspects;
-  quarantined = other107.quarantined;
-  missed = other107.missed;
-  __isset = other107.__isset;
+HostAdvice::HostAdvice(const HostAdvice& other112) {
+  coordinates = other112.coordinates;
+  term = other112.term;
+  hosts = other112.hosts;
+  shares = other112.shares;
+  tables = other112.tables;
+  storeSilentMillis = other112.storeSilentMillis;
+  lastChange = other112.lastChange;
+  standsBy = other112.standsBy;
+  reportMillis = other112.reportMillis;
+  storeRevision = other112.storeRevision;
+  suspects = other112.suspects;
+  quarantined = other112.quarantined;
+  missed = other112.missed;
+  __isset = other112.__isset;
+}
+HostAdvice& HostAdvice::operator=(const HostAdvice& other113) {
+  coordinates = other113.coordinates;
+  term = other113.term;
+  hosts = other113.hosts;
+  shares = other113.shares;
+  tables = other113.tables;
+  storeSilentMillis = other113.storeSilentMillis;
+  lastChange = other113.lastChange;
+  standsBy = other113.standsBy;
+  reportMillis = other113.reportMillis;
+  storeRevision = other113.storeRevision;
+  suspects = other113.suspects;
+  quarantined = other113.quarantined;
+  missed = other113.missed;
+  __isset = other113.__isset;
   return *this;
 }
 void HostAdvice::printTo(std::ostream& out) const {
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -287,7 +287,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerCrash& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -298,6 +298,7 @@
   bool crashes :1;
   bool answered :1;
   bool released :1;
+  bool leaving :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -324,6 +325,7 @@
   std::vector<ServerCrash>  crashes;
   std::vector<int64_t>  answered;
   std::vector<int64_t>  released;
+  std::vector<std::string>  leaving;
 
   _HostReport__isset __isset;
 
@@ -347,6 +349,8 @@
 
   void __set_released(const std::vector<int64_t> & val);
 
+  void __set_leaving(const std::vector<std::string> & val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -369,6 +373,8 @@
       return false;
     if (!(released == rhs.released))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
