A server that asks for rest gets none of this host's requests until it is over

Callers waited 150 to 300 ms for refusals, and a server that had asked for 3 s of rest got 13 requests of one host in that time: a refusal counted as one failure of several, the same key was tried again after 150 ms, and what waited was sent as soon as there was room. Cause: the time that a refusal asks for was not read. Change: until then the host sends it nothing: not first sends, second sends, held or queued requests, nor what had been given to it and waited for a connection. A key whose owner rests is refused at once, with what is left of the rest and up to half a second as Retry-After, so that callers don't come back together; without keys other servers get the work. Overlapping rests end with the last. What was called rest, a pause after failures, is called failing now.

--- a/packages/base/ErrorKind.h
+++ b/packages/base/ErrorKind.h
@@ -31,6 +31,7 @@
     NoOwner, // the key has no owner now
     Moving, // the key is between two owners
     WarmingUp, // the server takes hardly any requests for now: it has just started
+    ServerResting, // the server has asked this host for no requests for a while
     OwnerChanged, // while it waited, its server left or its key moved
     Quarantined, // it crashed the servers that ran it
     Overloaded, // the owner's queue is full, or the deadline can't be met
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -100,7 +100,7 @@
     Instant callerDeadline {};
     Instant deadline {}; // the caller's or the route's, whichever is first
     bool waited = false; // for an owner, as long as is worth it
-    Instant warmAt = Instant::max(); // of the server that it was refused for as warming up
+    Instant readyAt = Instant::max(); // of the server that takes no requests now, and that it was refused for
     int64_t arrivedMicros = 0;
     int64_t serverMicros = 0; // time spent in exchanges
     unsigned sends = 0;
@@ -400,6 +400,8 @@
         return { ErrorKind::NoOwner, nullptr, false };
     if (range->moving() && now < upstream->holdsNothingUntil)
         return { ErrorKind::Moving, nullptr, false };
+    if (upstream->wantsRest(now))
+        return { ErrorKind::ServerResting, nullptr, false, upstream->restUntil() };
     // Its keys move to a server that is warm.
     if (!maySendTo(*upstream, now))
         return { ErrorKind::WarmingUp, nullptr, anyWarm(job.service, now), upstream->warmAt() };
@@ -417,9 +419,9 @@
     for (const auto& server : found->second) {
         const auto& admission = server->pool.admission();
         ServerCandidate candidate;
-        candidate.usable = !server->withdrawn() && !server->ended && !server->warmingUp(now)
+        candidate.usable = !server->withdrawn() && !server->ended && !server->warmingUp(now) && !server->wantsRest(now)
             && std::find(job.tried.begin(), job.tried.end(), server->entry.id) == job.tried.end();
-        candidate.resting = server->resting(now) || server->entry.unconfirmed;
+        candidate.resting = server->failing(now) || server->entry.unconfirmed;
         candidate.sameCentre = server->entry.dataCentre == m_options.dataCentre;
         candidate.busy = admission.inFlight();
         candidate.waiting = static_cast<unsigned>(admission.queued());
@@ -434,11 +436,11 @@
     const bool large = job.request.body().size() > largeBody;
     const auto best = chooseServer(candidates, randomNumber(), large ? farForLarge : farForSmall);
     if (!best)
-        return chooseWarmingUp(job);
+        return chooseUnready(job);
     return { ErrorKind::None, found->second[*best] };
 }
 
-Gateway::Located Gateway::chooseWarmingUp(const Job& job)
+Gateway::Located Gateway::chooseUnready(const Job& job)
 {
     const Instant now = m_clock.now();
     Located located { ErrorKind::NoOwner, nullptr, false };
@@ -449,10 +451,14 @@
         const bool tried = std::find(job.tried.begin(), job.tried.end(), server->entry.id) != job.tried.end();
         if (server->withdrawn() || server->ended || tried)
             continue;
-        if (maySendTo(*server, now))
+        const bool rests = server->wantsRest(now);
+        if (!rests && maySendTo(*server, now))
             return { ErrorKind::None, server };
-        located.error = ErrorKind::WarmingUp;
-        located.warmAt = std::min(located.warmAt, server->warmAt());
+        const Instant readyAt = rests ? server->restUntil() : server->warmAt();
+        if (readyAt >= located.readyAt)
+            continue;
+        located.error = rests ? ErrorKind::ServerResting : ErrorKind::WarmingUp;
+        located.readyAt = readyAt;
     }
     return located;
 }
@@ -480,8 +486,8 @@
 {
     Located at = locate(job);
     if (at.error != ErrorKind::None) {
-        job.warmAt = at.warmAt;
-        const Instant until = std::min({ job.deadline, job.arrived + m_options.moveWait, at.warmAt });
+        job.readyAt = at.readyAt;
+        const Instant until = std::min({ job.deadline, job.arrived + m_options.moveWait, at.readyAt });
         const Instant now = m_clock.now();
         // What takes longer than a move is refused at once: waiting would only use up the caller's time.
         job.waited = !at.soon || now >= until;
@@ -520,7 +526,8 @@
     }
     // The wait for a slot or a connection may have outlived the table, the server or the caller.
     const bool moved = job.keyed ? locate(job).server != server
-                                 : server->withdrawn() || server->ended || !m_servers.count(server->entry.id);
+                                 : server->withdrawn() || server->wantsRest(m_clock.now()) || server->ended
+            || !m_servers.count(server->entry.id);
     const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
     const Instant connectedAt = m_clock.now();
     const bool late = connectedAt + leastTime >= job.deadline;
@@ -603,6 +610,10 @@
         logRequest(job, "send-failed", error, id);
         // Its key is held by another server by now, or will be; or it was full: asked again at once it would refuse
         // again, and each send spends the budget of all.
+        if (error == ErrorKind::ServerRefused && job.keyed && held->wantsRest(endedAt)) {
+            job.readyAt = held->restUntil();
+            co_return ErrorKind::ServerResting;
+        }
         if (error == ErrorKind::ServerRefused && job.keyed && !held->ended)
             co_await m_changed.wait(std::min(notHeldPause, std::max(Millis(1), job.deadline - endedAt)));
         co_return error;
@@ -697,6 +708,14 @@
         logChange(LogLevel::Info, "server-says-leaving", { { "server", id }, { "request", job.id } });
         reportEarly();
     }
+    if (notice.rest > Millis(0)) {
+        const bool known = server.wantsRest(now);
+        server.askForRest(now + notice.rest);
+        m_metrics.counter("server_rests").add();
+        if (!known && mayLog())
+            logChange(LogLevel::Info, "server-wants-rest",
+                { { "server", id }, { "request", job.id }, { "restMs", notice.rest.count() } });
+    }
     if (notice.odd && !std::exchange(server.noticeIsOdd, true))
         logChange(LogLevel::Warning, "server-notice-odd",
             { { "server", id }, { "request", job.id }, { "leaving", answer[m_names.leaving] },
@@ -751,10 +770,11 @@
     }
     case ErrorKind::Moving:
         return spread(soon);
-    case ErrorKind::WarmingUp: {
+    case ErrorKind::WarmingUp:
+    case ErrorKind::ServerResting: {
         // Those that come back then find the server ready, but shouldn't all come in its first moments.
         constexpr Millis over { 500 };
-        const Millis left = job.warmAt - m_clock.now();
+        const Millis left = job.readyAt - m_clock.now();
         return std::max(soon, left) + randomBelow(over);
     }
     default:
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -57,7 +57,7 @@
         ErrorKind error = ErrorKind::None;
         std::shared_ptr<Upstream> server;
         bool soon = false; // the error passes within a move's time
-        Instant warmAt = Instant::max(); // of a server that is warming up: it takes requests then
+        Instant readyAt = Instant::max(); // of a server that is warming up or rests: it takes requests then
     };
 
     void applyServers();
@@ -67,7 +67,7 @@
     Located locate(const Job&);
     Located locateKey(const Job&);
     Located choose(const Job&);
-    Located chooseWarmingUp(const Job&); // no server is warm
+    Located chooseUnready(const Job&); // all servers are warming up or rest
     Fingerprint fingerprintOf(const Job&) const;
     void noteLostSend(const Job&, const std::shared_ptr<Upstream>&, ErrorKind);
     void noteGone(const Upstream&, std::string_view why); // the requests that were there may have crashed it
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -11,9 +11,9 @@
     // Keep-alive probes (web/Sockets.cpp) end a connection that went silent within about three seconds, so one that
     // has been idle for longer is as good as a young one; a new one costs the server a handshake.
     constexpr Millis trustIdle { 8'000 };
-    constexpr unsigned failuresUntilRest = 2; // one may be an accident of one connection
-    constexpr Millis shortestRest { 200 };
-    constexpr Millis longestRest { 2'000 };
+    constexpr unsigned failuresUntilPause = 2; // one may be an accident of one connection
+    constexpr Millis shortestPause { 200 };
+    constexpr Millis longestPause { 2'000 };
 
     ServerResource resourceOf(const RegisteredServer& entry, const RoutedService* service)
     {
@@ -63,6 +63,12 @@
     pool.evictQueue();
 }
 
+void Upstream::askForRest(Instant until)
+{
+    m_restUntil = std::max(m_restUntil, until);
+    pool.evictQueue();
+}
+
 // --- Limits
 
 void Upstream::advise(const ServerAdvice& advice, Instant now)
@@ -115,10 +121,10 @@
 
 void Upstream::failed(Instant now)
 {
-    if (++failures < failuresUntilRest)
+    if (++failures < failuresUntilPause)
         return;
-    const auto doublings = std::min(failures - failuresUntilRest, 4U);
-    restUntil = now + std::min(longestRest, shortestRest * (1 << doublings));
+    const auto doublings = std::min(failures - failuresUntilPause, 4U);
+    failingUntil = now + std::min(longestPause, shortestPause * (1 << doublings));
 }
 
 bool Upstream::connected(Instant now)
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -35,6 +35,9 @@
     Instant saysLeavingSince() const { return m_saysLeavingSince; }
     bool leaving() const { return entry.leaving || saysLeaving(); }
     bool withdrawn() const { return entry.withdrawn() || saysLeaving(); } // it gets nothing new
+    void askForRest(Instant until);
+    bool wantsRest(Instant now) const { return now < m_restUntil; } // it gets no request
+    Instant restUntil() const { return m_restUntil; }
     bool noticeIsOdd = false; // told in the log once
 
     // --- Warming up
@@ -47,7 +50,7 @@
     // of. It gets nothing until that would be known: hosts that all sent what waits for it would crash it again.
     void connectFailed() { m_connectFailed = true; }
     bool connected(Instant now); // false: it is held off
-    bool resting(Instant now) const { return now < restUntil; } // gets no new work for the moment
+    bool failing(Instant now) const { return now < failingUntil; } // gets new work only if no other server can
 
     // --- Use, for reports
     void count(Instant now); // before each change of the numbers at work or waiting
@@ -64,13 +67,14 @@
     Instant leavingSince {}; // when this host learned that it leaves
     Instant evacuatedSince {}; // when this host learned of its data centre's evacuation
     unsigned failures = 0; // in a row
-    Instant restUntil {};
+    Instant failingUntil {};
     // It refused a key that the table says is its: its hold may have run out. What asks for its keys meanwhile would
     // only be refused there, too.
     Instant holdsNothingUntil {};
 
 private:
     Instant m_saysLeavingSince {};
+    Instant m_restUntil {};
     WarmUpBound m_warmUp;
     Instant m_nextWarmUpTurn {};
     bool m_connectFailed = false; // the last time
