A request that crashes servers is the same whatever its query says

A request with a query has a second fingerprint now, without it; each counts by itself, so that a query that is to blame alone doesn't take its path with it while others on that path are answered.

--- a/packages/decisions/CrashEvidence.h
+++ b/packages/decisions/CrashEvidence.h
@@ -30,7 +30,7 @@
 
 namespace cumindale {
 
-using Fingerprint = uint64_t; // of a request: method, host, path and body
+using Fingerprint = uint64_t; // of a request: method, host, body, and path with or without its query
 
 // The requests that were at a server when it went away.
 struct ServerCrash {
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -317,7 +317,7 @@
     const ErrorKind fault = prepare(job);
     if (fault != ErrorKind::None)
         co_return refuse(job, fault);
-    if (m_crashes.quarantinesAny() && m_crashes.quarantined(fingerprintOf(job)))
+    if (quarantined(job))
         co_return refuse(job, ErrorKind::Quarantined);
     CallerResponse response = co_await run(job);
     const int64_t total = m_clock.monotonicMicros() - job.arrivedMicros;
@@ -353,7 +353,7 @@
     if (job.maybeRan && !job.route->idempotent())
         return false;
     // The server that went away with it may not have gone by chance: the next one is not put at risk.
-    if (job.sends && m_crashes.suspectsAny() && m_crashes.suspect(fingerprintOf(job)))
+    if (job.sends && suspect(job))
         return false;
     // Waiting for an owner, or for a connection, is no send: only what reached for a server spends the budget.
     if (error == ErrorKind::OwnerChanged)
@@ -597,10 +597,10 @@
     if (error == ErrorKind::ServerRefused && result.response.result_int() == misdirected)
         held->holdsNothingUntil = endedAt + refusesAgainFor;
     if (worked) {
-        const Fingerprint fingerprint = fingerprintOf(job);
-        if (m_crashes.suspect(fingerprint))
+        if (suspect(job))
             logRequest(job, "suspect-answered", error, id);
-        m_crashes.answered(fingerprint, endedAt);
+        for (const Fingerprint fingerprint : fingerprintsOf(job))
+            m_crashes.answered(fingerprint, endedAt);
     } else {
         noteLostSend(job, held, error);
         if (answerFor(error).ran != Ran::No) {
@@ -635,12 +635,40 @@
 // --- Requests that crash servers
 
 // Of what is the same each time that it comes: not its id, the time that is left, nor the caller's address, which
-// changes with the proxy or the connection that it comes through.
-Fingerprint Gateway::fingerprintOf(const Job& job) const
+// changes with the proxy or the connection that it comes through. What crashes servers may lie in the path alone,
+// whatever the query says, or in both.
+std::vector<Fingerprint> Gateway::fingerprintsOf(const Job& job) const
 {
     const CallerRequest& request = job.request;
     const uint64_t seed = hashOf(0, { m_options.settings.fingerprintKey });
-    return hashOf(seed, { request.method_string(), request[http::field::host], request.target(), request.body() });
+    const uint64_t rest = hashOf(seed, { request.method_string(), request[http::field::host], request.body() });
+    std::vector<Fingerprint> fingerprints { hashOf(rest, { request.target() }) };
+    const std::string_view path = pathOf(request.target());
+    if (path.size() < request.target().size())
+        fingerprints.push_back(hashOf(rest, { path }));
+    return fingerprints;
+}
+
+Fingerprint Gateway::fingerprintToTell(const Job& job) const
+{
+    const auto fingerprints = fingerprintsOf(job);
+    const auto quarantined = std::find_if(
+        fingerprints.begin(), fingerprints.end(), [&](Fingerprint request) { return m_crashes.quarantined(request); });
+    return quarantined == fingerprints.end() ? fingerprints.front() : *quarantined;
+}
+
+bool Gateway::quarantined(const Job& job) const
+{
+    return m_crashes.quarantinesAny() && m_crashes.quarantined(fingerprintToTell(job));
+}
+
+bool Gateway::suspect(const Job& job) const
+{
+    if (!m_crashes.suspectsAny())
+        return false;
+    const auto fingerprints = fingerprintsOf(job);
+    return std::any_of(
+        fingerprints.begin(), fingerprints.end(), [&](Fingerprint request) { return m_crashes.suspect(request); });
 }
 
 void Gateway::noteLostSend(const Job& job, const std::shared_ptr<Upstream>& server, ErrorKind error)
@@ -650,7 +678,8 @@
     if (!mayHaveCrashedServer(error) || endedHere || server->leaving())
         return;
     const Instant now = m_clock.now();
-    m_crashes.sendLost(server->entry.id, fingerprintOf(job), now);
+    for (const Fingerprint fingerprint : fingerprintsOf(job))
+        m_crashes.sendLost(server->entry.id, fingerprint, now);
     // Some servers reset connections while they are full. There each look would be one connection more that takes a
     // place, and make more of them; a crash is seen the first time.
     constexpr Millis lookAgainAfter { 5'000 };
@@ -824,7 +853,7 @@
     line["rules"] = job.rules ? job.rules->version : 0;
     line["edition"] = table == m_tables.end() ? 0 : table->second->edition.edition;
     if (error == ErrorKind::Quarantined || mayHaveCrashedServer(error))
-        line["fingerprint"] = fingerprintText(fingerprintOf(job));
+        line["fingerprint"] = fingerprintText(fingerprintToTell(job));
     line["leftOut"] = std::exchange(m_linesLeftOut, 0);
     logChange(LogLevel::Info, event, std::move(line));
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -68,7 +68,10 @@
     Located locateKey(const Job&);
     Located choose(const Job&);
     Located chooseUnready(const Job&); // all servers are warming up or rest
-    Fingerprint fingerprintOf(const Job&) const;
+    std::vector<Fingerprint> fingerprintsOf(const Job&) const; // of the whole request first
+    Fingerprint fingerprintToTell(const Job&) const; // the quarantined one, if one is
+    bool quarantined(const Job&) const;
+    bool suspect(const Job&) const; // not to be sent a second time
     void noteLostSend(const Job&, const std::shared_ptr<Upstream>&, ErrorKind);
     void noteGone(const Upstream&, std::string_view why); // the requests that were there may have crashed it
     boost::asio::awaitable<void> lookAfter(std::shared_ptr<Upstream>); // whether it still takes connections
