--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -525,11 +525,11 @@
         co_return ErrorKind::ServerUnreachable;
     }
     // The wait for a slot or a connection may have outlived the table, the server or the caller.
-    const bool moved = job.keyed ? locate(job).server != server
-                                 : server->withdrawn() || server->wantsRest(m_clock.now()) || server->ended
-            || !m_servers.count(server->entry.id);
-    const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
     const Instant connectedAt = m_clock.now();
+    const bool closed
+        = server->withdrawn() || server->wantsRest(connectedAt) || server->ended || !m_servers.count(server->entry.id);
+    const bool moved = job.keyed ? locate(job).server != server : closed;
+    const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
     const bool late = connectedAt + leastTime >= job.deadline;
     // One that started anew holds no keys, and refuses them until its entry is known.
     const bool startedAnew = !job.keyed && !server->connected(connectedAt);
@@ -735,7 +735,8 @@
         server.sayLeaving(now);
         m_metrics.counter("servers_saying_they_leave").add();
         logChange(LogLevel::Info, "server-says-leaving", { { "server", id }, { "request", job.id } });
-        reportEarly();
+        if (!server.entry.leaving)
+            reportEarly();
     }
     if (notice.rest > Millis(0)) {
         const bool known = server.wantsRest(now);
