--- a/packages/decisions/CrashEvidence.cpp
+++ b/packages/decisions/CrashEvidence.cpp
@@ -10,9 +10,10 @@
     // One crash may be chance and two may be a hot key; a request alone was at three servers that went away, and was
     // never answered.
     constexpr size_t crashesUntilQuarantine = 3;
-    // Hosts that are told of a suspect say so if a server has answered it. Reports of several crashes may come at once,
-    // of a host that was cut off.
-    constexpr Millis hostsAnswerWithin { 1'000 };
+    // Hosts that are told of a suspect say so if a server has answered it: that takes two reports of each and their
+    // way. Where hosts report seldom it is cut short, as servers crash meanwhile.
+    constexpr double reportsUntilAnswer = 2.4;
+    constexpr Millis longestAnswer { 1'000 };
     // A server that falls silent is known to have gone when its entry lapses or its next incarnation registers.
     constexpr Millis goneWithin { 6'000 };
     constexpr Millis remembered { 60'000 }; // of a suspect since its last crash: callers come again within seconds
@@ -182,13 +183,19 @@
     }
 }
 
+Millis CrashLedger::hostsAnswerWithin() const
+{
+    const auto needed = std::chrono::duration_cast<Millis>(m_reportInterval * reportsUntilAnswer);
+    return std::min(needed, longestAnswer);
+}
+
 void CrashLedger::quarantineProven(Instant now)
 {
     const auto near = m_nearQuarantine; // a copy: what is proven leaves it
     for (const Fingerprint request : near) {
         const Suspect& suspect = m_suspects.at(request);
         const auto crashes = static_cast<unsigned>(suspect.servers.size());
-        if (crashes < crashesUntilQuarantine || now - suspect.nearSince < hostsAnswerWithin)
+        if (crashes < crashesUntilQuarantine || now - suspect.nearSince < hostsAnswerWithin())
             continue;
         forget(request);
         restore({ request, crashes, now, now + quarantineLasts });
--- a/packages/decisions/CrashEvidence.h
+++ b/packages/decisions/CrashEvidence.h
@@ -108,6 +108,8 @@
 
 class CrashLedger {
 public:
+    void setReportInterval(Millis interval) { m_reportInterval = interval; } // of each host
+
     // --- From reports
     void crashed(const ServerCrash&, Instant now);
     void answered(Fingerprint); // it is innocent, or the servers have been mended
@@ -132,11 +134,13 @@
         Instant nearSince {}; // hosts are told of it
     };
 
+    Millis hostsAnswerWithin() const; // that a suspect was answered; reports of several crashes may come at once
     void forgetOld(Instant now);
     void forget(Fingerprint); // a suspect
     void quarantineProven(Instant now);
     void note(CrashEvent);
 
+    Millis m_reportInterval { 250 };
     std::map<Fingerprint, Suspect> m_suspects;
     std::set<Fingerprint> m_nearQuarantine; // of these
     Instant m_forgotAt {};
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -681,6 +681,7 @@
 void Coordinator::takeCrashes(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
 {
     const uint64_t before = m_crashes.edition();
+    m_crashes.setReportInterval(reportInterval());
     for (const auto& crash : report.crashes)
         m_crashes.crashed({ crash.server, { crash.requests.begin(), crash.requests.end() } }, now);
     for (const int64_t request : report.answered)
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -24,6 +24,7 @@
     size_t hosts = 58;
     Millis reportEvery { 250 };
     size_t badRequests = 1;
+    Millis badPause { 300 }; // at least, between two comings of a bad request; five times as long at most
     bool loseCoordinator = false;
     bool cutHosts = false;
     bool otherCrashes = true; // servers flap, and a third of them loses power once
@@ -71,6 +72,7 @@
         , m_cutUntil(load.hosts)
         , m_toReport(load.hosts)
     {
+        m_ledger.setReportInterval(load.reportEvery);
         for (size_t i = 0; i < servers; ++i)
             m_servers.push_back({ "s" + std::to_string(i) });
         for (size_t i = 0; i < load.badRequests; ++i)
@@ -185,7 +187,7 @@
     {
         if (m_now < bad.next)
             return;
-        bad.next = m_now + Millis(300 + below(1'200));
+        bad.next = m_now + m_load.badPause + Millis(below(static_cast<int>(4 * m_load.badPause.count())));
         const size_t host = pickHost();
         Server& server = anyServer();
         if (!send(bad.request, host, server, false))
@@ -266,26 +268,50 @@
 
 }
 
+namespace {
+
+void checkThatBadRequestsAreStopped(Load load, unsigned histories)
+{
+    constexpr size_t mostRetries = 3;
+    load.badRequests = 2;
+    const Outcome outcome = playMany(load, histories);
+    MESSAGE(load.hosts << " hosts: " << static_cast<double>(outcome.crashes) / histories
+                       << " crashes by two requests, at most " << outcome.lateRetries << " late retries");
+    CHECK(outcome.quarantined);
+    CHECK(outcome.lateRetries <= mostRetries);
+    CHECK(outcome.innocentsRefused == 0);
+}
+
+constexpr Millis sixTimesASecond { 55 }; // a pause of this to five times as long
+
+}
+
 // What callers saw: for minutes one server after the other fell over with everything that ran there. One caller asked
 // for something that crashed whoever began with it, and asked again each second; every host sent it on.
 TEST_CASE("a request that crashes servers is refused everywhere three seconds after the third crash")
 {
-    constexpr unsigned histories = 60;
-    constexpr size_t mostRetries = 3;
     for (const auto& [hosts, every] : { std::pair<size_t, int>(4, 250), { 58, 250 }, { 300, 940 } }) {
         Load load;
         load.hosts = hosts;
         load.reportEvery = Millis(every);
-        load.badRequests = 2;
         SUBCASE("as a rule") { }
         SUBCASE("while the coordinator is lost") { load.loseCoordinator = true; }
         SUBCASE("while hosts are cut off and come back") { load.cutHosts = true; }
-        const Outcome outcome = playMany(load, histories);
-        MESSAGE(hosts << " hosts: " << static_cast<double>(outcome.crashes) / histories
-                      << " crashes by two requests, at most " << outcome.lateRetries << " late retries");
-        CHECK(outcome.quarantined);
-        CHECK(outcome.lateRetries <= mostRetries);
-        CHECK(outcome.innocentsRefused == 0);
+        SUBCASE("six times a second") { load.badPause = sixTimesASecond; }
+        checkThatBadRequestsAreStopped(load, 60);
+    }
+}
+
+// Guards against a new coordinator that takes so long to weigh what it is told that many more servers crash.
+TEST_CASE("a request that comes six times a second is stopped in time also while the coordinator is lost")
+{
+    for (const auto& [hosts, every] : { std::pair<size_t, int>(4, 250), { 58, 250 }, { 300, 940 } }) {
+        Load load;
+        load.hosts = hosts;
+        load.reportEvery = Millis(every);
+        load.badPause = sixTimesASecond;
+        load.loseCoordinator = true;
+        checkThatBadRequestsAreStopped(load, 600);
     }
 }
 
