--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -654,7 +654,7 @@
 
 std::shared_ptr<const GrantPlan::Servers> Coordinator::servers()
 {
-    const auto registered = m_view.servers();
+    auto registered = m_view.servers();
     std::erase_if(m_sayLeaving, [&](const std::string& id) {
         const auto server = registered->find(id);
         return server == registered->end() || server->second.leaving;
