Logs tell when a server names a limit, changes it, or names none any more

What callers saw: nothing yet; a server in need got four times what it had asked for. Cause: not known at this point. Change: ServerNotice reads the limit (decimals; of several values the lowest; one that can't be read leaves the one before as it was); server-names-limit and server-limit-ended tell its changes, within the bound on lines about requests; server_limits_named counts the answers. Nothing else uses it yet.

--- a/packages/decisions/ServerNotice.cpp
+++ b/packages/decisions/ServerNotice.cpp
@@ -1,5 +1,6 @@
 #include "decisions/ServerNotice.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -26,28 +27,53 @@
         notice.odd |= !notice.leaves && !text.empty() && text != "0";
     }
 
+    // Finite and not below 0.
+    std::optional<double> numberIn(std::string_view text)
+    {
+        double number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        const bool whole = error == std::errc() && end == text.data() + text.size();
+        if (!whole || !std::isfinite(number) || number < 0)
+            return std::nullopt;
+        return number;
+    }
+
     void readRest(std::string_view text, ServerNotice& notice)
     {
         if (text.empty())
             return;
-        double seconds = 0;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-        const bool number = error == std::errc() && end == text.data() + text.size() && std::isfinite(seconds);
-        if (!number || seconds < 0 || seconds > longestRestSeconds) {
+        const auto seconds = numberIn(text);
+        if (!seconds || *seconds > longestRestSeconds) {
             notice.odd = true;
             return;
         }
-        notice.rest = Millis(static_cast<int64_t>(std::ceil(seconds * 1000)));
+        notice.rest = Millis(static_cast<int64_t>(std::ceil(*seconds * 1000)));
+    }
+
+    void readLimit(std::string_view text, ServerNotice& notice)
+    {
+        if (text.empty())
+            return;
+        for (size_t from = 0; from <= text.size();) {
+            const size_t comma = std::min(text.find(',', from), text.size());
+            const auto perSecond = numberIn(trimmed(text.substr(from, comma - from)));
+            notice.odd |= !perSecond;
+            if (perSecond && (!notice.limit || *perSecond < *notice.limit))
+                notice.limit = perSecond;
+            from = comma + 1;
+        }
+        notice.limitUnclear = !notice.limit;
     }
 
 }
 
-ServerNotice noticeIn(unsigned status, std::string_view leaving, std::string_view retryAfter)
+ServerNotice noticeIn(unsigned status, std::string_view leaving, std::string_view retryAfter, std::string_view limit)
 {
     ServerNotice notice;
     readLeaving(trimmed(leaving), notice);
     if (status == serviceUnavailable)
         readRest(trimmed(retryAfter), notice);
+    readLimit(trimmed(limit), notice);
     return notice;
 }
 
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -74,6 +74,15 @@
         return error == ErrorKind::ConnectionLost || error == ErrorKind::DeadlineAfterSend;
     }
 
+    std::string joinedValues(const BackendResponse& answer, std::string_view name)
+    {
+        std::string joined;
+        const auto [first, last] = answer.equal_range(name);
+        for (auto field = first; field != last; ++field)
+            joined.append(joined.empty() ? "" : ",").append(field->value());
+        return joined;
+    }
+
     std::string_view hostOf(std::string_view header) { return header.substr(0, header.find(':')); }
 
     uint64_t numberIn(std::string_view text, uint64_t otherwise)
@@ -727,8 +736,9 @@
 
 void Gateway::takeNotice(const Job& job, Upstream& server, const BackendResponse& answer)
 {
+    const std::string limit = joinedValues(answer, m_names.limit);
     const ServerNotice notice
-        = noticeIn(answer.result_int(), answer[m_names.leaving], answer[http::field::retry_after]);
+        = noticeIn(answer.result_int(), answer[m_names.leaving], answer[http::field::retry_after], limit);
     const Instant now = m_clock.now();
     const std::string& id = server.entry.id;
     if (notice.leaves && !server.saysLeaving()) {
@@ -749,7 +759,23 @@
     if (notice.odd && !std::exchange(server.noticeIsOdd, true))
         logChange(LogLevel::Warning, "server-notice-odd",
             { { "server", id }, { "request", job.id }, { "leaving", answer[m_names.leaving] },
-                { "retryAfter", answer[http::field::retry_after] } });
+                { "retryAfter", answer[http::field::retry_after] }, { "limit", limit } });
+    if (!notice.limitUnclear && notice.limit != server.namedLimit)
+        noteLimit(job, server, notice.limit);
+}
+
+void Gateway::noteLimit(const Job& job, Upstream& server, std::optional<double> limit)
+{
+    server.namedLimit = limit;
+    m_metrics.counter("server_limits_named").add(limit.has_value());
+    if (!mayLog())
+        return;
+    const std::string& id = server.entry.id;
+    if (limit)
+        logChange(
+            LogLevel::Info, "server-names-limit", { { "server", id }, { "request", job.id }, { "perSecond", *limit } });
+    else
+        logChange(LogLevel::Info, "server-limit-ended", { { "server", id }, { "request", job.id } });
 }
 
 bool Gateway::answeredByAnother(const ExchangeResult& result, std::string_view server) const
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -81,6 +81,7 @@
     boost::asio::awaitable<ErrorKind> tryOnce(Job&, CallerResponse&);
     boost::asio::awaitable<ErrorKind> exchange(Job&, Upstream&, ConnectionPointer, CallerResponse&);
     void takeNotice(const Job&, Upstream&, const BackendResponse&); // what a server says of itself in an answer
+    void noteLimit(const Job&, Upstream&, std::optional<double>); // nothing: it names none any more
     bool answeredByAnother(const ExchangeResult&, std::string_view server) const;
     ErrorKind judge(const Job&, const ExchangeResult&) const; // what the server's answer means for the request
     bool mayTryAgain(Job&, ErrorKind);
--- a/packages/gateway/PlatformAdapter.h
+++ b/packages/gateway/PlatformAdapter.h
@@ -26,6 +26,7 @@
     std::string server; // on answers: the server's name
     std::string key; // number of the request's key, in decimals
     std::string leaving; // on answers: "1" if the server is about to leave
+    std::string limit; // on answers: requests a second that the server takes from all hosts together, in decimals
 };
 
 // Which item of the store an entry is.
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -39,6 +39,7 @@
     bool wantsRest(Instant now) const { return now < m_restUntil; } // it gets no request
     Instant restUntil() const { return m_restUntil; }
     bool noticeIsOdd = false; // told in the log once
+    std::optional<double> namedLimit; // requests a second, from all hosts together
 
     // --- Warming up
     bool warmingUp(Instant now) const { return m_warmUp.perSecond > 0 && now < warmAt(); }
--- a/tests/server_notice_test.cpp
+++ b/tests/server_notice_test.cpp
@@ -24,6 +24,29 @@
     CHECK_FALSE(noticeIn(500, "", "soon").any());
 }
 
+// Guards against a limit that is not read, or read as a higher one.
+TEST_CASE("a server names how many requests a second it takes")
+{
+    CHECK(noticeIn(200, "", "", "1.6").limit == 1.6);
+    CHECK(noticeIn(503, "1", "3", " 25 ").limit == 25);
+    CHECK(noticeIn(200, "", "", "0").limit == 0);
+    CHECK(noticeIn(200, "", "", "1e9").limit == 1e9);
+    CHECK(noticeIn(200, "", "", "4, 2.5,3").limit == 2.5);
+    CHECK_FALSE(noticeIn(200, "", "").limit);
+    CHECK_FALSE(noticeIn(200, "", "").limitUnclear);
+    const ServerNotice partly = noticeIn(200, "", "", "few,2");
+    CHECK(partly.limit == 2);
+    CHECK(partly.odd);
+    CHECK_FALSE(partly.limitUnclear);
+    for (const auto* odd : { "-1", "few", "nan", "inf", "1e400", "2/s", "," }) {
+        CAPTURE(odd);
+        const ServerNotice notice = noticeIn(200, "", "", odd);
+        CHECK(notice.odd);
+        CHECK(notice.limitUnclear);
+        CHECK_FALSE(notice.limit);
+    }
+}
+
 // Guards against a value that nobody understands and that takes a server out of service.
 TEST_CASE("odd values count as not said, and don't hide the other part")
 {
