Servers without keys get what they take by permits, too, and turns are for hosts that are alone

What callers saw: with many hosts and one server without keys, most requests were refused although its limit left room, and for seconds after it had stopped naming one. Cause: each host sent in turns of its own. Of 58 hosts each has one of half a second in 48 s; hardly a turn meets a request, and without requests nobody hears that the limit is over. Change: permits for these as well. Where others can do the work, a host gets one ahead with a report's answer if nobody waits; where none can, requests wait for one as for keys. Turns stay for hosts that no coordinator answers. Left: with 58 hosts and 20 requests a second in all, a limited server beside an idle one got none in 5 s; what it would take comes too seldom to a host that has a permit. Nobody is refused for it.

--- a/packages/decisions/RateLimit.h
+++ b/packages/decisions/RateLimit.h
@@ -4,10 +4,10 @@
 // host. So the sum over all hosts is what counts:
 //
 // - RateWord, on each host: what this host knows of a server's limit, by its own answers and by the coordinator.
-// - RateLedger, at the coordinator: the newest word of each server, and a token bucket for each limit. Requests for a
-//   server that holds keys go there only with its permits.
-// - RateTurns, on each host: for servers without keys, where others can do the work, and while no coordinator answers.
-//   Each host sends in turns of its own; that keeps the sum, but not every turn meets a request.
+// - RateLedger, at the coordinator: the newest word of each server, and a token bucket for each limit. Requests go to
+//   such a server only with its permits.
+// - RateTurns, on each host, while no coordinator answers: each host sends in turns of its own. That keeps the sum, but
+//   not every turn meets a request.
 //
 // Load pattern: a server that is asked for ten requests a second names a limit of two; 8, 58 or 300 hosts, of which
 // each has a request for it now and then.
@@ -27,8 +27,8 @@
 
 using PerSecond = double; // requests, from all hosts together
 
-// Of a limit for keys, what all hosts together may take in turns of their own: they may be cut off from a coordinator that
-// gives the whole to the others.
+// Of a limit, what all hosts together may take in turns of their own: they may be cut off from a coordinator that gives
+// the whole to the others.
 constexpr double usedWithoutCoordinator = 0.5;
 
 // Below, a limit counts as so much: an answer now and then must tell whether the server still names it.
@@ -97,7 +97,7 @@
     uint64_t edition() const { return m_edition; } // of what hosts must know; it grows with each change that matters
     // Of `wanted` requests for a limited server those that may be sent now.
     unsigned takePermits(std::string_view server, unsigned wanted, Instant now);
-    bool hasSpare(std::string_view server, Instant now) const; // permits that nobody asked for lately
+    bool hasSpare(std::string_view server, Instant now) const; // permits that nobody asked for lately, some at least
     // Between two permits for one of so many hosts.
     Millis permitPause(std::string_view server, size_t hosts) const;
 
--- a/packages/decisions/SlotQueue.h
+++ b/packages/decisions/SlotQueue.h
@@ -35,6 +35,7 @@
     // Instead of a limit: so many starts are allowed, and more may be in about `pause` each. Nothing: the limit counts.
     // What it lets go for that is told by takeShed().
     virtual void setPermits(std::optional<unsigned>, Millis, Instant) { }
+    virtual unsigned permits() const { return 0; } // left of these
     virtual unsigned limit() const = 0;
     virtual unsigned inFlight() const = 0;
     virtual size_t queued() const = 0;
--- a/packages/decisions/SlotShares.cpp
+++ b/packages/decisions/SlotShares.cpp
@@ -124,12 +124,11 @@
 unsigned SlotDemand::permitsWanted(std::string_view host, unsigned slots, unsigned ahead, Instant now)
 {
     const auto found = m_hosts.find(host);
-    if (found == m_hosts.end())
-        return 0;
+    const unsigned waiting = found == m_hosts.end() ? 0 : found->second.waitingNow;
     const auto total = static_cast<unsigned>(std::lround(m_options.perSlot * slots));
     const unsigned there = totals(now).present;
     const unsigned room = total > there ? total - there : 0;
-    return std::min(room, found->second.waitingNow + ahead);
+    return std::min(room, waiting + ahead);
 }
 
 void SlotDemand::givePermits(std::string_view host, unsigned permits)
--- a/packages/decisions/ValueQueue.h
+++ b/packages/decisions/ValueQueue.h
@@ -41,6 +41,7 @@
 
     void setLimit(double) override;
     void setPermits(std::optional<unsigned>, Millis pause, Instant now) override;
+    unsigned permits() const override { return m_permits.value_or(0); }
     unsigned limit() const override { return m_limit; }
     unsigned inFlight() const override { return m_inFlight; }
     size_t queued() const override { return m_waiting.size(); }
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -762,6 +762,23 @@
         advice.shares.push_back(std::move(*share));
     }
     tellCrowded(crowded);
+    giveSparePermits(report, now, advice);
+}
+
+// For servers without keys: a host has nothing there as long as others can do its work.
+void Coordinator::giveSparePermits(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
+{
+    const auto servers = m_view.servers();
+    for (const auto& [id, limit] : m_shares.rates().limits()) {
+        const auto known = servers->find(id);
+        const bool named = std::any_of(report.servers.begin(), report.servers.end(),
+            [&wanted = id](const wire::ServerUse& use) { return use.server == wanted; });
+        if (known == servers->end() || named || m_plans.count(known->second.service))
+            continue;
+        auto share = m_shares.shareFor(report.sender, id, known->second.slots, false, now);
+        if (share && share->permits)
+            advice.shares.push_back(std::move(*share));
+    }
 }
 
 void Coordinator::tellCrowded(std::span<const std::string> servers)
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -118,6 +118,7 @@
     void takeRates(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void takeCrashes(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void takeUses(const wire::HostReport&, Instant now, wire::HostAdvice&);
+    void giveSparePermits(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void tellCrowded(std::span<const std::string>);
     void expectCrowds(std::span<const BalanceMove>, const KeyLoad&);
     boost::asio::awaitable<void> write(Writing, int64_t term);
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -440,7 +440,7 @@
         const auto& admission = server->pool.admission();
         ServerCandidate candidate;
         candidate.usable = !server->withdrawn() && !server->ended && !server->warmingUp(now) && !server->wantsRest(now)
-            && !server->awaitsTurn(now)
+            && !server->isAtLimit(now)
             && std::find(job.tried.begin(), job.tried.end(), server->entry.id) == job.tried.end();
         candidate.resting = server->failing(now) || server->entry.unconfirmed;
         candidate.sameCentre = server->entry.dataCentre == m_options.dataCentre;
@@ -534,7 +534,7 @@
     server->applyLimit(asked);
     job.share = server->pool.admission().limit();
     job.crowded = server->needsPermit(asked);
-    if (job.crowded)
+    if (job.crowded && (server->crowded(asked) || !server->hasPermit()))
         reportEarly();
     const SlotRequest slot { 0, job.priority, job.route->priority, job.arrived, job.target, job.deadline };
     const auto admitted = co_await server->pool.admit(slot);
@@ -615,7 +615,7 @@
     held->count(endedAt);
     const bool worked = error == ErrorKind::None;
     held->pool.release(job.priority, worked ? took : Millis(0));
-    if (held->needsPermit(endedAt))
+    if (held->crowded(endedAt))
         reportEarly();
     if (worked) {
         held->answered();
--- a/packages/gateway/ServerShares.cpp
+++ b/packages/gateway/ServerShares.cpp
@@ -92,16 +92,18 @@
     State& state = stateOf(server);
     wire::ServerShare share;
     share.server = server;
-    if (keyed && m_rates.limited(server)) {
-        share.crowded = true;
-        // Where the limit leaves room, what comes next need not wait for a report.
-        const unsigned ahead
-            = m_rates.hasSpare(server, now) ? state.demand.expectedRequests(host, workOrUsual(state), now) : 0;
+    if (m_rates.limited(server)) {
+        const unsigned waiting = state.demand.waitingHosts(now);
+        unsigned ahead = !keyed && !waiting;
+        if (m_rates.hasSpare(server, now))
+            ahead = std::max(ahead, state.demand.expectedRequests(host, workOrUsual(state), now));
         const unsigned wanted = state.demand.permitsWanted(host, slots, ahead, now);
-        share.permits = static_cast<int32_t>(m_rates.takePermits(server, wanted, now));
-        state.demand.givePermits(host, static_cast<unsigned>(share.permits));
-        const Millis pause = std::max(state.demand.permitPause(slots, workOrUsual(state), now),
-            m_rates.permitPause(server, state.demand.waitingHosts(now)));
+        const unsigned permits = m_rates.takePermits(server, wanted, now);
+        state.demand.givePermits(host, permits);
+        const Millis pause
+            = std::max(state.demand.permitPause(slots, workOrUsual(state), now), m_rates.permitPause(server, waiting));
+        share.crowded = true;
+        share.permits = static_cast<int32_t>(permits);
         share.pauseMillis = static_cast<int32_t>(pause.count());
         return share;
     }
--- a/packages/gateway/ServerShares.h
+++ b/packages/gateway/ServerShares.h
@@ -28,7 +28,8 @@
     void clear();
 
     // --- Answers
-    // Nothing: it has room. `keyed`: it holds keys, so that what it can't take can't go elsewhere.
+    // Nothing: it has room. `keyed`: it holds keys, so that requests wait for it; without keys others do the work, and
+    // it gets something only if permits come before the requests.
     std::optional<wire::ServerShare> shareFor(
         const std::string& host, const std::string& server, unsigned slots, bool keyed, Instant now);
     double workMillis(const std::string& server) const; // mean over hosts and time; 0: not known
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -49,10 +49,8 @@
         evacuatedSince = now;
     const bool wasOpen = !withdrawn() && !warmingUp(now);
     entry = registered;
-    if (service) {
+    if (service)
         m_warmUp = service->warmUp;
-        m_keyed = service->keyed;
-    }
     if (wasOpen && (withdrawn() || warmingUp(now)))
         pool.evictQueue(); // what waits here looks for another server, or for the keys' next owner
     pool.update(resourceOf(registered, service), hosts);
@@ -104,11 +102,6 @@
         dropPermits(now);
 }
 
-bool Upstream::needsPermit(Instant now) const
-{
-    return m_limit.crowded(now) || (rateLimit() && m_keyed && !m_rate.isAlone(now));
-}
-
 void Upstream::setPermits(std::optional<unsigned> permits)
 {
     m_hasPermits = permits.has_value();
@@ -161,7 +154,7 @@
 void Upstream::applyRate(Instant now)
 {
     if (rateLimit() && m_sharers)
-        m_turns.set((m_keyed ? usedWithoutCoordinator : 1) * *rateLimit(), m_sharers, now);
+        m_turns.set(usedWithoutCoordinator * *rateLimit(), m_sharers, now);
     applyLimit(now);
 }
 
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -22,8 +22,10 @@
     void advise(const ServerAdvice&, Instant now);
     void dropShare(Instant now); // the answer to a report leaves it out
     void setCrowded(Instant now);
-    // Nothing goes there without the coordinator's permit: it is crowded, or has named a limit for the keys it holds.
-    bool needsPermit(Instant now) const;
+    bool crowded(Instant now) const { return m_limit.crowded(now); }
+    // Nothing goes there without the coordinator's permit: it is crowded, or has named a limit.
+    bool needsPermit(Instant now) const { return crowded(now) || (rateLimit() && !m_rate.isAlone(now)); }
+    bool hasPermit() const { return m_hasPermits && pool.admission().permits() > pool.admission().queued(); }
     void applyLimit(Instant now); // what was told may have lapsed
     void dropPermits(Instant now); // a report says what is there: nothing else starts until it is answered
     Instant nextPermit(Instant now) const; // about
@@ -34,8 +36,10 @@
     void repeatRate() { m_rate.repeatToNewCoordinator(); }
     std::optional<PerSecond> rateLimit() const { return m_rate.limit(); }
     std::optional<RateWord::Said> rateToReport(Instant now) const { return m_rate.toReport(now); }
-    // Without keys, or without a coordinator, this host sends in turns of its own.
+    // Without a coordinator this host sends in turns of its own.
     bool awaitsTurn(Instant now) const { return takesTurns(now) && nextTurn(now) > now; }
+    // Neither a permit nor a turn is there, because of the limit.
+    bool isAtLimit(Instant now) const { return rateLimit() && (takesTurns(now) ? nextTurn(now) > now : !hasPermit()); }
     Instant nextTurn(Instant now) const { return m_sharers ? m_turns.next(now) : Instant::max(); }
     void takeTurn(Instant now);
 
@@ -88,7 +92,7 @@
     Instant holdsNothingUntil {};
 
 private:
-    bool takesTurns(Instant now) const { return rateLimit() && (!m_keyed || m_rate.isAlone(now)); }
+    bool takesTurns(Instant now) const { return rateLimit() && m_rate.isAlone(now); }
     void applyRate(Instant now);
     void setPermits(std::optional<unsigned>);
 
@@ -98,7 +102,6 @@
     Instant m_nextWarmUpTurn {};
     bool m_connectFailed = false; // the last time
     Instant m_heldOffUntil {};
-    bool m_keyed = false;
     ServerLimit m_limit;
     bool m_hasPermits = false; // requests start by permits, if only by none
     Millis m_permitPause { 0 };
--- a/tests/rate_limit_test.cpp
+++ b/tests/rate_limit_test.cpp
@@ -31,6 +31,7 @@
     bool keyed = true; // only this server can run them
     Millis reportEvery { 250 };
     bool loseCoordinator = false;
+    Millis silence { 2'500 }; // then
     bool cutHosts = false; // from the coordinator, now and then
     size_t joining = 0; // hosts, from the middle on
 };
@@ -66,7 +67,7 @@
             }
             if (m_now >= lost && m_now < lost + step) {
                 m_ledger.clear();
-                m_silentUntil = m_now + Millis(2'500);
+                m_silentUntil = m_now + m_load.silence;
                 m_newCoordinator = true;
             }
             answer();
@@ -123,7 +124,7 @@
     void setTurns(Host& host)
     {
         if (host.word.limit())
-            host.turns.set((m_load.keyed ? usedWithoutCoordinator : 1) * *host.word.limit(), m_hosts.size(), m_now);
+            host.turns.set(usedWithoutCoordinator * *host.word.limit(), m_hosts.size(), m_now);
     }
 
     void ask()
@@ -158,7 +159,7 @@
             host.waiting.clear(); // another server has them, or they are refused
     }
 
-    bool needsPermit(const Host& host) const { return m_load.keyed && host.word.limit() && !host.word.isAlone(m_now); }
+    bool needsPermit(const Host& host) const { return host.word.limit() && !host.word.isAlone(m_now); }
 
     bool maySend(Host& host)
     {
@@ -184,7 +185,7 @@
             m_ledger.said(server, said->limit, said->at, m_now);
         host.word.told(m_ledger.limitOf(server), m_now);
         setTurns(host);
-        const unsigned ahead = m_ledger.hasSpare(server, m_now) ? host.sent : 0;
+        const unsigned ahead = std::max<unsigned>(!m_load.keyed, m_ledger.hasSpare(server, m_now) ? host.sent : 0);
         const auto wanted = static_cast<unsigned>(host.waiting.size()) + ahead;
         host.permits = needsPermit(host) ? m_ledger.takePermits(server, wanted, m_now) : 0;
         host.sent = 0;
@@ -292,6 +293,16 @@
     checkSums([](Load& load) { load.keyed = false; });
 }
 
+// Guards against turns that fall together when every host has a request for each.
+TEST_CASE("all hosts together keep to a limit without a coordinator also where there is always a request")
+{
+    checkSums([](Load& load) {
+        load.loseCoordinator = true;
+        load.silence = length;
+        load.asked = 10 * static_cast<double>(load.hosts);
+    });
+}
+
 // Guards against keys that are refused although their server would take more.
 TEST_CASE("what a limited server takes for its keys is used")
 {
