bench-bounds takes the quickest of several short measurements of each figure

What was seen: the test failed once beside other processes (planLoss 8.77 where 8 may), and by hand another ratio (freshnessPerAnswer 67.8, 31.5, 12.8 where 60 may), with code untouched. Cause: each figure was one short measurement; a ratio of two of them has the noise of both, and other processes only ever add time. Bounds are as they were.

--- a/bench/check_bounds.cpp
+++ b/bench/check_bounds.cpp
@@ -2,10 +2,13 @@
 // never absolute times, so that every machine gives the same verdict.
 //
 //     bench-check-bounds RESULT.json BOUNDS.json      exit status 1 if a bound is broken
+#include <algorithm>
 #include <boost/json.hpp>
 #include <fstream>
 #include <iostream>
+#include <limits>
 #include <map>
+#include <optional>
 #include <sstream>
 
 namespace {
@@ -22,15 +25,21 @@
     return json::parse(text.str(), {}, options);
 }
 
-// Figure of one benchmark: its time, or a counter's value as NAME:COUNTER.
+// Figure of one benchmark: its time, or a counter's value as NAME:COUNTER. Of several measurements the least.
 double figure(const json::array& results, const std::string& name)
 {
     const auto colon = name.find(':');
+    std::optional<double> least;
     for (const auto& result : results) {
-        if (result.at("name").as_string() == name.substr(0, colon))
-            return result.at(colon == std::string::npos ? "cpu_time" : name.substr(colon + 1)).to_number<double>();
+        const bool measurement = result.at("run_type").as_string() == "iteration";
+        if (!measurement || result.at("run_name").as_string() != name.substr(0, colon))
+            continue;
+        const auto value = result.at(colon == std::string::npos ? "cpu_time" : name.substr(colon + 1));
+        least = std::min(least.value_or(std::numeric_limits<double>::max()), value.to_number<double>());
     }
-    throw std::runtime_error("no benchmark " + name);
+    if (!least)
+        throw std::runtime_error("no benchmark " + name);
+    return *least;
 }
 
 }
