Suspects and quarantine are told at once, and a crash that is explained accuses nobody else

What callers saw: while the coordinator was lost, a request that crashes servers and comes six times a second crashed up to nine more servers later than three seconds after its third crash, and with 300 hosts innocent requests were refused. Cause: hosts learned of suspects, and of the quarantine, with the answer to their next report only, and told a new coordinator what they knew with the report after that; the wait for hosts to speak for a suspect had to allow for all of it. An innocent request whose caller tries again meets several of the servers that fall over one after the other. Change: the coordinator tells both lists at once, with an edition, as messages and answers overtake each other; hosts that have something to say for a suspect, or crashes for a new coordinator, whose election they learn from the store, report early; hosts repeat to a new coordinator what they answered for a suspect. Crashes at which a quarantined request was count against no other request.

--- a/packages/decisions/CrashEvidence.cpp
+++ b/packages/decisions/CrashEvidence.cpp
@@ -10,10 +10,10 @@
     // One crash may be chance and two may be a hot key; a request alone was at three servers that went away, and was
     // never answered.
     constexpr size_t crashesUntilQuarantine = 3;
-    // Hosts that are told of a suspect say so if a server has answered it: that takes two reports of each and their
-    // way. Where hosts report seldom it is cut short, as servers crash meanwhile.
+    // Hosts are told of a suspect at once, and say so if a server has answered it: early, but some messages get lost
+    // and come with the next report. Where hosts report seldom it is cut short, as servers crash meanwhile.
     constexpr double reportsUntilAnswer = 2.4;
-    constexpr Millis longestAnswer { 1'000 };
+    constexpr Millis longestAnswer { 700 };
     // A server that falls silent is known to have gone when its entry lapses or its next incarnation registers.
     constexpr Millis goneWithin { 6'000 };
     constexpr Millis remembered { 60'000 }; // of a suspect since its last crash: callers come again within seconds
@@ -26,6 +26,7 @@
     constexpr size_t mostSuspects = 4'096; // 200 kB at the coordinator; a data centre's loss makes some thousand
     constexpr size_t mostQuarantined = 256;
     constexpr size_t mostEvents = 256; // not taken yet
+    constexpr size_t mostExplained = 1'024; // servers, the newest
 
 }
 
@@ -124,6 +125,11 @@
         if (!own.crash.requests.empty())
             m_crashes.push_back(own.crash);
     }
+    // What this host had said to its predecessor may not have come to the others.
+    for (const Fingerprint request : m_suspects) {
+        if (m_answeredAt.count(request))
+            m_answered.insert(request);
+    }
 }
 
 bool CrashWatch::suspect(Fingerprint request) const { return m_suspects.count(request) || m_own.count(request); }
@@ -158,14 +164,20 @@
     forgetOld(now);
     for (const Fingerprint request : crash.requests) {
         const auto known = m_quarantined.find(request);
-        if (known != m_quarantined.end()) {
-            // It was on its way when the others learned, or the one try that is allowed: it has not been mended.
-            ++known->second.crashes;
-            if (known->second.until <= now)
-                ++m_edition;
-            known->second.until = now + quarantineLasts;
+        if (known == m_quarantined.end())
+            continue;
+        // It was on its way when the others learned, or the one try that is allowed: it has not been mended.
+        ++known->second.crashes;
+        if (known->second.until <= now)
+            ++m_edition;
+        known->second.until = now + quarantineLasts;
+        explain({ crash.server });
+    }
+    if (m_explained.count(crash.server))
+        return;
+    for (const Fingerprint request : crash.requests) {
+        if (m_quarantined.count(request))
             continue;
-        }
         Suspect& suspect = m_suspects[request];
         suspect.servers.insert(crash.server);
         suspect.last = now;
@@ -189,15 +201,46 @@
     return std::min(needed, longestAnswer);
 }
 
+// What else was at those servers was there by chance: while servers fall over one after the other, a request that is
+// tried again and again meets several of them.
+void CrashLedger::explain(const std::set<std::string, std::less<>>& servers)
+{
+    for (const auto& server : servers) {
+        if (m_explained.insert(server).second)
+            m_explainedInOrder.push_back(server);
+    }
+    while (m_explainedInOrder.size() > mostExplained) {
+        m_explained.erase(m_explainedInOrder.front());
+        m_explainedInOrder.pop_front();
+    }
+    std::vector<Fingerprint> innocent;
+    for (auto& [request, suspect] : m_suspects) {
+        std::erase_if(suspect.servers, [&](const std::string& server) { return servers.count(server) > 0; });
+        if (suspect.servers.size() + 1 < crashesUntilQuarantine)
+            m_nearQuarantine.erase(request);
+        if (suspect.servers.empty())
+            innocent.push_back(request);
+    }
+    for (const Fingerprint request : innocent)
+        forget(request);
+}
+
 void CrashLedger::quarantineProven(Instant now)
 {
-    const auto near = m_nearQuarantine; // a copy: what is proven leaves it
-    for (const Fingerprint request : near) {
-        const Suspect& suspect = m_suspects.at(request);
+    // Those with the most crashes first: they explain the crashes that others have in common with them.
+    std::vector<std::pair<size_t, Fingerprint>> near;
+    for (const Fingerprint request : m_nearQuarantine)
+        near.emplace_back(m_suspects.at(request).servers.size(), request);
+    std::sort(near.rbegin(), near.rend());
+    for (const auto& [size, request] : near) {
+        if (!m_nearQuarantine.count(request))
+            continue;
+        const Suspect suspect = m_suspects.at(request);
         const auto crashes = static_cast<unsigned>(suspect.servers.size());
         if (crashes < crashesUntilQuarantine || now - suspect.nearSince < hostsAnswerWithin())
             continue;
         forget(request);
+        explain(suspect.servers);
         restore({ request, crashes, now, now + quarantineLasts });
         note({ CrashEvent::What::Quarantined, request, crashes });
     }
@@ -258,6 +301,8 @@
     m_suspects.clear();
     m_nearQuarantine.clear();
     m_quarantined.clear();
+    m_explained.clear();
+    m_explainedInOrder.clear();
     m_edition = 0;
     m_events.clear();
 }
--- a/packages/decisions/CrashEvidence.h
+++ b/packages/decisions/CrashEvidence.h
@@ -138,6 +138,7 @@
     void forgetOld(Instant now);
     void forget(Fingerprint); // a suspect
     void quarantineProven(Instant now);
+    void explain(const std::set<std::string, std::less<>>& servers); // a quarantined request was at their crashes
     void note(CrashEvent);
 
     Millis m_reportInterval { 250 };
@@ -145,6 +146,8 @@
     std::set<Fingerprint> m_nearQuarantine; // of these
     Instant m_forgotAt {};
     std::map<Fingerprint, QuarantinedRequest> m_quarantined;
+    std::set<std::string, std::less<>> m_explained; // servers that a quarantined request crashed
+    std::deque<std::string> m_explainedInOrder; // the same, oldest first
     uint64_t m_edition = 0;
     std::vector<CrashEvent> m_events;
 };
--- a/packages/gateway/Announcer.cpp
+++ b/packages/gateway/Announcer.cpp
@@ -113,6 +113,15 @@
     m_news.tell(news);
 }
 
+void Announcer::crashes(int64_t edition, std::vector<int64_t> suspects, std::vector<int64_t> quarantined)
+{
+    wire::News news;
+    news.crashesEdition = edition;
+    news.suspects = std::move(suspects);
+    news.quarantined = std::move(quarantined);
+    m_news.tell(news);
+}
+
 void Announcer::bringUp(const wire::HostReport& report, const Tables& tables, wire::HostAdvice& advice) const
 {
     // Instead of a reading of everything, which takes a small link longer than the next changes take to come.
--- a/packages/gateway/Announcer.h
+++ b/packages/gateway/Announcer.h
@@ -33,6 +33,7 @@
     void changed(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>&, bool inOffice);
     bool hasPublished(const std::string& service, uint64_t edition) const; // it or a later one, in this office
     void publish(const GrantTable&);
+    void crashes(int64_t edition, std::vector<int64_t> suspects, std::vector<int64_t> quarantined);
     void crowded(const std::vector<std::string>& servers); // nothing goes there without a permit from now on
 
     // Adds what follows the change and the tables that the sender knows.
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -105,6 +105,9 @@
     m_sayLeaving.clear();
     m_shares.clear();
     m_crashes.clear();
+    m_crashesEdition = 0;
+    m_suspectsTold.clear();
+    m_quarantinedTold.clear();
     m_hosts.clear();
     m_announcer.endOfOffice();
 }
@@ -145,6 +148,7 @@
         endTerm();
         return;
     }
+    tellCrashes(now, {});
     writeWhatChanged();
     if (now - m_lastBalance >= m_options.balanceEvery)
         balance();
@@ -700,9 +704,7 @@
                     { "reporter", report.sender } });
     }
     rates.forgetAllBut([&](const std::string& server) { return registered->count(server) > 0; });
-    // Those of a later term are higher: a host that knows one of a predecessor's takes the new list.
-    constexpr int64_t editionsOfTerm = 1'000'000;
-    advice.ratesEdition = m_term * editionsOfTerm + static_cast<int64_t>(rates.edition());
+    advice.ratesEdition = editionInTerm(rates.edition());
     if (report.ratesKnown == advice.ratesEdition)
         return;
     for (const auto& [server, limit] : rates.limits()) {
@@ -715,7 +717,6 @@
 
 void Coordinator::takeCrashes(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
 {
-    const uint64_t before = m_crashes.edition();
     m_crashes.setReportInterval(reportInterval());
     for (const auto& crash : report.crashes)
         m_crashes.crashed({ crash.server, { crash.requests.begin(), crash.requests.end() } }, now);
@@ -723,19 +724,39 @@
         m_crashes.answered(static_cast<Fingerprint>(request));
     for (const int64_t request : report.released)
         m_crashes.release(static_cast<Fingerprint>(request));
-    const auto suspects = m_crashes.suspects(now);
-    const auto quarantined = m_crashes.quarantined(now);
-    advice.suspects.assign(suspects.begin(), suspects.end());
-    for (const auto& request : quarantined)
-        advice.quarantined.push_back(static_cast<int64_t>(request.request));
+    tellCrashes(now, report.sender);
+    advice.crashesEdition = editionInTerm(m_crashesEdition);
+    advice.suspects = m_suspectsTold;
+    advice.quarantined = m_quarantinedTold;
+}
+
+int64_t Coordinator::editionInTerm(uint64_t edition) const
+{
+    constexpr int64_t editionsOfTerm = 1'000'000;
+    return m_term * editionsOfTerm + static_cast<int64_t>(edition);
+}
+
+// At once: servers crash with each such request that is on its way.
+void Coordinator::tellCrashes(Instant now, std::string_view reporter)
+{
+    const auto found = m_crashes.suspects(now);
+    std::vector<int64_t> suspects(found.begin(), found.end());
+    std::vector<int64_t> quarantined;
+    for (const auto& request : m_crashes.quarantined(now))
+        quarantined.push_back(static_cast<int64_t>(request.request));
     for (const auto& event : m_crashes.takeEvents())
         logChange(LogLevel::Warning, toString(event.what),
             { { "fingerprint", fingerprintText(event.request) }, { "crashes", event.crashes },
-                { "server", event.server }, { "reporter", report.sender } });
-    if (m_crashes.edition() == before)
+                { "server", event.server }, { "reporter", reporter } });
+    if (m_crashesEdition && suspects == m_suspectsTold && quarantined == m_quarantinedTold)
         return;
-    logChange(LogLevel::Warning, "quarantine-changed",
-        { { "requests", quarantined.size() }, { "suspects", suspects.size() }, { "reporter", report.sender } });
+    if (quarantined != m_quarantinedTold)
+        logChange(LogLevel::Warning, "quarantine-changed",
+            { { "requests", quarantined.size() }, { "suspects", suspects.size() }, { "reporter", reporter } });
+    ++m_crashesEdition;
+    m_suspectsTold = std::move(suspects);
+    m_quarantinedTold = std::move(quarantined);
+    m_announcer.crashes(editionInTerm(m_crashesEdition), m_suspectsTold, m_quarantinedTold);
     m_changed.notifyAll();
 }
 
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -117,6 +117,8 @@
     void takeLeaving(const wire::HostReport&);
     void takeRates(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void takeCrashes(const wire::HostReport&, Instant now, wire::HostAdvice&);
+    void tellCrashes(Instant now, std::string_view reporter); // to all hosts, if there is anything new
+    int64_t editionInTerm(uint64_t edition) const; // higher than any of a former term
     void takeUses(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void giveSparePermits(const wire::HostReport&, Instant now, wire::HostAdvice&);
     void tellCrowded(std::span<const std::string>);
@@ -154,6 +156,9 @@
     ServerShares m_shares;
     CrashLedger m_crashes;
     uint64_t m_quarantineWritten = 0; // its edition
+    uint64_t m_crashesEdition = 0; // of the two lists that follow
+    std::vector<int64_t> m_suspectsTold;
+    std::vector<int64_t> m_quarantinedTold;
     std::map<std::string, HostState, std::less<>> m_hosts;
     Announcer m_announcer;
     bool m_writing = false;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -170,9 +170,13 @@
         const auto innocent = m_crashes.told(update.crashes->suspects, update.crashes->quarantined, m_clock.now());
         for (const Fingerprint request : innocent)
             logChange(LogLevel::Info, "suspect-answered", { { "fingerprint", fingerprintText(request) } });
+        if (!innocent.empty())
+            reportEarly();
     }
     if (update.newCoordinator) {
         m_crashes.repeatToNewCoordinator();
+        if (m_crashes.hasNews())
+            reportEarly();
         for (const auto& [id, server] : m_servers)
             server->repeatRate();
     }
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -159,6 +159,7 @@
         m_link.reset();
     }
     GatewayUpdate update;
+    update.newCoordinator = change.leader && m_view.leader().modRevision != m_reportedTerm;
     if (change.rules)
         update.rules = m_view.rules();
     if (change.servers) {
@@ -167,7 +168,7 @@
     }
     for (const auto& service : change.tables)
         update.tables.push_back(m_view.table(service));
-    if (change.rules || change.servers || !change.tables.empty())
+    if (update.newCoordinator || change.rules || change.servers || !change.tables.empty())
         push(std::move(update));
     if (change.quarantine)
         tellCrashes();
@@ -204,6 +205,8 @@
         update.crowded = news.crowded;
         push(std::move(update));
     }
+    if (news.crashesEdition)
+        takeCrashes(news.crashesEdition, news.suspects, news.quarantined);
     for (const auto& text : news.tables) {
         const auto change = decodeGrantChange(text);
         const auto held = change ? m_view.table(change->service) : nullptr;
@@ -351,13 +354,23 @@
     }
     shares->limits = m_limits;
     m_shares = shares;
-    m_suspects = { advice.suspects.begin(), advice.suspects.end() };
-    m_quarantined = { advice.quarantined.begin(), advice.quarantined.end() };
     m_released.clear();
     GatewayUpdate update;
     update.shares = shares;
     update.newCoordinator = std::exchange(m_reportedTerm, advice.term) != advice.term;
     push(std::move(update));
+    takeCrashes(advice.crashesEdition, advice.suspects, advice.quarantined);
+}
+
+// Messages and answers to reports may overtake each other.
+void GatewayControl::takeCrashes(
+    int64_t edition, std::span<const int64_t> suspects, std::span<const int64_t> quarantined)
+{
+    if (edition < m_crashesEdition)
+        return;
+    m_crashesEdition = edition;
+    m_suspects = { suspects.begin(), suspects.end() };
+    m_quarantined = { quarantined.begin(), quarantined.end() };
     tellCrashes();
 }
 
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -45,6 +45,7 @@
     void takeAdvice(const wire::HostAdvice&, std::span<const std::string> named); // `named`: servers in the report
     unsigned permitsUnseen(const std::string& server) const; // by the routing duty's last figures
     void takeTable(const std::string& text);
+    void takeCrashes(int64_t edition, std::span<const int64_t> suspects, std::span<const int64_t> quarantined);
     void tellCrashes(); // to the routing duty, if they differ from what it knows
     Millis standDelay() const;
 
@@ -75,6 +76,7 @@
     std::shared_ptr<const RateLimits> m_limits; // as the coordinator said last; null: nothing yet
     int64_t m_ratesEdition = 0; // of these
     bool m_isHeldBack = false; // since the last report
+    int64_t m_crashesEdition = 0; // of the two sets that follow
     std::set<Fingerprint> m_suspects; // as the coordinator said last
     std::set<Fingerprint> m_quarantined; // likewise
     std::shared_ptr<const CrashNews> m_crashNews; // as the routing duty knows it; null: nothing yet
--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -22,6 +22,11 @@
         news.items.insert(news.items.end(), more.items.begin(), more.items.end());
         news.tables.insert(news.tables.end(), more.tables.begin(), more.tables.end());
         news.crowded.insert(news.crowded.end(), more.crowded.begin(), more.crowded.end());
+        if (more.crashesEdition > news.crashesEdition) {
+            news.crashesEdition = more.crashesEdition;
+            news.suspects = more.suspects;
+            news.quarantined = more.quarantined;
+        }
         news.forwardTo = more.forwardTo;
     }
 
@@ -34,7 +39,7 @@
             bytes += table.size();
         for (const auto& server : news.crowded)
             bytes += server.size();
-        return bytes;
+        return bytes + (news.suspects.size() + news.quarantined.size()) * sizeof(int64_t);
     }
 
 }
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -80,6 +80,9 @@
     4: list<string> tables // changes of tables, encoded
     5: list<string> forwardTo // "IP:port" of hosts to which the receiver passes the rest on
     6: list<string> crowded // servers to which nothing goes without a permit from now on
+    7: i64 crashesEdition // of the two lists that follow; 0: they are not told
+    8: list<i64> suspects // as in HostAdvice
+    9: list<i64> quarantined // likewise
 }
 
 struct HostAdvice {
@@ -93,6 +96,7 @@
     8: bool standsBy // the host is to follow the store itself, to take over at once
     9: i32 reportMillis // until the next report
     11: i64 storeRevision // of the store: up to it there is no write of others after lastChange
+    16: i64 crashesEdition // of the two lists that follow
     12: list<i64> suspects // fingerprints of requests that were at a server when it went away
     13: list<i64> quarantined // of requests that no host is to send
     14: i64 ratesEdition // of the list of limits in force
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -1657,6 +1657,18 @@
 void News::__set_crowded(const std::vector<std::string> & val) {
   this->crowded = val;
 }
+
+void News::__set_crashesEdition(const int64_t val) {
+  this->crashesEdition = val;
+}
+
+void News::__set_suspects(const std::vector<int64_t> & val) {
+  this->suspects = val;
+}
+
+void News::__set_quarantined(const std::vector<int64_t> & val) {
+  this->quarantined = val;
+}
 std::ostream& operator<<(std::ostream& out, const News& obj)
 {
   obj.printTo(out);
@@ -1781,6 +1793,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->crashesEdition);
+          this->__isset.crashesEdition = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->suspects.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += iprot->readI64(this->suspects[_i94]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantined.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->quarantined.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += iprot->readI64(this->quarantined[_i99]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1809,10 +1869,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItem> ::const_iterator _iter90;
-    for (_iter90 = this->items.begin(); _iter90 != this->items.end(); ++_iter90)
+    std::vector<StoreItem> ::const_iterator _iter100;
+    for (_iter100 = this->items.begin(); _iter100 != this->items.end(); ++_iter100)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1821,10 +1881,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter91;
-    for (_iter91 = this->tables.begin(); _iter91 != this->tables.end(); ++_iter91)
+    std::vector<std::string> ::const_iterator _iter101;
+    for (_iter101 = this->tables.begin(); _iter101 != this->tables.end(); ++_iter101)
     {
-      xfer += oprot->writeString((*_iter91));
+      xfer += oprot->writeString((*_iter101));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1833,10 +1893,10 @@
   xfer += oprot->writeFieldBegin("forwardTo", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forwardTo.size()));
-    std::vector<std::string> ::const_iterator _iter92;
-    for (_iter92 = this->forwardTo.begin(); _iter92 != this->forwardTo.end(); ++_iter92)
+    std::vector<std::string> ::const_iterator _iter102;
+    for (_iter102 = this->forwardTo.begin(); _iter102 != this->forwardTo.end(); ++_iter102)
     {
-      xfer += oprot->writeString((*_iter92));
+      xfer += oprot->writeString((*_iter102));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1845,10 +1905,38 @@
   xfer += oprot->writeFieldBegin("crowded", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crowded.size()));
-    std::vector<std::string> ::const_iterator _iter93;
-    for (_iter93 = this->crowded.begin(); _iter93 != this->crowded.end(); ++_iter93)
+    std::vector<std::string> ::const_iterator _iter103;
+    for (_iter103 = this->crowded.begin(); _iter103 != this->crowded.end(); ++_iter103)
+    {
+      xfer += oprot->writeString((*_iter103));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashesEdition", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->crashesEdition);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<int64_t> ::const_iterator _iter104;
+    for (_iter104 = this->suspects.begin(); _iter104 != this->suspects.end(); ++_iter104)
     {
-      xfer += oprot->writeString((*_iter93));
+      xfer += oprot->writeI64((*_iter104));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
+    std::vector<int64_t> ::const_iterator _iter105;
+    for (_iter105 = this->quarantined.begin(); _iter105 != this->quarantined.end(); ++_iter105)
+    {
+      xfer += oprot->writeI64((*_iter105));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1867,26 +1955,35 @@
   swap(a.tables, b.tables);
   swap(a.forwardTo, b.forwardTo);
   swap(a.crowded, b.crowded);
+  swap(a.crashesEdition, b.crashesEdition);
+  swap(a.suspects, b.suspects);
+  swap(a.quarantined, b.quarantined);
   swap(a.__isset, b.__isset);
 }
 
-News::News(const News& other94) {
-  afterChange = other94.afterChange;
-  lastChange = other94.lastChange;
-  items = other94.items;
-  tables = other94.tables;
-  forwardTo = other94.forwardTo;
-  crowded = other94.crowded;
-  __isset = other94.__isset;
-}
-News& News::operator=(const News& other95) {
-  afterChange = other95.afterChange;
-  lastChange = other95.lastChange;
-  items = other95.items;
-  tables = other95.tables;
-  forwardTo = other95.forwardTo;
-  crowded = other95.crowded;
-  __isset = other95.__isset;
+News::News(const News& other106) {
+  afterChange = other106.afterChange;
+  lastChange = other106.lastChange;
+  items = other106.items;
+  tables = other106.tables;
+  forwardTo = other106.forwardTo;
+  crowded = other106.crowded;
+  crashesEdition = other106.crashesEdition;
+  suspects = other106.suspects;
+  quarantined = other106.quarantined;
+  __isset = other106.__isset;
+}
+News& News::operator=(const News& other107) {
+  afterChange = other107.afterChange;
+  lastChange = other107.lastChange;
+  items = other107.items;
+  tables = other107.tables;
+  forwardTo = other107.forwardTo;
+  crowded = other107.crowded;
+  crashesEdition = other107.crashesEdition;
+  suspects = other107.suspects;
+  quarantined = other107.quarantined;
+  __isset = other107.__isset;
   return *this;
 }
 void News::printTo(std::ostream& out) const {
@@ -1898,6 +1995,9 @@
   out << ", " << "tables=" << to_string(tables);
   out << ", " << "forwardTo=" << to_string(forwardTo);
   out << ", " << "crowded=" << to_string(crowded);
+  out << ", " << "crashesEdition=" << to_string(crashesEdition);
+  out << ", " << "suspects=" << to_string(suspects);
+  out << ", " << "quarantined=" << to_string(quarantined);
   out << ")";
 }
 
@@ -1946,6 +2046,10 @@
   this->storeRevision = val;
 }
 
+void HostAdvice::__set_crashesEdition(const int64_t val) {
+  this->crashesEdition = val;
+}
+
 void HostAdvice::__set_suspects(const std::vector<int64_t> & val) {
   this->suspects = val;
 }
@@ -2021,14 +2125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->shares.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->shares.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->shares[_i100].read(iprot);
+              xfer += this->shares[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2041,14 +2145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->tables.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->tables.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += iprot->readString(this->tables[_i105]);
+              xfer += iprot->readString(this->tables[_i117]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2097,18 +2201,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->crashesEdition);
+          this->__isset.crashesEdition = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->suspects.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->suspects.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += iprot->readI64(this->suspects[_i110]);
+              xfer += iprot->readI64(this->suspects[_i122]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2121,14 +2233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->quarantined.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->quarantined.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += iprot->readI64(this->quarantined[_i115]);
+              xfer += iprot->readI64(this->quarantined[_i127]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2149,14 +2261,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->rates.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->rates.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->rates[_i120].read(iprot);
+              xfer += this->rates[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2205,10 +2317,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ServerShare> ::const_iterator _iter121;
-    for (_iter121 = this->shares.begin(); _iter121 != this->shares.end(); ++_iter121)
+    std::vector<ServerShare> ::const_iterator _iter133;
+    for (_iter133 = this->shares.begin(); _iter133 != this->shares.end(); ++_iter133)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2217,10 +2329,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter122;
-    for (_iter122 = this->tables.begin(); _iter122 != this->tables.end(); ++_iter122)
+    std::vector<std::string> ::const_iterator _iter134;
+    for (_iter134 = this->tables.begin(); _iter134 != this->tables.end(); ++_iter134)
     {
-      xfer += oprot->writeString((*_iter122));
+      xfer += oprot->writeString((*_iter134));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2253,10 +2365,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter123;
-    for (_iter123 = this->suspects.begin(); _iter123 != this->suspects.end(); ++_iter123)
+    std::vector<int64_t> ::const_iterator _iter135;
+    for (_iter135 = this->suspects.begin(); _iter135 != this->suspects.end(); ++_iter135)
     {
-      xfer += oprot->writeI64((*_iter123));
+      xfer += oprot->writeI64((*_iter135));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2265,10 +2377,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter124;
-    for (_iter124 = this->quarantined.begin(); _iter124 != this->quarantined.end(); ++_iter124)
+    std::vector<int64_t> ::const_iterator _iter136;
+    for (_iter136 = this->quarantined.begin(); _iter136 != this->quarantined.end(); ++_iter136)
     {
-      xfer += oprot->writeI64((*_iter124));
+      xfer += oprot->writeI64((*_iter136));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2281,15 +2393,19 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<ServerRate> ::const_iterator _iter125;
-    for (_iter125 = this->rates.begin(); _iter125 != this->rates.end(); ++_iter125)
+    std::vector<ServerRate> ::const_iterator _iter137;
+    for (_iter137 = this->rates.begin(); _iter137 != this->rates.end(); ++_iter137)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashesEdition", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->crashesEdition);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2307,6 +2423,7 @@
   swap(a.standsBy, b.standsBy);
   swap(a.reportMillis, b.reportMillis);
   swap(a.storeRevision, b.storeRevision);
+  swap(a.crashesEdition, b.crashesEdition);
   swap(a.suspects, b.suspects);
   swap(a.quarantined, b.quarantined);
   swap(a.ratesEdition, b.ratesEdition);
@@ -2315,41 +2432,43 @@
   swap(a.__isset, b.__isset);
 }
 
-HostAdvice::HostAdvice(const HostAdvice& other126) {
-  coordinates = other126.coordinates;
-  term = other126.term;
-  hosts = other126.hosts;
-  shares = other126.shares;
-  tables = other126.tables;
-  storeSilentMillis = other126.storeSilentMillis;
-  lastChange = other126.lastChange;
-  standsBy = other126.standsBy;
-  reportMillis = other126.reportMillis;
-  storeRevision = other126.storeRevision;
-  suspects = other126.suspects;
-  quarantined = other126.quarantined;
-  ratesEdition = other126.ratesEdition;
-  rates = other126.rates;
-  missed = other126.missed;
-  __isset = other126.__isset;
-}
-HostAdvice& HostAdvice::operator=(const HostAdvice& other127) {
-  coordinates = other127.coordinates;
-  term = other127.term;
-  hosts = other127.hosts;
-  shares = other127.shares;
-  tables = other127.tables;
-  storeSilentMillis = other127.storeSilentMillis;
-  lastChange = other127.lastChange;
-  standsBy = other127.standsBy;
-  reportMillis = other127.reportMillis;
-  storeRevision = other127.storeRevision;
-  suspects = other127.suspects;
-  quarantined = other127.quarantined;
-  ratesEdition = other127.ratesEdition;
-  rates = other127.rates;
-  missed = other127.missed;
-  __isset = other127.__isset;
+HostAdvice::HostAdvice(const HostAdvice& other138) {
+  coordinates = other138.coordinates;
+  term = other138.term;
+  hosts = other138.hosts;
+  shares = other138.shares;
+  tables = other138.tables;
+  storeSilentMillis = other138.storeSilentMillis;
+  lastChange = other138.lastChange;
+  standsBy = other138.standsBy;
+  reportMillis = other138.reportMillis;
+  storeRevision = other138.storeRevision;
+  crashesEdition = other138.crashesEdition;
+  suspects = other138.suspects;
+  quarantined = other138.quarantined;
+  ratesEdition = other138.ratesEdition;
+  rates = other138.rates;
+  missed = other138.missed;
+  __isset = other138.__isset;
+}
+HostAdvice& HostAdvice::operator=(const HostAdvice& other139) {
+  coordinates = other139.coordinates;
+  term = other139.term;
+  hosts = other139.hosts;
+  shares = other139.shares;
+  tables = other139.tables;
+  storeSilentMillis = other139.storeSilentMillis;
+  lastChange = other139.lastChange;
+  standsBy = other139.standsBy;
+  reportMillis = other139.reportMillis;
+  storeRevision = other139.storeRevision;
+  crashesEdition = other139.crashesEdition;
+  suspects = other139.suspects;
+  quarantined = other139.quarantined;
+  ratesEdition = other139.ratesEdition;
+  rates = other139.rates;
+  missed = other139.missed;
+  __isset = other139.__isset;
   return *this;
 }
 void HostAdvice::printTo(std::ostream& out) const {
@@ -2365,6 +2484,7 @@
   out << ", " << "standsBy=" << to_string(standsBy);
   out << ", " << "reportMillis=" << to_string(reportMillis);
   out << ", " << "storeRevision=" << to_string(storeRevision);
+  out << ", " << "crashesEdition=" << to_string(crashesEdition);
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "quarantined=" << to_string(quarantined);
   out << ", " << "ratesEdition=" << to_string(ratesEdition);
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -622,13 +622,16 @@
 std::ostream& operator<<(std::ostream& out, const StoreItem& obj);
 
 typedef struct _News__isset {
-  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false) {}
+  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false) {}
   bool afterChange :1;
   bool lastChange :1;
   bool items :1;
   bool tables :1;
   bool forwardTo :1;
   bool crowded :1;
+  bool crashesEdition :1;
+  bool suspects :1;
+  bool quarantined :1;
 } _News__isset;
 
 class News : public virtual ::apache::thrift::TBase {
@@ -638,7 +641,8 @@
   News& operator=(const News&);
   News() noexcept
        : afterChange(0),
-         lastChange(0) {
+         lastChange(0),
+         crashesEdition(0) {
   }
 
   virtual ~News() noexcept;
@@ -648,6 +652,9 @@
   std::vector<std::string>  tables;
   std::vector<std::string>  forwardTo;
   std::vector<std::string>  crowded;
+  int64_t crashesEdition;
+  std::vector<int64_t>  suspects;
+  std::vector<int64_t>  quarantined;
 
   _News__isset __isset;
 
@@ -663,6 +670,12 @@
 
   void __set_crowded(const std::vector<std::string> & val);
 
+  void __set_crashesEdition(const int64_t val);
+
+  void __set_suspects(const std::vector<int64_t> & val);
+
+  void __set_quarantined(const std::vector<int64_t> & val);
+
   bool operator == (const News & rhs) const
   {
     if (!(afterChange == rhs.afterChange))
@@ -677,6 +690,12 @@
       return false;
     if (!(crowded == rhs.crowded))
       return false;
+    if (!(crashesEdition == rhs.crashesEdition))
+      return false;
+    if (!(suspects == rhs.suspects))
+      return false;
+    if (!(quarantined == rhs.quarantined))
+      return false;
     return true;
   }
   bool operator != (const News &rhs) const {
@@ -696,7 +715,7 @@
 std::ostream& operator<<(std::ostream& out, const News& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -707,6 +726,7 @@
   bool standsBy :1;
   bool reportMillis :1;
   bool storeRevision :1;
+  bool crashesEdition :1;
   bool suspects :1;
   bool quarantined :1;
   bool ratesEdition :1;
@@ -728,6 +748,7 @@
                standsBy(0),
                reportMillis(0),
                storeRevision(0),
+               crashesEdition(0),
                ratesEdition(0) {
   }
 
@@ -742,6 +763,7 @@
   bool standsBy;
   int32_t reportMillis;
   int64_t storeRevision;
+  int64_t crashesEdition;
   std::vector<int64_t>  suspects;
   std::vector<int64_t>  quarantined;
   int64_t ratesEdition;
@@ -770,6 +792,8 @@
 
   void __set_storeRevision(const int64_t val);
 
+  void __set_crashesEdition(const int64_t val);
+
   void __set_suspects(const std::vector<int64_t> & val);
 
   void __set_quarantined(const std::vector<int64_t> & val);
@@ -802,6 +826,8 @@
       return false;
     if (!(storeRevision == rhs.storeRevision))
       return false;
+    if (!(crashesEdition == rhs.crashesEdition))
+      return false;
     if (!(suspects == rhs.suspects))
       return false;
     if (!(quarantined == rhs.quarantined))
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -71,6 +71,7 @@
         , m_hosts(load.hosts)
         , m_cutUntil(load.hosts)
         , m_toReport(load.hosts)
+        , m_reported(load.hosts)
     {
         m_ledger.setReportInterval(load.reportEvery);
         for (size_t i = 0; i < servers; ++i)
@@ -105,6 +106,7 @@
             for (auto& bad : m_bad)
                 comeAgain(bad);
             report();
+            tellChanges();
         }
         return m_outcome;
     }
@@ -216,23 +218,48 @@
         for (size_t i = 0; i < m_load.hosts; ++i) {
             CrashWatch& host = m_hosts[i];
             const auto turn = static_cast<int64_t>(i) * step.count() % m_load.reportEvery.count();
-            const bool due = (m_now - begin).count() % m_load.reportEvery.count() == turn;
-            if (!due || m_now < m_silentUntil || m_now < m_cutUntil[i])
+            if (m_now < m_silentUntil || m_now < m_cutUntil[i])
                 continue;
-            auto& term = m_toReport[i];
-            if (std::exchange(term, m_term) != m_term)
+            // Hosts hear of a new coordinator from the store, and report news early.
+            if (std::exchange(m_toReport[i], m_term) != m_term)
                 host.repeatToNewCoordinator();
+            const bool regular = (m_now - begin).count() % m_load.reportEvery.count() == turn;
+            const bool early = host.hasNews() && m_now - m_reported[i] >= m_load.reportEvery * 2 / 5;
+            if (!regular && !early)
+                continue;
+            m_reported[i] = m_now;
             host.forgetOld(m_now);
             for (const auto& crash : host.takeCrashes())
                 m_ledger.crashed(crash, m_now);
             for (const Fingerprint request : host.takeAnswered())
                 m_ledger.answered(request);
-            const auto suspects = m_ledger.suspects(m_now);
-            std::set<Fingerprint> quarantined;
-            for (const auto& request : m_ledger.quarantined(m_now))
-                quarantined.insert(request.request);
-            m_outcome.quarantined |= !quarantined.empty();
-            host.told({ suspects.begin(), suspects.end() }, std::move(quarantined), m_now);
+            tell(host);
+        }
+    }
+
+    void tell(CrashWatch& host)
+    {
+        const auto suspects = m_ledger.suspects(m_now);
+        std::set<Fingerprint> quarantined;
+        for (const auto& request : m_ledger.quarantined(m_now))
+            quarantined.insert(request.request);
+        m_outcome.quarantined |= !quarantined.empty();
+        host.told({ suspects.begin(), suspects.end() }, std::move(quarantined), m_now);
+    }
+
+    // The coordinator tells changes at once to those that it can reach.
+    void tellChanges()
+    {
+        if (m_now < m_silentUntil)
+            return;
+        const auto suspects = m_ledger.suspects(m_now);
+        const auto edition = m_ledger.edition();
+        if (std::exchange(m_suspectsTold, suspects) == suspects && std::exchange(m_editionTold, edition) == edition)
+            return;
+        m_editionTold = edition;
+        for (size_t i = 0; i < m_load.hosts; ++i) {
+            if (m_now >= m_cutUntil[i])
+                tell(m_hosts[i]);
         }
     }
 
@@ -241,6 +268,9 @@
     std::vector<CrashWatch> m_hosts;
     std::vector<Instant> m_cutUntil;
     std::vector<uint64_t> m_toReport; // term that each host reported in
+    std::vector<Instant> m_reported; // when, each host
+    std::vector<Fingerprint> m_suspectsTold;
+    uint64_t m_editionTold = 0;
     CrashLedger m_ledger;
     uint64_t m_term = 1;
     Instant m_silentUntil {};
