Whether a server gets work is one question; fingerprints are made once

Withdrawn, ended, warming up, at rest, at its limit: what keeps work from a server was put together in four places of the routing duty, each a chance to forget the next reason. A request's fingerprints hash its body and were made for each answer, twice while anything is suspected; they belong to the request.

--- a/packages/decisions/WarmUp.h
+++ b/packages/decisions/WarmUp.h
@@ -26,6 +26,7 @@
 struct WarmUpBound {
     Millis lasts { 0 }; // after a start
     double perSecond = 0; // requests from all hosts together, borne meanwhile; 0: as many as when warm
+    bool isSet() const { return perSecond > 0; }
     bool operator==(const WarmUpBound&) const = default;
 };
 
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -125,7 +125,7 @@
     bool cutOff = false;
     for (auto& [service, plan] : m_plans) {
         const RoutedService* rules = m_view.rules()->service(service);
-        plan->sparesWarmingUp(rules && rules->warmUp.perSecond > 0);
+        plan->sparesWarmingUp(rules && rules->warmUp.isSet());
         plan->maintain(*known, now);
         for (auto& order : plan->due(now))
             send(std::move(order), service);
@@ -526,7 +526,7 @@
     const double mean = meanWorkMillis(plan);
     const Instant now = m_clock.now();
     const RoutedService* service = m_view.rules()->service(plan.service());
-    const bool sparesWarmingUp = service && service->warmUp.perSecond > 0;
+    const bool sparesWarmingUp = service && service->warmUp.isSet();
     std::vector<ServerCapacity> usable;
     const auto known = servers();
     for (const auto& [id, server] : *known) {
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -118,6 +118,7 @@
     bool maybeRan = false; // an earlier try may have run
     ErrorKind unknown = ErrorKind::None; // how the try ended of which that isn't known
     std::vector<std::string> tried; // server ids
+    mutable std::vector<Fingerprint> fingerprints; // of the whole request first; empty until they are needed
     std::optional<CallerResponse> failure; // a server's own failure, delivered if no other try does better
 };
 
@@ -443,8 +444,7 @@
     for (const auto& server : found->second) {
         const auto& admission = server->pool.admission();
         ServerCandidate candidate;
-        candidate.usable = !server->withdrawn() && !server->ended && !server->warmingUp(now) && !server->wantsRest(now)
-            && !server->isAtLimit(now)
+        candidate.usable = !server->isUnready(now)
             && std::find(job.tried.begin(), job.tried.end(), server->entry.id) == job.tried.end();
         candidate.resting = server->failing(now) || server->entry.unconfirmed;
         candidate.sameCentre = server->entry.dataCentre == m_options.dataCentre;
@@ -474,7 +474,7 @@
     for (size_t i = 0; i < servers.size(); ++i) {
         const auto& server = servers[(start + i) % servers.size()];
         const bool tried = std::find(job.tried.begin(), job.tried.end(), server->entry.id) != job.tried.end();
-        if (server->withdrawn() || server->ended || tried)
+        if (server->outOfUse() || tried)
             continue;
         const auto [error, readyAt] = whyUnready(*server, now);
         if (error == ErrorKind::None)
@@ -514,7 +514,7 @@
     const auto found = m_byService.find(service);
     return found != m_byService.end()
         && std::any_of(found->second.begin(), found->second.end(),
-            [&](const auto& server) { return !server->withdrawn() && !server->ended && !server->warmingUp(now); });
+            [&](const auto& server) { return !server->outOfUse() && !server->warmingUp(now); });
 }
 
 // --- One try
@@ -567,8 +567,7 @@
     }
     // The wait for a slot or a connection may have outlived the table, the server or the caller.
     const Instant connectedAt = m_clock.now();
-    const bool closed
-        = server->withdrawn() || server->wantsRest(connectedAt) || server->ended || !m_servers.count(server->entry.id);
+    const bool closed = server->outOfUse() || server->wantsRest(connectedAt) || !m_servers.count(server->entry.id);
     const bool moved = job.keyed ? locate(job).server != server : closed;
     const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
     const bool late = connectedAt + leastTime >= job.deadline;
@@ -681,21 +680,23 @@
 // Of what is the same each time that it comes: not its id, the time that is left, nor the caller's address, which
 // changes with the proxy or the connection that it comes through. What crashes servers may lie in the path alone,
 // whatever the query says, or in both.
-std::vector<Fingerprint> Gateway::fingerprintsOf(const Job& job) const
+const std::vector<Fingerprint>& Gateway::fingerprintsOf(const Job& job) const
 {
+    if (!job.fingerprints.empty())
+        return job.fingerprints;
     const CallerRequest& request = job.request;
     const uint64_t seed = hashOf(0, { m_options.settings.fingerprintKey });
     const uint64_t rest = hashOf(seed, { request.method_string(), request[http::field::host], request.body() });
-    std::vector<Fingerprint> fingerprints { hashOf(rest, { request.target() }) };
+    job.fingerprints.push_back(hashOf(rest, { request.target() }));
     const std::string_view path = pathOf(request.target());
     if (path.size() < request.target().size())
-        fingerprints.push_back(hashOf(rest, { path }));
-    return fingerprints;
+        job.fingerprints.push_back(hashOf(rest, { path }));
+    return job.fingerprints;
 }
 
 Fingerprint Gateway::fingerprintToTell(const Job& job) const
 {
-    const auto fingerprints = fingerprintsOf(job);
+    const auto& fingerprints = fingerprintsOf(job);
     const auto quarantined = std::find_if(
         fingerprints.begin(), fingerprints.end(), [&](Fingerprint request) { return m_crashes.quarantined(request); });
     return quarantined == fingerprints.end() ? fingerprints.front() : *quarantined;
@@ -710,7 +711,7 @@
 {
     if (!m_crashes.suspectsAny())
         return false;
-    const auto fingerprints = fingerprintsOf(job);
+    const auto& fingerprints = fingerprintsOf(job);
     return std::any_of(
         fingerprints.begin(), fingerprints.end(), [&](Fingerprint request) { return m_crashes.suspect(request); });
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -70,7 +70,7 @@
     Located locateKey(const Job&);
     Located choose(const Job&);
     Located chooseUnready(const Job&); // all servers are warming up or rest
-    std::vector<Fingerprint> fingerprintsOf(const Job&) const; // of the whole request first
+    const std::vector<Fingerprint>& fingerprintsOf(const Job&) const;
     Fingerprint fingerprintToTell(const Job&) const; // the quarantined one, if one is
     bool quarantined(const Job&) const;
     bool suspect(const Job&) const; // not to be sent a second time
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -331,7 +331,7 @@
         // Servers that nobody used may have lost their caches, and their entries tell of it up to a heartbeat later.
         // A data centre that comes back is therefore warming up until an entry that is newer says otherwise.
         const RoutedService* service = m_rules ? m_rules->service(server.service) : nullptr;
-        if (!evacuated && service && service->warmUp.perSecond > 0)
+        if (!evacuated && service && service->warmUp.isSet())
             server.warmAt = std::max(server.warmAt, now + service->warmUp.lasts);
     }
 }
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -178,7 +178,7 @@
 {
     // A server writes its entry as soon as it has started, and the news of it take half a second at the most.
     constexpr Millis entryWithin { 700 };
-    if (std::exchange(m_connectFailed, false) && m_warmUp.perSecond > 0)
+    if (std::exchange(m_connectFailed, false) && m_warmUp.isSet())
         m_heldOffUntil = now + entryWithin;
     return now >= m_heldOffUntil;
 }
