Limits are looked through without copies; what is known of gone servers is forgotten; names

A copy of all limits was made for each report, a counter was looked up for each answer, and servers that had once named a limit were remembered for ever. RateWord is KnownRateLimit.

--- a/packages/decisions/RateLimit.cpp
+++ b/packages/decisions/RateLimit.cpp
@@ -19,7 +19,7 @@
     constexpr double usedWhereLapsing = 0.6; // whose turns fall together is a matter of chance
     constexpr Millis turnLasts { 500 };
     constexpr double burstSeconds = 0.5; // of permits that nobody asked for
-    constexpr double matters = 0.2; // a smaller change of a limit is not told to the hosts
+    constexpr double leastChange = 0.2; // of a limit, that hosts are told
 
     Millis secondsToMillis(double seconds) { return Millis(std::llround(seconds * 1000)); }
 
@@ -27,7 +27,7 @@
 
 // --- On a host
 
-void RateWord::said(std::optional<PerSecond> limit, Instant now)
+void KnownRateLimit::said(std::optional<PerSecond> limit, Instant now)
 {
     const bool known = m_told || (m_said && m_said->limit);
     if (limit)
@@ -36,28 +36,28 @@
         m_said = Said { std::nullopt, now };
 }
 
-void RateWord::told(std::optional<PerSecond> limit, Instant now)
+void KnownRateLimit::told(std::optional<PerSecond> limit, Instant now)
 {
     m_told = limit;
     m_toldAt = now;
 }
 
-void RateWord::repeatToNewCoordinator()
+void KnownRateLimit::repeatToNewCoordinator()
 {
     const bool ownIsNewer = m_said && m_said->at >= m_toldAt;
     if (m_told && !ownIsNewer)
         m_said = Said { m_told, m_toldAt };
 }
 
-std::optional<PerSecond> RateWord::limit() const
+std::optional<PerSecond> KnownRateLimit::limit() const
 {
     const bool ownCounts = m_said && m_said->limit && m_said->at + coordinatorHearsWithin > m_toldAt;
     return ownCounts ? m_said->limit : m_told;
 }
 
-bool RateWord::isAlone(Instant now) const { return now - m_toldAt > aloneAfter; }
+bool KnownRateLimit::isAlone(Instant now) const { return now - m_toldAt > aloneAfter; }
 
-std::optional<RateWord::Said> RateWord::toReport(Instant now) const
+std::optional<KnownRateLimit::Said> KnownRateLimit::toReport(Instant now) const
 {
     // Once more after a report that may have been lost, and to a coordinator that has just begun.
     constexpr Millis repeatFor { 2'500 };
@@ -114,7 +114,7 @@
     if (limit)
         limit = std::max(leastRate, *limit);
     const double change = limit && state.toldAs > 0 ? std::abs(*limit / state.toldAs - 1) : 1;
-    const bool news = state.limit.has_value() != limit.has_value() || (limit && change > matters);
+    const bool news = state.limit.has_value() != limit.has_value() || (limit && change > leastChange);
     state.limit = limit;
     if (limit)
         state.permits.set(*limit, std::max(1.0, *limit * burstSeconds), now);
@@ -130,16 +130,6 @@
     return found == m_servers.end() ? std::nullopt : found->second.limit;
 }
 
-std::map<std::string, PerSecond, std::less<>> RateLedger::limits() const
-{
-    std::map<std::string, PerSecond, std::less<>> limits;
-    for (const auto& [server, state] : m_servers) {
-        if (state.limit)
-            limits.emplace(server, *state.limit);
-    }
-    return limits;
-}
-
 unsigned RateLedger::takePermits(std::string_view server, unsigned wanted, Instant now)
 {
     const auto found = m_servers.find(server);
--- a/packages/decisions/RateLimit.h
+++ b/packages/decisions/RateLimit.h
@@ -3,7 +3,7 @@
 // Such a server is in need: what it names may be a tenth of what it did before, and less than one request from each
 // host. So the sum over all hosts is what counts:
 //
-// - RateWord, on each host: what this host knows of a server's limit, by its own answers and by the coordinator.
+// - KnownRateLimit, on each host: what this host knows of a server's limit, by its own answers and by the coordinator.
 // - RateLedger, at the coordinator: the newest word of each server, and a token bucket for each limit. Requests go to
 //   such a server only with its permits.
 // - RateTurns, on each host, while no coordinator answers: each host sends in turns of its own. That keeps the sum, but
@@ -34,21 +34,22 @@
 // Below, a limit counts as so much: an answer now and then must tell whether the server still names it.
 constexpr PerSecond leastRate = 0.1;
 
-class RateWord {
+// What one host knows of one server's limit. Nothing: it names none.
+class KnownRateLimit {
 public:
-    // --- What the server says in an answer to this host. Nothing: it names no limit.
-    void said(std::optional<PerSecond>, Instant now);
-    // --- What the coordinator says with each answer to a report
-    void told(std::optional<PerSecond>, Instant now);
-    void repeatToNewCoordinator(); // it knows nothing of what its predecessor was told
-
-    // --- What follows
-    std::optional<PerSecond> limit() const; // in force
-    bool isAlone(Instant now) const; // no coordinator has answered lately
     struct Said {
         std::optional<PerSecond> limit;
         Instant at {};
     };
+
+    // --- What is heard
+    void said(std::optional<PerSecond>, Instant now); // by the server, in an answer to this host
+    void told(std::optional<PerSecond>, Instant now); // by the coordinator, with each answer to a report
+    void repeatToNewCoordinator(); // it knows nothing of what its predecessor was told
+
+    // --- What follows
+    std::optional<PerSecond> limit() const; // in force
+    bool isAlone(Instant now) const; // this host: no coordinator has answered it lately
     std::optional<Said> toReport(Instant now) const; // nothing: no news
 
 private:
@@ -79,23 +80,33 @@
     Instant m_turn {}; // the present one or the next one, likewise
 };
 
+// What all hosts have heard of all servers' limits, and the permits for them.
 class RateLedger {
 public:
-    // --- From reports: the newest word counts. Nothing: the server names no limit any more.
+    // --- From reports: what was said last counts. Nothing: the server names no limit any more.
     void said(std::string_view server, std::optional<PerSecond>, Instant at, Instant now);
-    template <typename Predicate> void forgetAllBut(Predicate keeps)
+    template <typename Predicate> void forgetAllBut(Predicate keeps) // `keeps`: of a server's id
     {
-        m_edition
-            += std::erase_if(m_servers, [&](const auto& entry) { return entry.second.limit && !keeps(entry.first); });
+        std::erase_if(m_servers, [&](const auto& entry) {
+            const bool forgotten = !keeps(entry.first);
+            m_edition += forgotten && entry.second.limit;
+            return forgotten;
+        });
     }
     void clear() { m_servers.clear(); }
 
     // --- What follows
     bool limited(std::string_view server) const { return limitOf(server).has_value(); }
     std::optional<PerSecond> limitOf(std::string_view server) const;
-    std::map<std::string, PerSecond, std::less<>> limits() const;
+    template <typename Function> void forEachLimit(Function function) const // of a server's id and its limit
+    {
+        for (const auto& [server, state] : m_servers) {
+            if (state.limit)
+                function(server, *state.limit);
+        }
+    }
     uint64_t edition() const { return m_edition; } // of what hosts must know; it grows with each change that matters
-    // Of `wanted` requests for a limited server those that may be sent now.
+    // Of `wanted` requests those that may be sent now; all, where there is no limit.
     unsigned takePermits(std::string_view server, unsigned wanted, Instant now);
     bool hasSpare(std::string_view server, Instant now) const; // permits that nobody asked for lately, some at least
     // Between two permits for one of so many hosts.
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -567,6 +567,8 @@
             plan->move(move.first, move.last, move.to, reasonOf(move));
         load.decay(std::exp2(-passed / static_cast<double>(m_options.loadHalfLife.count())));
     }
+    const auto registered = m_view.servers();
+    m_shares.rates().forgetAllBut([&](const std::string& server) { return registered->count(server) > 0; });
     std::erase_if(m_hosts, [&](const auto& entry) {
         if (now - entry.second.heard <= m_options.hostSilence)
             return false;
@@ -703,16 +705,15 @@
                 { { "server", rate.server }, { "limited", rate.limited }, { "perSecond", rate.perSecond },
                     { "reporter", report.sender } });
     }
-    rates.forgetAllBut([&](const std::string& server) { return registered->count(server) > 0; });
     advice.ratesEdition = editionInTerm(rates.edition());
     if (report.ratesKnown == advice.ratesEdition)
         return;
-    for (const auto& [server, limit] : rates.limits()) {
+    rates.forEachLimit([&](const std::string& server, PerSecond limit) {
         wire::ServerRate& rate = advice.rates.emplace_back();
         rate.server = server;
         rate.limited = true;
         rate.perSecond = limit;
-    }
+    });
 }
 
 void Coordinator::takeCrashes(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
@@ -790,16 +791,16 @@
 void Coordinator::giveSparePermits(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
 {
     const auto servers = m_view.servers();
-    for (const auto& [id, limit] : m_shares.rates().limits()) {
+    m_shares.rates().forEachLimit([&](const std::string& id, PerSecond) {
         const auto known = servers->find(id);
-        const bool named = std::any_of(report.servers.begin(), report.servers.end(),
-            [&wanted = id](const wire::ServerUse& use) { return use.server == wanted; });
+        const bool named = std::any_of(
+            report.servers.begin(), report.servers.end(), [&](const wire::ServerUse& use) { return use.server == id; });
         if (known == servers->end() || named || m_plans.count(known->second.service))
-            continue;
+            return;
         auto share = m_shares.shareFor(report.sender, id, known->second.slots, false, now);
         if (share && share->permits)
             advice.shares.push_back(std::move(*share));
-    }
+    });
 }
 
 void Coordinator::tellCrowded(std::span<const std::string> servers)
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -803,7 +803,8 @@
 void Gateway::noteRate(const Job& job, Upstream& server, std::optional<PerSecond> limit)
 {
     server.sayRate(limit, m_clock.now());
-    m_metrics.counter("server_limits_named").add(limit.has_value());
+    if (limit)
+        m_metrics.counter("server_limits_named").add();
     const auto before = std::exchange(server.namedRate, limit);
     if (before.has_value() != limit.has_value())
         reportEarly();
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -69,7 +69,7 @@
     Located locate(const Job&);
     Located locateKey(const Job&);
     Located choose(const Job&);
-    Located chooseUnready(const Job&); // all servers are warming up or rest
+    Located chooseUnready(const Job&); // all servers are warming up, rest or are at their limits
     const std::vector<Fingerprint>& fingerprintsOf(const Job&) const;
     Fingerprint fingerprintToTell(const Job&) const; // the quarantined one, if one is
     bool quarantined(const Job&) const;
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -35,7 +35,7 @@
     void tellRate(std::optional<PerSecond>, size_t hosts, Instant now); // by the coordinator; 0 hosts: not known
     void repeatRate() { m_rate.repeatToNewCoordinator(); }
     std::optional<PerSecond> rateLimit() const { return m_rate.limit(); }
-    std::optional<RateWord::Said> rateToReport(Instant now) const { return m_rate.toReport(now); }
+    std::optional<KnownRateLimit::Said> rateToReport(Instant now) const { return m_rate.toReport(now); }
     // Without a coordinator this host sends in turns of its own.
     bool awaitsTurn(Instant now) const { return takesTurns(now) && nextTurn(now) > now; }
     // Neither a permit nor a turn is there, because of the limit.
@@ -108,7 +108,7 @@
     ServerLimit m_limit;
     bool m_hasPermits = false; // requests start by permits, if only by none
     Millis m_permitPause { 0 };
-    RateWord m_rate;
+    KnownRateLimit m_rate;
     RateTurns m_turns;
     size_t m_sharers = 0; // hosts; 0: not known
     bool m_told = false; // in the last report
--- a/tests/rate_limit_test.cpp
+++ b/tests/rate_limit_test.cpp
@@ -86,7 +86,7 @@
         {
         }
 
-        RateWord word;
+        KnownRateLimit word;
         RateTurns turns;
         std::deque<Instant> waiting; // since when
         unsigned permits = 0;
@@ -366,7 +366,7 @@
 
 TEST_CASE("a host believes what it heard itself until the coordinator must have heard of it")
 {
-    RateWord word;
+    KnownRateLimit word;
     word.told(std::nullopt, begin);
     word.said(3, begin + Millis(10));
     word.told(std::nullopt, begin + Millis(300)); // the answer to an earlier report
