A permit that comes ahead of requests lives until the next one may have come

What was seen: test server_limits failed once, and in two of six runs beside other processes: a limited server without keys, beside an idle one, got no request in five seconds. Cause: a host's reports of what it does and its reports to the coordinator are two loops of a quarter of a second each. The first drops all permits, as its figures tell what is there; where it came just after the answer to the second, a permit lived for a few ms, each time. Beside it, the server whose work looked quicker was chosen, whoever had a permit. Change: permits by a limit are counted at the coordinator and need not be dropped with each report; they lapse after a second. A limited server with a permit in hand is chosen first: the permit lapses otherwise, and only an answer tells when the limit is over. Crowded servers as before.

--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -452,6 +452,9 @@
         candidate.waiting = static_cast<unsigned>(admission.queued());
         candidate.limit = admission.limit();
         candidate.workMillis = static_cast<double>(admission.meanWork(job.priority).count());
+        // Its permit lapses if it is not used, and only an answer tells when the limit is over.
+        if (server->rateLimit())
+            candidate.workMillis = 0;
         candidates.push_back(candidate);
     }
     // Bytes between data centres cost more than a little waiting: a large body stays near unless all near are full.
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -16,6 +16,8 @@
     constexpr unsigned failuresUntilPause = 2; // one may be an accident of one connection
     constexpr Millis shortestPause { 200 };
     constexpr Millis longestPause { 2'000 };
+    // A permit that comes ahead of requests, until the next one may have come.
+    constexpr Millis permitsLast { 1'000 };
 
     ServerResource resourceOf(const RegisteredServer& entry, const RoutedService* service)
     {
@@ -87,6 +89,7 @@
         if (!rateLimit())
             m_limit.setCrowded(now);
         m_permitPause = advice.permitPause;
+        m_permitsUntil = now + permitsLast;
         if (needsPermit(now))
             setPermits(advice.permits);
         break;
@@ -111,7 +114,8 @@
 void Upstream::applyLimit(Instant now)
 {
     const bool needs = needsPermit(now);
-    if (needs != m_hasPermits)
+    const bool lapsed = !crowded(now) && now >= m_permitsUntil && pool.admission().permits();
+    if (needs != m_hasPermits || (needs && lapsed))
         setPermits(needs ? std::optional(0U) : std::nullopt);
     if (!needs)
         pool.setLimit(m_limit.value());
@@ -130,7 +134,7 @@
 
 void Upstream::dropPermits(Instant now)
 {
-    if (needsPermit(now))
+    if (crowded(now))
         setPermits(0);
 }
 
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -27,7 +27,8 @@
     bool needsPermit(Instant now) const { return crowded(now) || (rateLimit() && !m_rate.isAlone(now)); }
     bool hasPermit() const { return m_hasPermits && pool.admission().permits() > pool.admission().queued(); }
     void applyLimit(Instant now); // what was told may have lapsed
-    void dropPermits(Instant now); // a report says what is there: nothing else starts until it is answered
+    // A report says what is at a crowded server: nothing else starts until it is answered.
+    void dropPermits(Instant now);
     Instant nextPermit(Instant now) const; // about
 
     // --- The requests a second that it takes from all hosts together. Nothing: it names no limit.
@@ -108,6 +109,7 @@
     ServerLimit m_limit;
     bool m_hasPermits = false; // requests start by permits, if only by none
     Millis m_permitPause { 0 };
+    Instant m_permitsUntil {};
     KnownRateLimit m_rate;
     RateTurns m_turns;
     size_t m_sharers = 0; // hosts; 0: not known
