--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -363,6 +363,30 @@
     CHECK_FALSE(outcome.quarantined);
 }
 
+// Guards against an innocent request that its caller tries again and again while another one crashes each server.
+TEST_CASE("crashes at which a quarantined request was accuse nobody else")
+{
+    constexpr Fingerprint bad = 1;
+    constexpr Fingerprint innocent = 2;
+    const Instant told = begin + Millis(1'000);
+    CrashLedger ledger;
+    for (const auto* server : { "a", "b", "c", "d" })
+        ledger.crashed({ server, { bad } }, begin);
+    for (const auto* server : { "a", "b", "c" })
+        ledger.crashed({ server, { innocent } }, begin); // another host's report of the same crashes
+    auto quarantined = ledger.quarantined(told);
+    REQUIRE(quarantined.size() == 1);
+    CHECK(quarantined.front().request == bad);
+    CHECK(ledger.suspects(told).empty());
+    ledger.crashed({ "e", { bad, innocent } }, told);
+    ledger.crashed({ "e", { innocent } }, told); // late
+    ledger.crashed({ "f", { innocent } }, told);
+    CHECK(ledger.suspects(told).empty()); // one crash of its own
+    ledger.crashed({ "g", { innocent } }, told);
+    ledger.crashed({ "h", { innocent } }, told);
+    CHECK(ledger.quarantined(told + Millis(1'000)).size() == 2); // three of its own
+}
+
 TEST_CASE("what is known of bad requests is bounded and lapses, and one answer clears a request")
 {
     CrashLedger ledger;
