After the pause between two permits a host may ask for one again

What callers saw: a key whose server took a request in four seconds was never served again, also not after the server had stopped naming a limit. Cause: the pause between two permits that a host was told (here four seconds and more) is longer than requests can wait, so each is refused at once. Then none waits, no report names the server, and nobody is told that its permits lie unused: the pause is believed for ever. Hosts that ask too little to hear the truth are the class; permits made it possible. Change: once the pause is over, a request may wait for a permit again.

--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -89,6 +89,7 @@
         if (!rateLimit())
             m_limit.setCrowded(now);
         m_permitPause = advice.permitPause;
+        m_mayAskFrom = now + m_permitPause;
         m_permitsUntil = now + permitsLast;
         if (needsPermit(now))
             setPermits(advice.permits);
@@ -115,8 +116,15 @@
 {
     const bool needs = needsPermit(now);
     const bool lapsed = !crowded(now) && now >= m_permitsUntil && pool.admission().permits();
+    // Where requests are refused for the pause, none waits and no report tells of it: after the pause one may ask
+    // again.
+    const bool mayAsk = needs && rateLimit() && m_permitPause > Millis(0) && now >= m_mayAskFrom;
+    if (mayAsk)
+        m_permitPause = Millis(0);
     if (needs != m_hasPermits || (needs && lapsed))
         setPermits(needs ? std::optional(0U) : std::nullopt);
+    else if (mayAsk)
+        setPermits(pool.admission().permits());
     if (!needs)
         pool.setLimit(m_limit.value());
 }
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -110,6 +110,7 @@
     bool m_hasPermits = false; // requests start by permits, if only by none
     Millis m_permitPause { 0 };
     Instant m_permitsUntil {};
+    Instant m_mayAskFrom {}; // for a permit, whatever the pause between two
     KnownRateLimit m_rate;
     RateTurns m_turns;
     size_t m_sharers = 0; // hosts; 0: not known
