News of suspects are bounded: ten a second, and short lists only

Cause, by reading, not by a trace: the loss makes hundreds of requests suspects within seconds, the list changes with each report, and each change goes whole to all hosts. Change: a list of more than 64 goes with the answers to reports only, as it did before, and changes are told at most each 100 ms.

--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -751,13 +751,21 @@
                 { "server", event.server }, { "reporter", reporter } });
     if (m_crashesEdition && suspects == m_suspectsTold && quarantined == m_quarantinedTold)
         return;
+    // A data centre's loss makes hundreds of suspects within seconds: the lists change with each report then, and go
+    // with the answers to reports only.
+    constexpr Millis pause { 100 };
+    constexpr size_t mostAtOnce = 64;
+    if (now - m_crashesToldAt < pause)
+        return; // the next look does it
+    m_crashesToldAt = now;
     if (quarantined != m_quarantinedTold)
         logChange(LogLevel::Warning, "quarantine-changed",
             { { "requests", quarantined.size() }, { "suspects", suspects.size() }, { "reporter", reporter } });
     ++m_crashesEdition;
     m_suspectsTold = std::move(suspects);
     m_quarantinedTold = std::move(quarantined);
-    m_announcer.crashes(editionInTerm(m_crashesEdition), m_suspectsTold, m_quarantinedTold);
+    if (m_suspectsTold.size() + m_quarantinedTold.size() <= mostAtOnce)
+        m_announcer.crashes(editionInTerm(m_crashesEdition), m_suspectsTold, m_quarantinedTold);
     m_changed.notifyAll();
 }
 
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -159,6 +159,7 @@
     uint64_t m_crashesEdition = 0; // of the two lists that follow
     std::vector<int64_t> m_suspectsTold;
     std::vector<int64_t> m_quarantinedTold;
+    Instant m_crashesToldAt {};
     std::map<std::string, HostState, std::less<>> m_hosts;
     Announcer m_announcer;
     bool m_writing = false;
