Requests that callers send ahead run at the same time; callers that read slowly are bounded

Cause: CallerServer served one request after the other on each connection. Responses that callers did not read were bounded by nothing. Change: CallerSession reads ahead, up to eight requests of a connection. Idempotent ones overlap, all others run alone and in their turn, responses come in order, what follows a response that closes the connection is not run. Bytes that callers have not read are bounded for a connection and for the host; the slowest reader is cut off when memory is short.

--- a/apps/cumindaled/Duties.cpp
+++ b/apps/cumindaled/Duties.cpp
@@ -2,6 +2,7 @@
 
 #include "web/Signal.h"
 
+#include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
 
 namespace cumindale {
@@ -20,10 +21,20 @@
     context.run();
 }
 
-CallerLimits callerLimits(const LimitSettings& limits)
+CallerLimits callerLimits(const Settings& settings)
 {
-    return { limits.callerConnections, limits.bodyMemory, limits.headerBytes, limits.headerTimeout,
-        limits.bodyIdleTimeout, limits.idleTimeout };
+    const LimitSettings& limits = settings.limits;
+    CallerLimits applied { limits.callerConnections, limits.bodyMemory, limits.headerBytes, limits.headerTimeout,
+        limits.bodyIdleTimeout, limits.idleTimeout, limits.responseMemory, limits.connectionResponseBytes,
+        limits.pipelinedRequests };
+    if (settings.gateway && settings.gateway->memoryMegabytes) {
+        // The rest is for what the host knows of the fleet, and for its connections.
+        constexpr size_t bytesPerMegabyte = 1'000'000;
+        const size_t memory = settings.gateway->memoryMegabytes * bytesPerMegabyte;
+        applied.bodyMemory = std::min(applied.bodyMemory, memory / 4);
+        applied.responseMemory = std::min(applied.responseMemory, memory / 8);
+    }
+    return applied;
 }
 
 asio::awaitable<void> drainCallers(CallerServer& callers, DrainTiming timing)
--- a/apps/cumindaled/Duties.h
+++ b/apps/cumindaled/Duties.h
@@ -14,7 +14,7 @@
 constexpr int singleThread = 1; // concurrency hint for each thread's io_context
 
 void runEventLoop(boost::asio::io_context&); // returns when the context is stopped
-CallerLimits callerLimits(const LimitSettings&);
+CallerLimits callerLimits(const Settings&);
 
 struct DrainTiming {
     Millis balancerDelay { 2'000 }; // how long new connections may arrive after the health check fails
--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -51,7 +51,7 @@
                   [this](GatewayReport report) { m_toControl.push(std::move(report)); },
                   [this](const CallerBounds& bounds) { applyBounds(bounds); })
             , m_callers(m_routingContext.get_executor(), m_clock, settings.host.callers.address,
-                  settings.host.callers.port, callerLimits(settings.limits), m_gateway, m_metrics)
+                  settings.host.callers.port, callerLimits(settings), m_gateway, m_metrics)
             , m_controller(m_controlContext.get_executor(), m_clock, settings, adapter, *m_store, m_metrics,
                   [this](GatewayUpdate update) { return m_toRouting.push(std::move(update)); })
             , m_readiness(m_operatorsContext.get_executor(), settings.gateway->readiness.address,
@@ -137,7 +137,7 @@
 
         void applyBounds(const CallerBounds& bounds)
         {
-            CallerLimits limits = callerLimits(m_settings.limits);
+            CallerLimits limits = callerLimits(m_settings);
             limits.headerBytes = bounds.headerBytes;
             limits.headerTimeout = bounds.headerTimeout;
             // Callers may send a request until the idle limit. Closing the connection exactly then could race with one.
--- /dev/null
+++ b/packages/callers/CallerSession.cpp
@@ -0,0 +1,444 @@
+#include "callers/CallerSession.h"
+
+#include "base/Log.h"
+#include "web/Sockets.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <exception>
+#include <iterator>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+// Sections: connection, reading, running and writing.
+
+namespace {
+
+    constexpr auto token = asio::as_tuple(asio::use_awaitable);
+    constexpr std::string_view healthPath = "/cumindale/health";
+    constexpr Millis responseStallTimeout { 60'000 }; // without the caller taking any part of its response
+    constexpr Millis lingerTimeout { 1'000 }; // for the caller to read the last response and close its end
+    constexpr Millis progressCheckInterval { 60'000 }; // waits end earlier, by a notification
+    constexpr size_t readChunkBytes = 4'096;
+    // Memory reserved ahead of the bytes received, for a body of unknown length.
+    constexpr uint64_t chunkedReservationBytes = 1'000'000;
+
+    ErrorKind readErrorKind(beast::error_code error)
+    {
+        if (error == http::error::header_limit)
+            return ErrorKind::HeadersTooLarge;
+        if (error == http::error::body_limit)
+            return ErrorKind::BodyTooLarge;
+        return ErrorKind::BadRequest;
+    }
+
+    // Whether the request is malformed or too large while the connection still works, so that the caller can receive an
+    // error response.
+    bool isParseError(beast::error_code error)
+    {
+        return error.category() == make_error_code(http::error::bad_method).category();
+    }
+
+    // Whether another parser on the path could interpret the message framing differently (request smuggling). Beast
+    // itself rejects two Content-Length headers, and Content-Length together with chunked encoding.
+    bool hasAmbiguousFraming(const CallerHeader& header)
+    {
+        const auto encodings = header.equal_range(http::field::transfer_encoding);
+        for (auto it = encodings.first; it != encodings.second; ++it) {
+            if (!beast::iequals(it->value(), "chunked"))
+                return true;
+        }
+        return std::distance(encodings.first, encodings.second) > 1;
+    }
+
+    CallerResponse healthResponse(bool ready)
+    {
+        CallerResponse response { ready ? http::status::ok : http::status::service_unavailable, 11 };
+        response.body() = ready ? "ok\n" : "leaving\n";
+        return response;
+    }
+
+    std::string addressOf(const beast::tcp_stream& stream)
+    {
+        beast::error_code error;
+        const auto endpoint = stream.socket().remote_endpoint(error);
+        return error ? std::string() : endpoint.address().to_string(); // empty: the caller has disconnected already
+    }
+
+}
+
+CallerContext::CallerContext(
+    const Clock& clockToUse, CallerLimits limitsToKeep, RequestHandler& requestHandler, Metrics& metrics)
+    : clock(clockToUse)
+    , limits(limitsToKeep)
+    , handler(requestHandler)
+    , requests(metrics.counter("callers_requests"))
+    , overlappingRequests(metrics.counter("callers_overlapping_requests"))
+    , bodyBytes(metrics.counter("callers_body_bytes"))
+    , slowReadersClosed(metrics.counter("callers_slow_readers_closed"))
+{
+}
+
+bool BodyReservation::grow(size_t bytes, size_t limit)
+{
+    if (bytes <= m_reserved)
+        return true;
+    if (m_used + (bytes - m_reserved) > limit)
+        return false;
+    m_used += bytes - m_reserved;
+    m_reserved = bytes;
+    return true;
+}
+
+// --- Connection
+
+CallerSession::CallerSession(std::shared_ptr<CallerContext> context, beast::tcp_stream stream)
+    : m_context(std::move(context))
+    , m_stream(std::move(stream))
+    , m_address(addressOf(m_stream))
+    , m_progress(m_stream.get_executor())
+    , m_idleSince(m_context->clock.now())
+{
+}
+
+CallerSession::~CallerSession() { m_context->responseMemory -= m_unwrittenBytes; }
+
+asio::awaitable<void> CallerSession::run()
+{
+    try {
+        while (co_await readRequest()) { }
+    } catch (const std::exception& exception) {
+        // Only this caller's connection is closed.
+        logChange(LogLevel::Error, "session-failed", { { "why", exception.what() } });
+        m_broken = true;
+    }
+    m_readState = ReadState::None;
+    while (!m_exchanges.empty() || m_writing)
+        co_await m_progress.wait(progressCheckInterval);
+    if (m_closing && !m_broken && (m_inputMayFollow || m_buffer.size()))
+        co_await linger();
+    beast::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+// Closing a socket with unread input resets the connection, and the reset can overtake the last response.
+asio::awaitable<void> CallerSession::linger()
+{
+    beast::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_requestDeadline = m_context->clock.now() + lingerTimeout;
+    m_readState = ReadState::Lingering;
+    for (bool open = true; open;) {
+        m_buffer.clear();
+        const auto [error, bytesRead] = co_await m_stream.async_read_some(m_buffer.prepare(readChunkBytes), token);
+        open = !error;
+    }
+}
+
+void CallerSession::check()
+{
+    const Instant now = m_context->clock.now();
+    // A read in progress detects a disconnect by itself.
+    const bool reading = m_readState == ReadState::Waiting || m_readState == ReadState::Request;
+    if (!reading && !m_callerGone && !m_exchanges.empty() && isClosedByPeer(m_stream))
+        onCallerGone();
+    if (m_writing) {
+        if (now - m_writeProgress >= responseStallTimeout)
+            closeAsSlowReader();
+        return; // cancelling a read would cancel the write too; its deadline applies once the response is written
+    }
+    if (m_readState == ReadState::None || m_readState == ReadState::Starting || now < readDeadline())
+        return;
+    // The connection stays open, so that the caller of an incomplete request still gets a 408.
+    m_timedOut = true;
+    m_requestDeadline = Instant::max();
+    m_stream.cancel();
+}
+
+Instant CallerSession::readDeadline() const
+{
+    if (m_readState != ReadState::Waiting)
+        return m_requestDeadline;
+    return m_exchanges.empty() ? m_idleSince + m_context->limits.idleTimeout : Instant::max();
+}
+
+void CallerSession::closeIfIdle(Millis idleFor)
+{
+    const bool idle = m_readState == ReadState::Waiting && m_exchanges.empty();
+    if (idle && m_context->clock.now() - m_idleSince >= idleFor)
+        m_stream.cancel();
+}
+
+Millis CallerSession::stalledFor() const { return m_writing ? m_context->clock.now() - m_writeProgress : Millis(0); }
+
+void CallerSession::closeAsSlowReader()
+{
+    if (m_broken)
+        return;
+    m_broken = true;
+    m_context->slowReadersClosed.add();
+    // Otherwise the kernel would keep the rest of the response in memory until the caller reads it.
+    beast::error_code ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    m_stream.cancel();
+}
+
+void CallerSession::onCallerGone()
+{
+    m_callerGone = true;
+    for (const auto& exchange : m_exchanges) {
+        exchange->caller.disconnected = true;
+        if (exchange->caller.onDisconnect)
+            exchange->caller.onDisconnect();
+    }
+    m_progress.notifyAll();
+}
+
+// --- Reading
+
+bool CallerSession::mayReadOn() const
+{
+    const CallerLimits& limits = m_context->limits;
+    return m_exchanges.size() < limits.pipelinedRequests && m_unwrittenBytes < limits.connectionResponseBytes;
+}
+
+bool CallerSession::mayStart(const Exchange& exchange) const
+{
+    return m_exchanges.empty() || (exchange.mayOverlap && m_exchanges.back()->mayOverlap);
+}
+
+asio::awaitable<bool> CallerSession::waitForInput()
+{
+    while (!mayReadOn() && !stopsReading())
+        co_await m_progress.wait(progressCheckInterval);
+    // While draining, the last response to a request that has been read closes the connection. Callers send again what
+    // follows it.
+    const auto isLastRead = [this] { return m_context->draining && !m_exchanges.empty(); };
+    if (stopsReading() || isLastRead())
+        co_return false;
+    if (m_buffer.size())
+        co_return true; // received together with the previous request
+    m_readState = ReadState::Waiting;
+    const auto [error, bytesRead] = co_await m_stream.async_read_some(m_buffer.prepare(readChunkBytes), token);
+    m_readState = ReadState::None;
+    m_buffer.commit(bytesRead);
+    if (error && error != asio::error::operation_aborted)
+        onCallerGone();
+    co_return !error && !ended() && !isLastRead();
+}
+
+asio::awaitable<ErrorKind> CallerSession::readHeader(Parser& parser)
+{
+    parser.header_limit(static_cast<uint32_t>(m_context->limits.headerBytes));
+    m_requestDeadline = m_context->clock.now() + m_context->limits.headerTimeout;
+    m_timedOut = false;
+    const auto [error, bytesRead] = co_await http::async_read_header(m_stream, m_buffer, parser, token);
+    if (!error)
+        co_return ErrorKind::None;
+    if (m_timedOut)
+        co_return ErrorKind::RequestTimeout;
+    co_return isParseError(error) ? readErrorKind(error) : ErrorKind::ConnectionLost;
+}
+
+// Decides from the header alone whether to read the body.
+ErrorKind CallerSession::admit(Parser& parser, Exchange& exchange)
+{
+    const RequestPolicy policy = m_context->handler.requestPolicy(parser.get().base());
+    if (policy.error != ErrorKind::None)
+        return policy.error;
+    if (hasAmbiguousFraming(parser.get().base()))
+        return ErrorKind::BadRequest;
+    if (parser.content_length() && *parser.content_length() > policy.maxBodyBytes)
+        return ErrorKind::BodyTooLarge;
+    // Callers that don't read their responses must not use up the memory of the host.
+    if (m_context->responseMemory >= m_context->limits.responseMemory)
+        return ErrorKind::MemoryBudget;
+    parser.body_limit(policy.maxBodyBytes);
+    exchange.mayOverlap = policy.mayOverlap;
+    return ErrorKind::None;
+}
+
+// Reads the body in chunks and checks the memory limit and the timeout for each.
+asio::awaitable<ErrorKind> CallerSession::readBody(Parser& parser, BodyReservation& reservation)
+{
+    const size_t limit = m_context->limits.bodyMemory;
+    const auto length = parser.content_length();
+    if (!reservation.grow(length ? *length : 0, limit))
+        co_return ErrorKind::MemoryBudget;
+    while (!parser.is_done()) {
+        if (!length && !reservation.grow(parser.get().body().size() + chunkedReservationBytes, limit))
+            co_return ErrorKind::MemoryBudget;
+        m_requestDeadline = m_context->clock.now() + m_context->limits.bodyIdleTimeout;
+        m_timedOut = false;
+        const auto [error, bytesRead] = co_await http::async_read_some(m_stream, m_buffer, parser, token);
+        if (error)
+            co_return m_timedOut      ? ErrorKind::RequestTimeout
+                : isParseError(error) ? readErrorKind(error)
+                                      : ErrorKind::ConnectionLost;
+    }
+    m_context->bodyBytes.add(parser.get().body().size());
+    co_return ErrorKind::None;
+}
+
+// An interim response must not come before the responses to earlier requests.
+asio::awaitable<bool> CallerSession::sendContinue()
+{
+    while (!m_exchanges.empty() && !ended())
+        co_await m_progress.wait(progressCheckInterval);
+    if (ended())
+        co_return false;
+    http::response<http::empty_body> continueResponse { http::status::continue_, 11 };
+    const auto [error, sent] = co_await http::async_write(m_stream, continueResponse, token);
+    co_return !error;
+}
+
+asio::awaitable<bool> CallerSession::readRequest()
+{
+    const bool arrived = co_await waitForInput();
+    if (!arrived)
+        co_return false;
+    m_readState = ReadState::Request;
+    Parser parser;
+    auto exchange = std::make_unique<Exchange>(m_context->bodyMemory);
+    ErrorKind requestError = co_await readHeader(parser);
+    const bool healthCheck = requestError == ErrorKind::None && parser.get().target() == healthPath;
+    if (!healthCheck && requestError == ErrorKind::None)
+        requestError = admit(parser, *exchange);
+    const bool expectsContinue = beast::iequals(parser.get()[http::field::expect], "100-continue");
+    if (requestError == ErrorKind::None && expectsContinue) {
+        const bool sent = co_await sendContinue();
+        requestError = sent ? ErrorKind::None : ErrorKind::ConnectionLost;
+    }
+    if (!healthCheck && requestError == ErrorKind::None)
+        requestError = co_await readBody(parser, exchange->bodyReservation);
+    if (requestError == ErrorKind::ConnectionLost) {
+        onCallerGone();
+        co_return false;
+    }
+    m_readState = ReadState::Starting;
+    // If part of the request is unread, the connection can't carry another request.
+    const bool keepAlive = parser.is_done() && parser.keep_alive();
+    m_inputMayFollow |= !parser.is_done() || !m_exchanges.empty();
+    exchange->keepAlive = keepAlive;
+    const bool answerHere = healthCheck || requestError != ErrorKind::None;
+    if (answerHere) {
+        const bool head = parser.get().method() == http::verb::head;
+        answer(std::move(exchange), head,
+            healthCheck ? healthResponse(m_context->handler.ready() && !m_context->draining)
+                        : m_context->handler.errorResponse(requestError));
+    } else {
+        exchange->request = parser.release();
+        const bool started = co_await startInTurn(std::move(exchange));
+        if (!started)
+            co_return false;
+    }
+    m_readState = ReadState::None;
+    co_return keepAlive;
+}
+
+// --- Running and writing
+
+asio::awaitable<bool> CallerSession::startInTurn(std::unique_ptr<Exchange> exchange)
+{
+    while (!mayStart(*exchange) && !stopsReading())
+        co_await m_progress.wait(progressCheckInterval);
+    if (stopsReading())
+        co_return false;
+    m_context->requests.add();
+    m_context->overlappingRequests.add(!m_exchanges.empty());
+    exchange->caller.address = m_address;
+    m_exchanges.push_back(std::move(exchange));
+    asio::co_spawn(m_stream.get_executor(), runExchange(shared_from_this(), *m_exchanges.back()), asio::detached);
+    co_return true;
+}
+
+void CallerSession::answer(std::unique_ptr<Exchange> exchange, bool head, CallerResponse response)
+{
+    m_exchanges.push_back(std::move(exchange));
+    setResponse(*m_exchanges.back(), head, std::move(response));
+    asio::co_spawn(m_stream.get_executor(), writeAnswered(shared_from_this()), asio::detached);
+}
+
+void CallerSession::setResponse(Exchange& exchange, bool head, CallerResponse response)
+{
+    if (head)
+        response.body().clear(); // the caller would parse a body after a HEAD response as the next response
+    exchange.response = std::move(response);
+    exchange.answered = true;
+    m_unwrittenBytes += exchange.response.body().size();
+    m_context->responseMemory += exchange.response.body().size();
+}
+
+asio::awaitable<void> CallerSession::runExchange(std::shared_ptr<CallerSession> self, Exchange& exchange)
+{
+    try {
+        const bool head = exchange.request.method() == http::verb::head;
+        CallerResponse response = co_await m_context->handler.handle(exchange.request, exchange.caller);
+        setResponse(exchange, head, std::move(response));
+    } catch (const std::exception& exception) {
+        logChange(LogLevel::Error, "session-failed", { { "why", exception.what() } });
+        exchange.answered = true;
+        m_broken = true;
+    }
+    co_await writeAnswered(std::move(self));
+}
+
+// Writes the responses that are ready and not behind one that isn't.
+asio::awaitable<void> CallerSession::writeAnswered(std::shared_ptr<CallerSession>)
+{
+    if (m_writing)
+        co_return; // another coroutine writes, and continues with this response
+    m_writing = true;
+    while (!m_exchanges.empty() && m_exchanges.front()->answered) {
+        Exchange& exchange = *m_exchanges.front();
+        const size_t bytes = exchange.response.body().size();
+        if (!ended()) {
+            const bool written = co_await writeResponse(exchange);
+            m_broken |= !written;
+        }
+        m_unwrittenBytes -= bytes;
+        m_context->responseMemory -= bytes;
+        m_exchanges.pop_front();
+        m_idleSince = m_context->clock.now();
+        m_progress.notifyAll();
+    }
+    m_writing = false;
+    if (ended())
+        m_stream.cancel(); // ends the read in progress
+}
+
+bool CallerSession::closesAfter(const Exchange& exchange) const
+{
+    const bool requestBegun = m_readState == ReadState::Request || m_readState == ReadState::Starting;
+    const bool last = m_exchanges.size() == 1 && !requestBegun;
+    return !exchange.keepAlive || (m_context->draining && last);
+}
+
+asio::awaitable<bool> CallerSession::writeResponse(Exchange& exchange)
+{
+    m_closing = closesAfter(exchange);
+    CallerResponse& response = exchange.response;
+    response.keep_alive(!m_closing);
+    response.prepare_payload();
+    http::response_serializer<http::string_body> serializer(response);
+    m_writeProgress = m_context->clock.now();
+    while (!serializer.is_done()) {
+        const auto [error, bytesWritten] = co_await http::async_write_some(m_stream, serializer, token);
+        if (error)
+            co_return false;
+        m_writeProgress = m_context->clock.now();
+    }
+    co_return true;
+}
+
+}
--- /dev/null
+++ b/packages/callers/CallerSession.h
@@ -0,0 +1,145 @@
+// One caller's connection: reads requests, runs them, and writes the responses in the order of the requests.
+//
+// A caller may send further requests before the first one is answered (pipelining, RFC 9112, section 9.3.2). Requests
+// that the handler allows to overlap run concurrently, so that a slow one doesn't add its time to those behind it. All
+// others run alone. Requests behind a response that closes the connection are not passed to the handler.
+//
+// Memory is bounded for each connection and for the host: a connection runs a limited number of requests, reads no
+// further ones while its unwritten responses exceed a limit, and loses its place if the host's responses need too much
+// memory and its caller hasn't read for the longest time.
+#pragma once
+
+#include "base/Metrics.h"
+#include "callers/CallerServer.h"
+#include "web/Signal.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace cumindale {
+
+// What all connections of a server share.
+struct CallerContext {
+    CallerContext(const Clock&, CallerLimits, RequestHandler&, Metrics&);
+
+    const Clock& clock;
+    CallerLimits limits;
+    RequestHandler& handler;
+    Counter& requests;
+    Counter& overlappingRequests;
+    Counter& bodyBytes;
+    Counter& slowReadersClosed;
+    size_t bodyMemory = 0; // bytes reserved for bodies of requests
+    size_t responseMemory = 0; // bytes of responses that aren't completely written
+    bool draining = false; // each connection is closed after its next response
+};
+
+// Reserves memory for the body of one request and releases it on destruction.
+class BodyReservation {
+public:
+    explicit BodyReservation(size_t& used)
+        : m_used(used)
+    {
+    }
+    ~BodyReservation() { m_used -= m_reserved; }
+    BodyReservation(const BodyReservation&) = delete;
+    BodyReservation& operator=(const BodyReservation&) = delete;
+
+    bool grow(size_t bytes, size_t limit); // to `bytes` in all; false if that would exceed the limit
+
+private:
+    size_t& m_used;
+    size_t m_reserved = 0;
+};
+
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+public:
+    CallerSession(std::shared_ptr<CallerContext>, boost::beast::tcp_stream);
+    ~CallerSession();
+
+    boost::asio::awaitable<void> run(); // until the connection has ended
+    // To be called regularly: detects callers that have disconnected, and ends operations whose time is over.
+    void check();
+    void closeIfIdle(Millis idleFor);
+    // How long the caller has taken nothing of a response that is ready; zero if no response waits.
+    Millis stalledFor() const;
+    void closeAsSlowReader();
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    // One request and its response.
+    struct Exchange {
+        explicit Exchange(size_t& bodyMemory)
+            : bodyReservation(bodyMemory)
+        {
+        }
+
+        BodyReservation bodyReservation;
+        CallerRequest request;
+        CallerConnection caller;
+        CallerResponse response;
+        bool mayOverlap = false; // as in RequestPolicy
+        bool keepAlive = false; // the connection may carry further requests after the response
+        bool answered = false; // `response` is ready to be written
+    };
+    using Exchanges = std::list<std::unique_ptr<Exchange>>;
+
+    enum class ReadState : uint8_t {
+        None, // not reading
+        Waiting, // for the first byte of a request
+        Request, // a request has begun
+        Starting, // a complete request waits for earlier ones to end
+        Lingering, // discards input after the last response
+    };
+
+    // --- Reading. These return false if no further request is to be read.
+    boost::asio::awaitable<bool> readRequest();
+    boost::asio::awaitable<bool> waitForInput();
+    boost::asio::awaitable<bool> sendContinue();
+    // These return the error of the request. ConnectionLost: no response can be sent.
+    boost::asio::awaitable<ErrorKind> readHeader(Parser&);
+    boost::asio::awaitable<ErrorKind> readBody(Parser&, BodyReservation&);
+    ErrorKind admit(Parser&, Exchange&);
+    boost::asio::awaitable<void> linger();
+    bool mayReadOn() const;
+    bool mayStart(const Exchange&) const;
+    Instant readDeadline() const;
+    bool ended() const { return m_broken || m_closing; } // no further response is written
+    bool stopsReading() const { return ended() || m_callerGone; }
+
+    // --- Running and writing
+    // Returns false if the request is not to be run, because the connection has ended before its turn.
+    boost::asio::awaitable<bool> startInTurn(std::unique_ptr<Exchange>);
+    void answer(std::unique_ptr<Exchange>, bool head, CallerResponse); // without the handler
+    boost::asio::awaitable<void> runExchange(std::shared_ptr<CallerSession>, Exchange&);
+    void setResponse(Exchange&, bool head, CallerResponse); // `head`: to a HEAD request
+    boost::asio::awaitable<void> writeAnswered(std::shared_ptr<CallerSession>);
+    boost::asio::awaitable<bool> writeResponse(Exchange&);
+    bool closesAfter(const Exchange&) const;
+    void onCallerGone();
+
+    std::shared_ptr<CallerContext> m_context;
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    std::string m_address; // the caller's IP address
+    Exchanges m_exchanges; // in the order of the requests
+    Signal m_progress; // notified when a response has been written or the connection ends
+    ReadState m_readState = ReadState::None;
+    Instant m_requestDeadline {}; // for the next part of the request that is being read
+    bool m_timedOut = false; // the read in progress was ended at its deadline
+    bool m_writing = false;
+    Instant m_writeProgress {}; // while writing: when the caller last took part of the response
+    size_t m_unwrittenBytes = 0; // of responses
+    Instant m_idleSince {}; // when the connection was opened, or the last response was written
+    bool m_closing = false; // the response being written, or written last, closes the connection
+    bool m_broken = false; // no further response can be written
+    bool m_callerGone = false; // the caller has closed its end
+    bool m_inputMayFollow = false; // the caller may have sent something behind the last request that was read
+};
+
+}
--- a/packages/resources/Settings.cpp
+++ b/packages/resources/Settings.cpp
@@ -98,6 +98,8 @@
         gateway.readiness = readEndpoint(reader, "readiness", fieldError);
         constexpr double maxCores = 1'024;
         gateway.strength = reader.real("strength", 0, maxCores, gateway.strength);
+        constexpr int64_t maxMemoryMegabytes = 1'000'000;
+        gateway.memoryMegabytes = static_cast<size_t>(reader.integer("memoryMegabytes", 0, maxMemoryMegabytes, 0));
         gateway.maxGrantHold = readSeconds(reader, "longestHoldSeconds", 1, gateway.maxGrantHold);
         gateway.leaderLease = readSeconds(reader, "leaderLeaseSeconds", 1, gateway.leaderLease);
         gateway.minStoreLease = readSeconds(reader, "shortestLeaseSeconds", 0, gateway.minStoreLease);
@@ -121,6 +123,10 @@
         };
         limits.callerConnections = size("callerConnections", 1, 1'000'000, limits.callerConnections);
         limits.bodyMemory = size("bodyMemoryBytes", 1'000'000, 1'000'000'000'000, limits.bodyMemory);
+        limits.responseMemory = size("responseMemoryBytes", 1'000'000, 1'000'000'000'000, limits.responseMemory);
+        limits.connectionResponseBytes
+            = size("connectionResponseBytes", 1'000, 1'000'000'000, limits.connectionResponseBytes);
+        limits.pipelinedRequests = size("pipelinedRequests", 1, 1'000, limits.pipelinedRequests);
         limits.headerBytes = size("headerBytes", 1'024, 1'048'576, limits.headerBytes);
         limits.keyBytes = size("keyBytes", 1, 65'536, limits.keyBytes);
         limits.headerTimeout = readMillis(reader, "headerTimeoutMs", 100, limits.headerTimeout);
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -38,6 +38,8 @@
     std::string platform; // selects the platform adapter: metadataStorePlatform
     Endpoint readiness; // the load balancer checks here whether to send new callers
     double strength = 0.2; // CPU cores that this host may use; hosts with more are preferred as coordinator
+    size_t memoryMegabytes
+        = 0; // memory that this host may use; 0: not limited. Lowers the memory limits of LimitSettings
     Millis maxGrantHold { 10'000 }; // longest duration of one grant that servers accept
     Millis leaderLease { 1'500 }; // of the coordinator; a failed coordinator is replaced after about this time
     Millis minStoreLease { 1'000 }; // shortest lease that the store accepts
@@ -64,6 +66,9 @@
 struct LimitSettings {
     size_t callerConnections = 20'000;
     size_t bodyMemory = 64'000'000; // bytes of request bodies being received, over all connections
+    size_t responseMemory = 32'000'000; // bytes of responses that callers have not read yet, over all connections
+    size_t connectionResponseBytes = 1'000'000; // the same on one connection; beyond it no further request is read
+    size_t pipelinedRequests = 8; // on one connection, without an answer yet
     size_t headerBytes = 16'384;
     size_t keyBytes = 1'024;
     Millis headerTimeout { 10'000 }; // to receive all headers of a request, from its first byte
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -192,16 +192,17 @@
 
 // --- Requests
 
-BodyPolicy Router::bodyPolicy(const CallerHeader& header)
+RequestPolicy Router::requestPolicy(const CallerHeader& header)
 {
     // Before the configuration arrives no service is known. "Unknown service" would be wrong, and callers wouldn't
     // retry.
     if (!m_configured)
         return { ErrorKind::NotFresh, 0 };
-    const auto* service = m_resources->serviceForPath(pathOf(header.target()));
+    const std::string_view path = pathOf(header.target());
+    const auto* service = m_resources->serviceForPath(path);
     if (!service)
         return { ErrorKind::UnknownService, 0 };
-    return { ErrorKind::None, service->largestBody };
+    return { ErrorKind::None, service->largestBody, ruleFor(*service, header.method_string(), path).idempotent };
 }
 
 bool Router::ready() const
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -40,7 +40,7 @@
     void start(); // starts the periodic reports
 
     // --- From callers
-    BodyPolicy bodyPolicy(const CallerHeader&) override;
+    RequestPolicy requestPolicy(const CallerHeader&) override;
     boost::asio::awaitable<CallerResponse> handle(CallerRequest&, CallerConnection&) override;
     CallerResponse errorResponse(ErrorKind) override;
     bool ready() const override;
--- a/tests/request_outcome_test.cpp
+++ b/tests/request_outcome_test.cpp
@@ -212,7 +212,7 @@
     CHECK_FALSE(router.ready());
     CallerRequest request;
     request.target("/tracing/x");
-    CHECK(router.bodyPolicy(request).error == ErrorKind::NotFresh);
+    CHECK(router.requestPolicy(request).error == ErrorKind::NotFresh);
 }
 
 TEST_CASE("a host paused between its lease check and its send does not extend a request's deadline")
