Times that depend on the number of hosts and ranges come from one place each, and small fleets keep theirs

What callers saw: not seen yet on its own; read in the code. From 384 hosts on a coordinator without the store could not act, since reports came each 2 s and were believed for 1.2 s; one lost report removed a host; 6,689 ranges with leases of 3 s need 6,689 renewals a second, two thirds of a core on a host of half a core. Change: FleetTiming derives report interval, its lifetime, the host timeout and the lifetime of a server's use from the number of hosts; the leadership rules go by the list in the store, and by the shorter lifetime while a write of another list is under way. GrantPlan lengthens leases with the number of ranges, up to what servers allow, so that renewals stay at 2,000 a second; the table in the store announces the longest lease before a grant has it, and a successor waits for it. Up to 128 hosts and 2,000 ranges all values are the former ones. Limit: at 10,000 ranges leases have reached their maximum; beyond, renewals grow with the ranges again. Renewals by several hosts are what carries more; not built.

--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -37,6 +37,9 @@
     : m_service(std::move(service))
     , m_timing(timing)
     , m_term(term)
+    , m_lease(timing.leaseDuration)
+    , m_wantedLease(timing.leaseDuration)
+    , m_inheritedLease(timing.leaseDuration)
 {
 }
 
@@ -45,6 +48,8 @@
 void GrantPlan::takeOver(const GrantTable& table, Instant now)
 {
     m_highestFence = table.highestFence;
+    m_inheritedLease = std::max(m_inheritedLease, table.longestLease);
+    m_wantedLease = m_lease = m_inheritedLease; // the table in the store allows it
     for (const auto& range : table.ranges) {
         RangeState state;
         state.range = range;
@@ -54,12 +59,14 @@
             state.range.nextFence = ++m_highestFence;
             // The previous coordinator doesn't renew a range at its holder once the move is announced, but an earlier
             // grant may still be valid.
-            state.inheritedLeaseUntil = leaseExpiry(now + m_timing.orderTimeout);
+            state.inheritedLeaseUntil = inheritedLeaseExpiry(now + m_timing.orderTimeout);
             // The previous coordinator may have granted the range to the next server, and may still renew it there.
             state.nextMayHold = true;
-            state.nextInheritedLeaseUntil = leaseExpiry(now + m_timing.maxRenewalWithoutStore + m_timing.orderTimeout);
+            state.nextInheritedLeaseUntil
+                = inheritedLeaseExpiry(now + m_timing.maxRenewalWithoutStore + m_timing.orderTimeout);
         } else {
-            state.inheritedLeaseUntil = leaseExpiry(now + m_timing.maxRenewalWithoutStore + m_timing.orderTimeout);
+            state.inheritedLeaseUntil
+                = inheritedLeaseExpiry(now + m_timing.maxRenewalWithoutStore + m_timing.orderTimeout);
         }
         markChanged(state, Urgency::Announcement);
         m_ranges.push_back(std::move(state));
@@ -75,7 +82,7 @@
 
 void GrantPlan::onPreviousStopped(Instant at)
 {
-    const Instant expiry = leaseExpiry(at + m_timing.orderTimeout);
+    const Instant expiry = inheritedLeaseExpiry(at + m_timing.orderTimeout);
     for (auto& state : m_ranges) {
         state.inheritedLeaseUntil = std::min(state.inheritedLeaseUntil, expiry);
         state.nextInheritedLeaseUntil = std::min(state.nextInheritedLeaseUntil, expiry);
@@ -84,11 +91,30 @@
 
 // --- Answers
 
-Instant GrantPlan::leaseExpiry(Instant arrivedBy) const
+Instant GrantPlan::leaseEnd(Instant begin, Millis duration) const
 {
-    const auto duration
-        = static_cast<int64_t>(static_cast<double>(m_timing.leaseDuration.count()) * m_timing.clockDriftFactor);
-    return arrivedBy + Millis(duration) + m_timing.margin;
+    const auto longest = static_cast<int64_t>(static_cast<double>(duration.count()) * m_timing.clockDriftFactor);
+    return begin + Millis(longest) + m_timing.margin;
+}
+
+// The lease only grows within a term, so this is late enough for earlier grants, too.
+Instant GrantPlan::leaseExpiry(Instant arrivedBy) const { return leaseEnd(arrivedBy, m_lease); }
+
+Instant GrantPlan::inheritedLeaseExpiry(Instant arrivedBy) const { return leaseEnd(arrivedBy, m_inheritedLease); }
+
+void GrantPlan::lengthenLease()
+{
+    constexpr double renewalsInLease = 3;
+    const double seconds = renewalsInLease * static_cast<double>(m_ranges.size()) / m_timing.maxRenewalsPerSecond;
+    const Millis needed(static_cast<int64_t>(seconds * 1000));
+    const Millis longest = std::max(m_timing.leaseDuration, m_timing.maxLeaseDuration);
+    const Millis lease = std::clamp(needed, m_timing.leaseDuration, longest);
+    // In steps, since each one is written to the store.
+    constexpr double step = 1.25;
+    if (static_cast<double>(lease.count()) < step * static_cast<double>(m_wantedLease.count()))
+        return;
+    m_wantedLease = lease;
+    m_lastAnnouncementEdition = m_wantedLeaseEdition = ++m_edition;
 }
 
 Instant GrantPlan::holderExpiry(const RangeState& state) const
@@ -130,7 +156,7 @@
 {
     const auto found = m_contacts.find(server);
     return found != m_contacts.end() && found->second.lastServed != Instant {}
-    && now - found->second.lastServed <= m_timing.serverUseLifetime;
+    && now - found->second.lastServed <= m_serverUseLifetime;
 }
 
 void GrantPlan::onAnswer(const OrderAnswer& answer)
@@ -445,6 +471,7 @@
 {
     if (m_ranges.size() == 1 && m_ranges.front().range.holder.empty() && !m_ranges.front().range.moving()) {
         assignInitialRanges(servers);
+        lengthenLease();
         return;
     }
     std::erase_if(m_contacts, [&](const auto& entry) {
@@ -467,6 +494,7 @@
             updateHolderState(state, now);
     }
     mergeNeighbours();
+    lengthenLease();
 }
 
 void GrantPlan::mergeNeighbours()
@@ -541,7 +569,7 @@
     order.first = state.range.first;
     order.last = state.range.last;
     order.fence = fence;
-    order.leaseDuration = m_timing.leaseDuration;
+    order.leaseDuration = m_lease;
     if (kind == GrantOrder::Kind::Grant)
         order.handover = state.handover;
     return order;
@@ -550,8 +578,8 @@
 Millis GrantPlan::renewalInterval() const
 {
     const double seconds = static_cast<double>(m_ranges.size()) / m_timing.renewalsPerSecond;
-    return std::clamp(
-        Millis(static_cast<int64_t>(seconds * 1000)), m_timing.minRenewInterval, m_timing.maxRenewInterval);
+    const Millis longest = std::max(m_timing.maxRenewInterval, m_lease / 3);
+    return std::clamp(Millis(static_cast<int64_t>(seconds * 1000)), m_timing.minRenewInterval, longest);
 }
 
 std::optional<GrantOrder> GrantPlan::renewalOrder(RangeState& state, Instant now)
@@ -618,6 +646,7 @@
     table.service = m_service;
     table.edition = { m_term, m_edition };
     table.highestFence = m_fenceLimit;
+    table.longestLease = m_wantedLease;
     table.ranges.reserve(m_ranges.size());
     for (const auto& state : m_ranges)
         table.ranges.push_back(state.range);
@@ -634,6 +663,8 @@
     m_lastWrite = now;
     if (edition >= m_fenceLimitEdition)
         m_writtenFenceLimit = m_fenceLimit;
+    if (edition >= m_wantedLeaseEdition)
+        m_lease = m_wantedLease;
 }
 
 // --- Inspection
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -18,11 +18,14 @@
 //   server doesn't outlive its connections. Over a new connection, a grant carries a fence higher than any that an
 //   incarnation has taken. The table in the store covers a reserve of such fences, so that grants can be renewed while
 //   the store is unavailable.
+// - With many ranges, leases are longer, so that they can be renewed in time. The table in the store says how long the
+//   longest one may be, before a grant has it: a new coordinator waits for the leases of its predecessors.
 // - If a server refuses an order because it has seen a higher fence, another coordinator is active: this one stops at
 //   once (deposed()).
 #pragma once
 
 #include "base/Time.h"
+#include "decisions/FleetTiming.h"
 #include "decisions/GrantTable.h"
 #include "decisions/RouteRules.h"
 
@@ -38,8 +41,14 @@
     // Duration of a grant. The keys of a lost server wait for this long, and the loss of a coordinator (about 2 s) must
     // be over within it.
     Millis leaseDuration { 3'000 };
+    // With more ranges than can be renewed three times in a lease, leases are longer, up to this. Servers may take no
+    // longer ones.
+    Millis maxLeaseDuration { 10'000 };
+    double maxRenewalsPerSecond = 2'000; // about 20% of a core
     Millis minRenewInterval { 600 }; // allows several attempts within one lease
-    Millis maxRenewInterval { 1'000 }; // a third of the lease, so that two attempts may fail even with many ranges
+    Millis maxRenewInterval {
+        1'000
+    }; // a third of `leaseDuration`, so that two attempts may fail even with many ranges
     // About 10% of a core. With more ranges each is renewed less often, down to once in maxRenewInterval.
     double renewalsPerSecond = 1'000;
     Millis retryInterval { 150 }; // after an order without an answer
@@ -62,7 +71,6 @@
     // For a server that still answers hosts, only orders or their answers are being lost. Another attempt costs
     // nothing, and a move would leave its keys without an owner until its lease has expired.
     Millis unresponsiveAfterWhileServing { 2'000 };
-    Millis serverUseLifetime { 700 }; // validity of a host's report of an answer: two report intervals and the transfer
     // A coordinator that can't reach the store goes on renewing for this long, which is longer than the outages that
     // hosts see. A new coordinator waits as long for holders that it can't reach.
     Millis maxRenewalWithoutStore { 12'000 };
@@ -132,6 +140,7 @@
     std::optional<uint64_t> fenceToSend(const GrantOrder&, bool newConnection);
     void onAnswer(const OrderAnswer&);
     void onServedRequest(const std::string& server, Instant at); // a host reports that the server has answered it
+    void setServerUseLifetime(Millis lifetime) { m_serverUseLifetime = lifetime; } // validity of such a report
     // Splits these keys off and moves them to a server. Returns false if their range can't move at present.
     bool move(uint32_t first, uint32_t last, const std::string& to, std::string why);
     // The previous coordinator sends nothing after `at`, so the wait for holders that can't be reached ends one lease
@@ -188,6 +197,9 @@
     };
 
     Instant leaseExpiry(Instant arrivedBy) const; // of a grant that arrived at this time at the latest
+    Instant inheritedLeaseExpiry(Instant arrivedBy) const; // of a previous coordinator's grant
+    Instant leaseEnd(Instant begin, Millis duration) const; // at the latest, by the server's clock
+    void lengthenLease(); // if there are more ranges than the present lease allows to renew
     Instant holderExpiry(const RangeState&) const; // expiry of all leases that the holder may have
     bool announced(const RangeState& state) const { return state.edition <= m_writtenEdition; }
     enum class Urgency : uint8_t { Announcement, Lazy };
@@ -226,6 +238,10 @@
     uint64_t m_fenceLimit = 0; // highest fence that table() allows to be used
     uint64_t m_fenceLimitEdition = 0; // of the first table with this limit
     uint64_t m_writtenFenceLimit = 0; // limit of the newest table in the store
+    Millis m_lease; // of the grants that are sent
+    Millis m_wantedLease; // used once a table that announces it is in the store
+    uint64_t m_wantedLeaseEdition = 0; // of the first table that announces it
+    Millis m_inheritedLease; // the longest of previous coordinators' grants
     uint64_t m_edition = 0;
     uint64_t m_writtenEdition = 0;
     uint64_t m_lastAnnouncementEdition = 0; // newest edition that announces a change
@@ -241,6 +257,7 @@
     std::map<std::string, ServerContact, std::less<>> m_contacts; // by server
     bool m_deposed = false;
     bool m_avoidWarmingUpServers = false;
+    Millis m_serverUseLifetime = FleetTiming {}.serverUseLifetime;
     std::vector<GrantEvent> m_events;
 };
 
--- a/packages/decisions/GrantTable.h
+++ b/packages/decisions/GrantTable.h
@@ -5,6 +5,8 @@
 // the grant at the server decides whether a request is served.
 #pragma once
 
+#include "base/Time.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -51,6 +53,7 @@
     TableEdition edition;
     std::string coordinator; // host that made the table
     uint64_t highestFence = 0; // no grant has carried a higher fence
+    Millis longestLease { 0 }; // no grant has had a longer lease; 0: it was written by a version with a fixed lease
     std::vector<KeyRange> ranges; // in ascending order of keys, without gaps
 
     const KeyRange* find(uint32_t key) const; // null only if the table is empty
--- a/packages/decisions/LeadershipRules.h
+++ b/packages/decisions/LeadershipRules.h
@@ -7,12 +7,15 @@
 // reports to only one coordinator, the newest that it knows of. Hence these rules:
 //
 // - Without confirmation by the store, a coordinator acts only while more than half of the listed hosts have reported
-//   to it within `reportLifetime`, and never longer than `maxWithoutStore`.
+//   to it within the lifetime of a report, and never longer than `maxWithoutStore`.
 // - Once half of the listed hosts have reported to a new coordinator, the previous one can't have a majority. It stops
-//   within `reportLifetime` plus the time that a report may take to arrive.
+//   within the lifetime of a report plus the time that a report may take to arrive.
+// - The lifetime depends on the number of hosts in the list (FleetTiming). While a coordinator doesn't know whether its
+//   write of another list has taken effect, it uses the shorter lifetime of the two lists. Thus a new coordinator,
+//   which reads the list in the store, waits at least as long as the previous one may act.
 #pragma once
 
-#include "base/Time.h"
+#include "decisions/FleetTiming.h"
 
 #include <map>
 #include <set>
@@ -23,8 +26,6 @@
 
 struct LeadershipTiming {
     Millis lease { 1'500 }; // of the leadership in the store
-    Millis reportLifetime { 1'200 }; // validity of a host's report: a few report intervals
-    Millis reportTimeout { 400 }; // a report arrives within this time or never
     Millis maxWithoutStore { 12'000 }; // longer than the store outages that hosts see
 };
 
@@ -35,8 +36,8 @@
     {
     }
 
-    // The list in the store.
-    void setListedHosts(std::set<std::string, std::less<>> hosts) { m_listedHosts = std::move(hosts); }
+    void setListedHosts(std::set<std::string, std::less<>> hosts); // the list in the store
+    void onListWriteBegun(size_t hosts); // of a list of so many hosts; it may take effect at any time
     const std::set<std::string, std::less<>>& listedHosts() const { return m_listedHosts; }
     void onReport(std::string_view host, Instant now);
 
@@ -45,11 +46,14 @@
     // Whether so many hosts report to this one that a previous coordinator has no majority and must stop.
     bool previousLostMajority() const;
     // When a previous coordinator that has just lost its majority has stopped at the latest.
-    Instant previousStoppedBy(Instant now) const { return now + m_timing.reportLifetime + m_timing.reportTimeout; }
+    Instant previousStoppedBy(Instant now) const { return now + m_previousReportLifetime + reportTimeout; }
 
 private:
     LeadershipTiming m_timing;
     std::set<std::string, std::less<>> m_listedHosts;
+    bool m_hasList = false;
+    Millis m_previousReportLifetime = FleetTiming {}.reportLifetime; // by the list that the previous coordinator left
+    Millis m_reportLifetime = FleetTiming {}.reportLifetime; // the shortest that applies to the list in the store
     std::map<std::string, Instant, std::less<>> m_reports; // time of the last report of each listed host in this term
 };
 
--- a/packages/decisions/ServerChoice.cpp
+++ b/packages/decisions/ServerChoice.cpp
@@ -4,6 +4,12 @@
 
 namespace cumindale {
 
+namespace {
+
+    constexpr double newConnectionFactor = 1.2; // of the expected time
+
+}
+
 std::optional<size_t> chooseServer(std::span<const ServerCandidate> candidates, uint64_t random, double remoteFactor)
 {
     if (candidates.empty())
@@ -21,6 +27,8 @@
         double time = std::max(1.0, candidate.workMillis) * (1 + ahead);
         if (!candidate.sameDataCentre)
             time *= remoteFactor;
+        if (!candidate.connected)
+            time *= newConnectionFactor;
         const bool better
             = !best || (bestResting && !candidate.resting) || (bestResting == candidate.resting && time < bestTime);
         if (!better)
--- a/packages/decisions/WarmUp.cpp
+++ b/packages/decisions/WarmUp.cpp
@@ -1,5 +1,7 @@
 #include "decisions/WarmUp.h"
 
+#include "decisions/RendezvousHash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -17,25 +19,6 @@
     // and is now and then twice the average.
     constexpr double targetUtilization = 0.75;
 
-    // 64-bit FNV-1a with a final mix: the same result on every host and platform.
-    uint64_t hashOf(std::string_view host, std::string_view server)
-    {
-        uint64_t hash = 0xcbf29ce484222325;
-        const auto add = [&](std::string_view text) {
-            for (const char c : text) {
-                hash ^= static_cast<unsigned char>(c);
-                hash *= 0x100000001b3;
-            }
-        };
-        add(host);
-        add(std::string_view("\0", 1));
-        add(server);
-        hash ^= hash >> 33;
-        hash *= 0xff51afd7ed558ccd;
-        hash ^= hash >> 33;
-        return hash;
-    }
-
 }
 
 void HostCount::count(size_t hosts, Instant now)
@@ -73,7 +56,7 @@
 {
     const double wanted = targetUtilization * bound.perSecond / static_cast<double>(std::max<size_t>(1, hosts));
     constexpr double parts = 1 << 20;
-    return static_cast<double>(hashOf(host, server) % (1 << 20)) < wanted * parts;
+    return static_cast<double>(rendezvousHash(host, server) % (1 << 20)) < wanted * parts;
 }
 
 }
--- a/packages/resources/GrantTableCodec.cpp
+++ b/packages/resources/GrantTableCodec.cpp
@@ -97,6 +97,7 @@
     object["edition"] = table.edition.edition;
     object["coordinator"] = table.coordinator;
     object["highestFence"] = table.highestFence;
+    object["longestLeaseMs"] = table.longestLease.count();
     object["ranges"] = std::move(ranges);
     return json::serialize(object);
 }
@@ -110,6 +111,8 @@
         if (const auto* coordinator = object.if_contains("coordinator"))
             table.coordinator = coordinator->as_string();
         table.highestFence = object.at("highestFence").to_number<uint64_t>();
+        if (const auto* lease = object.if_contains("longestLeaseMs"))
+            table.longestLease = Millis(lease->to_number<int64_t>());
         table.ranges = decodeRanges(object);
         return coversAllKeys(table);
     });
