--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -236,19 +236,28 @@
 
 // --- Connections
 
+// A device on the network path may have dropped the state of an idle connection. A request sent over it would be lost,
+// and the host could not tell whether the request ran. A new connection costs about 1 ms.
+bool ServerPool::usable(const BackendConnection& connection, bool idempotent, Instant now) const
+{
+    const Millis idle = now - connection.lastResponseAt;
+    const bool closesSoon
+        = connection.serverIdleTimeout() != Millis::max() && idle + idleTimeoutMargin >= connection.serverIdleTimeout();
+    return (idempotent || idle <= m_maxIdleNonIdempotent) && !closesSoon;
+}
+
+bool ServerPool::hasConnection(Instant now) const
+{
+    return !m_idleConnections.empty() && usable(*m_idleConnections.back(), false, now);
+}
+
 asio::awaitable<ConnectionPointer> ServerPool::acquireConnection(bool idempotent, Millis timeout)
 {
     const Instant now = m_clock.now();
     while (!m_idleConnections.empty()) {
         ConnectionPointer connection = std::move(m_idleConnections.back());
         m_idleConnections.pop_back();
-        // A device on the network path may have dropped the state of an idle connection. A request sent over it would
-        // be lost, and the host could not tell whether the request ran. A new connection costs about 1 ms.
-        const Millis idle = now - connection->lastResponseAt;
-        const bool closesSoon = connection->serverIdleTimeout() != Millis::max()
-            && idle + idleTimeoutMargin >= connection->serverIdleTimeout();
-        const bool usable = (idempotent || idle <= m_maxIdleNonIdempotent) && !closesSoon;
-        if (usable && !connection->hasUnsolicitedInput())
+        if (usable(*connection, idempotent, now) && !connection->hasUnsolicitedInput())
             co_return connection;
     }
     co_return co_await connect(timeout);
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -87,6 +87,8 @@
     boost::asio::awaitable<ConnectionPointer> acquireConnection(bool idempotent, Millis timeout);
     boost::asio::awaitable<ConnectionPointer> connect(Millis timeout); // opens a new connection
     void returnConnection(ConnectionPointer);
+    // Whether an idle connection would be used for any request. It may still turn out to be closed.
+    bool hasConnection(Instant now) const;
     void closeIdleConnections(); // for a server that became unresponsive: its connections may be dead
 
 private:
@@ -99,6 +101,7 @@
 
     void admitQueued();
     void notifyShed();
+    bool usable(const BackendConnection&, bool idempotent, Instant now) const;
 
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
--- a/packages/gateway/Announcer.cpp
+++ b/packages/gateway/Announcer.cpp
@@ -64,6 +64,7 @@
 {
     m_news.clear();
     m_published.clear();
+    m_packed.clear();
     m_recentChanges.clear();
 }
 
@@ -95,7 +96,12 @@
 {
     const auto published = m_published.find(table.service);
     if (published == m_published.end()) {
-        m_published.emplace(table.service, table); // each host gets its first table with the answer to a report
+        m_published.emplace(table.service, table);
+        // Through the relays, since the coordinator's link can't carry thousands of ranges to each of a thousand hosts
+        // within seconds, and answers that wait for it would fill its memory.
+        wire::News news;
+        news.packedTables.push_back(packed(table));
+        m_news.publish(news);
         return;
     }
     GrantTable& latest = published->second;
@@ -125,7 +131,21 @@
     m_news.publish(news);
 }
 
-void Announcer::addMissedChanges(const wire::HostReport& report, const Tables& tables, wire::HostAdvice& advice) const
+const wire::PackedTable& Announcer::packed(const GrantTable& table)
+{
+    PackedEdition& made = m_packed[table.service];
+    if (made.table.value.empty() || made.edition < table.edition || table.edition < made.edition) {
+        const std::string plain = encodeGrantTable(table);
+        made.edition = table.edition;
+        made.table.serviceName = table.service;
+        made.table.value = deflated(plain);
+        made.table.plainBytes = static_cast<int32_t>(plain.size());
+    }
+    return made.table;
+}
+
+void Announcer::addMissedChanges(
+    const wire::HostReport& report, const Tables& tables, bool mayBeLarge, wire::HostAdvice& advice)
 {
     // Without these changes the host would have to read the whole store, which takes a small link longer than the
     // interval between changes.
@@ -142,13 +162,14 @@
             ? TableEdition {}
             : TableEdition { held->term, static_cast<uint64_t>(held->edition) };
         if (known < table->edition)
-            addTableUpdate(*table, known, advice);
+            addTableUpdate(*table, report, known, mayBeLarge, advice);
     }
 }
 
 // Most hosts that know an older table lack only its last change, or are about to receive it. They are sent the changes
 // since their edition, others the whole table.
-void Announcer::addTableUpdate(const GrantTable& table, const TableEdition& known, wire::HostAdvice& advice) const
+void Announcer::addTableUpdate(const GrantTable& table, const wire::HostReport& report, const TableEdition& known,
+    bool mayBeLarge, wire::HostAdvice& advice)
 {
     const auto recent = m_recentChanges.find(table.service);
     if (recent != m_recentChanges.end()) {
@@ -161,7 +182,12 @@
             return;
         }
     }
-    advice.tables.push_back(encodeGrantTable(table));
+    if (!mayBeLarge)
+        return;
+    if (report.readsPackedTables)
+        advice.packedTables.push_back(packed(table));
+    else
+        advice.tables.push_back(encodeGrantTable(table));
 }
 
 }
--- a/packages/gateway/Announcer.h
+++ b/packages/gateway/Announcer.h
@@ -38,8 +38,9 @@
     void publishCrowded(
         const std::vector<std::string>& servers); // hosts need a permit for each request to these servers from now on
 
-    // Adds to the advice the changes and tables that are newer than those that the report names.
-    void addMissedChanges(const wire::HostReport&, const Tables&, wire::HostAdvice&) const;
+    // Adds to the advice the changes and tables that are newer than those that the report names. `mayBeLarge`: the
+    // answer may carry whole tables; else they follow with a later one.
+    void addMissedChanges(const wire::HostReport&, const Tables&, bool mayBeLarge, wire::HostAdvice&);
 
 private:
     struct RecentChange {
@@ -47,11 +48,18 @@
         std::string encoded;
     };
 
-    void addTableUpdate(const GrantTable&, const TableEdition& known, wire::HostAdvice&) const;
+    void addTableUpdate(
+        const GrantTable&, const wire::HostReport&, const TableEdition& known, bool mayBeLarge, wire::HostAdvice&);
+    const wire::PackedTable& packed(const GrantTable&); // made once for each edition
 
     NewsFanout m_news;
     ChangeHistory m_history;
     std::map<std::string, GrantTable> m_published; // by service, as sent to the hosts
+    struct PackedEdition {
+        TableEdition edition;
+        wire::PackedTable table;
+    };
+    std::map<std::string, PackedEdition> m_packed; // by service; the last one that was sent
     std::map<std::string, std::deque<RecentChange>>
         m_recentChanges; // of tables, by service; each applies to the result of the one before
 };
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -51,6 +51,12 @@
 
 // --- Leadership
 
+void Coordinator::wake()
+{
+    m_needsMaintenance = true;
+    m_wakeUp.notifyAll();
+}
+
 asio::awaitable<void> Coordinator::run()
 {
     for (;;) {
@@ -79,6 +85,7 @@
 void Coordinator::beginTerm()
 {
     m_term = m_election.term();
+    m_needsMaintenance = true;
     m_mostServersAnsweredAt = m_clock.now();
     m_lastBalance = m_clock.now();
     m_hostListCheckedAt = m_clock.now();
@@ -102,6 +109,7 @@
     m_previousCoordinators.clear();
     m_loads.clear();
     m_servers.clear();
+    m_knownServersEdition = 0;
     m_reportedLeaving.clear();
     m_shares.clear();
     m_crashes.clear();
@@ -122,12 +130,18 @@
         return;
     updateServerAddresses();
     createMissingPlans();
+    const bool maintain
+        = std::exchange(m_needsMaintenance, false) || now - m_lastMaintenance >= m_options.maintenanceInterval;
     const auto known = servers();
+    if (maintain)
+        m_lastMaintenance = now;
     bool isolated = false;
     for (auto& [service, plan] : m_plans) {
         const RoutedService* rules = m_view.rules()->service(service);
         plan->avoidWarmingUpServers(rules && rules->warmUp.isSet());
-        plan->maintain(*known, now);
+        plan->setServerUseLifetime(timing().serverUseLifetime);
+        if (maintain)
+            plan->maintain(*known, now);
         for (auto& order : plan->due(now))
             send(std::move(order), service);
         logEvents(*plan);
@@ -168,6 +182,7 @@
             continue;
         auto& plan = m_plans[name];
         plan = std::make_unique<GrantPlan>(name, m_options.grants, m_term);
+        m_needsMaintenance = true;
         if (table) {
             plan->takeOver(*table, now);
             m_previousCoordinators[name] = table->coordinator;
@@ -208,14 +223,17 @@
 
 void Coordinator::onEvents(int64_t afterChange, const std::vector<WatchEvent>& events)
 {
-    std::vector<WatchEvent> others;
-    for (const auto& event : events) {
-        // Tables and the leadership are sent to the hosts in other ways.
-        if (m_view.isExternalKey(event.value.key))
-            others.push_back(event);
-    }
-    if (!others.empty())
-        m_announcer.onStoreChanges(afterChange, m_view.lastChange(), others, m_term != 0);
+    m_announcer.onStoreChanges(afterChange, m_view.lastChange(), events, m_term != 0);
+}
+
+void Coordinator::onNews(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>& events, bool complete)
+{
+    if (m_term)
+        return; // what the previous coordinator had sent when this one was elected
+    if (complete)
+        m_announcer.onStoreChanges(afterChange, lastChange, events, false);
+    else
+        m_announcer.onStoreChanges(lastChange, lastChange, {}, false);
 }
 
 void Coordinator::logEvents(GrantPlan& plan)
@@ -233,6 +251,8 @@
 
 void Coordinator::updateServerAddresses()
 {
+    if (std::exchange(m_knownServersEdition, m_view.serversEdition()) == m_view.serversEdition())
+        return;
     for (const auto& [id, server] : *m_view.servers()) {
         ServerState& state = m_servers[id];
         state.address = server.address;
@@ -368,9 +388,11 @@
         co_return;
     const uint64_t before = plan->second->edition();
     plan->second->onAnswer(answer);
+    m_needsMaintenance |= answer.result != OrderResult::Done;
     // The results of a renewal can wait for the next step. A step checks all ranges: run after each renewal, steps
     // would cost a coordinator of hundreds of hosts more than all its other work.
     const bool urgent = order.kind == GrantOrder::Kind::Release || plan->second->edition() != before;
+    m_needsMaintenance |= urgent;
     if (urgent || plan->second->deposed())
         m_wakeUp.notifyAll();
 }
@@ -381,10 +403,13 @@
 
     // Built outside the coroutine: g++ 12 destroys lists of temporaries inside one twice.
     std::vector<Compare> conditionsFor(
-        const Compare& leadership, const std::vector<GrantTable>& tables, const PlatformView& view)
+        const Compare& leadership, const std::vector<GrantTable>& tables, bool hosts, const PlatformView& view)
     {
         std::vector<Compare> conditions { leadership };
-        conditions.reserve(tables.size() + 1);
+        conditions.reserve(tables.size() + 2);
+        // A write without an answer may take effect seconds later. It must not replace a list that was written since.
+        if (hosts)
+            conditions.push_back({ listedHostsKey(), view.listedRevision() });
         for (const auto& table : tables) {
             const std::string key = grantTableKey(table.service);
             conditions.push_back({ key, view.modRevisionOf(key) });
@@ -441,11 +466,13 @@
     if (writing.tables.empty() && writing.hosts.empty() && !writing.quarantine)
         return;
     m_writing = true;
+    if (!writing.hosts.empty())
+        m_leadership.onListWriteBegun(writing.hosts.size());
     asio::co_spawn(m_executor, write(std::move(writing), m_term), asio::detached);
 }
 
-// Returns a revision at which the store holds all the writes, or 0. For a table that differs, the view is given the
-// table in the store and its revision, so that the conditions of the next write are right.
+// Returns a revision at which the store holds all the writes, or 0. For a table or list that differs, the view is given
+// the one in the store and its revision, so that the conditions of the next write are right.
 asio::awaitable<int64_t> Coordinator::readBack(std::vector<WriteOperation> writes)
 {
     int64_t revision = 0;
@@ -457,6 +484,8 @@
         const bool present = !found.values.empty();
         all = all && present && found.values.front().value == write.value;
         revision = present ? found.values.front().modRevision : 0;
+        if (present && write.key == listedHostsKey())
+            m_view.recordListed(decodeListedHosts(found.values.front().value), revision);
         const auto stored = present ? decodeGrantTable(found.values.front().value) : std::nullopt;
         if (stored)
             m_view.recordStored(*stored, revision);
@@ -466,7 +495,7 @@
 
 asio::awaitable<void> Coordinator::write(PendingWrite writing, int64_t term)
 {
-    const auto conditions = conditionsFor(m_election.fence(), writing.tables, m_view);
+    const auto conditions = conditionsFor(m_election.fence(), writing.tables, !writing.hosts.empty(), m_view);
     const auto writes = writesOf(writing.tables, writing.hosts, writing.quarantine);
     m_writes.add();
     const TxnReply reply = co_await m_store.txn(conditions, writes, m_options.storeTimeout);
@@ -491,7 +520,7 @@
         m_view.recordListed(writing.hosts, revision);
         m_leadership.setListedHosts(std::move(writing.hosts));
     }
-    m_wakeUp.notifyAll();
+    wake();
 }
 
 // --- Balance
@@ -575,8 +604,9 @@
     }
     const auto registered = m_view.servers();
     m_shares.rates().retainServers([&](const std::string& server) { return registered->count(server) > 0; });
+    const Millis hostTimeout = timing().hostTimeout;
     std::erase_if(m_hosts, [&](const auto& entry) {
-        if (now - entry.second.lastReport <= m_options.hostTimeout)
+        if (now - entry.second.lastReport <= hostTimeout)
             return false;
         m_announcer.removeHost(entry.first);
         m_shares.forget(entry.first);
@@ -601,12 +631,6 @@
     return strongerHosts < m_options.standbys;
 }
 
-Millis Coordinator::reportInterval() const
-{
-    const double factor = static_cast<double>(m_hosts.size()) / static_cast<double>(m_options.hostsAtMinReportInterval);
-    return Millis(std::llround(static_cast<double>(m_options.minReportInterval.count()) * std::max(1.0, factor)));
-}
-
 GrantTable Coordinator::tableOf(const GrantPlan& plan) const
 {
     GrantTable table = plan.table();
@@ -636,7 +660,7 @@
     m_previousCoordinators.erase(service);
 }
 
-wire::HostAdvice Coordinator::onReport(const wire::HostReport& report)
+wire::HostAdvice Coordinator::onReport(const wire::HostReport& report, bool mayBeLarge)
 {
     wire::HostAdvice advice;
     advice.coordinates = m_term != 0;
@@ -654,7 +678,7 @@
     if (report.sender != m_options.host)
         m_announcer.updateHost(report);
     advice.standsBy = isStandby(report.sender);
-    advice.reportMillis = static_cast<int32_t>(reportInterval().count());
+    advice.reportMillis = static_cast<int32_t>(timing().reportInterval.count());
     advice.hosts = static_cast<int32_t>(m_hosts.size());
     // Loads decay with a half-life, so a constant rate adds up to the rate times this lifetime. Divided by the
     // lifetime, each sample adds to an estimate of the rate.
@@ -664,7 +688,7 @@
         for (const auto& use : service.keys)
             load.add(static_cast<uint32_t>(use.key), use.busyMicros / 1000.0 / lifetime);
     }
-    m_announcer.addMissedChanges(report, m_view.tables(), advice);
+    m_announcer.addMissedChanges(report, m_view.tables(), mayBeLarge, advice);
     applyReportedLeaving(report);
     applyRateLimits(report, host.lastReport, advice);
     applyServerUse(report, host.lastReport, advice);
@@ -694,7 +718,7 @@
         if (!registered->count(id) || !m_reportedLeaving.insert(id).second)
             continue;
         logChange(LogLevel::Info, "server-reported-leaving", { { "server", id }, { "reporter", report.sender } });
-        m_wakeUp.notifyAll();
+        wake();
     }
 }
 
@@ -726,7 +750,7 @@
 
 void Coordinator::applyCrashReports(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
 {
-    m_crashes.setReportInterval(reportInterval());
+    m_crashes.setReportInterval(timing().reportInterval);
     for (const auto& crash : report.crashes)
         m_crashes.crashed({ crash.server, { crash.requests.begin(), crash.requests.end() } }, now);
     for (const int64_t request : report.answered)
@@ -780,7 +804,7 @@
 
 void Coordinator::applyServerUse(const wire::HostReport& report, Instant now, wire::HostAdvice& advice)
 {
-    m_shares.setHosts(m_hosts.size(), reportInterval());
+    m_shares.setHosts(m_hosts.size(), timing().reportInterval);
     const auto servers = m_view.servers();
     std::vector<std::string> crowded;
     for (const auto& use : report.servers) {
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -17,8 +17,8 @@
 #include "web/HttpClient.h"
 #include "web/Signal.h"
 
-#include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,17 +35,14 @@
     ShareOptions shares;
     Millis registrationQuietPeriod { 700 }; // without a new server, before a new service's keys are assigned
     Millis stepInterval { 30 }; // longest time between two calls of step() while this host is the leader
+    // Plans look at each range of keys and its server, so they do it only when something has changed or time may have
+    // changed something, such as the end of a warm-up.
+    Millis maintenanceInterval { 120 };
     Millis releaseTimeout { 3'000 }; // a server answers a release only after its requests in progress have ended
     Millis balanceInterval { 400 }; // at most one write per round; each write wakes the watches of all hosts
     Millis loadHalfLife { 2'000 }; // of the measured load of keys: hot keys change within seconds
-    Millis minReportInterval { 250 }; // slot shares follow a burst within about half a second
-    // With more hosts than this, each host reports less often, so that the coordinator's work stays bounded. The number
-    // is high enough to keep the interval short: a host detects the loss of the coordinator by its next report, and a
-    // change must be in force on all hosts within 2 to 2.5 s even then.
-    size_t hostsAtMinReportInterval = 80;
-    size_t standbys = 2; // number of hosts that also follow the store, so that they can take over at once
+    size_t standbys = 2; // number of hosts that watch the leader's key, so that they can take over at once
     size_t serversPerConcurrentMove = 6; // one concurrent move is allowed for this many servers
-    Millis hostTimeout { 3'000 }; // a host is removed this long after its last report
     Millis hostListWriteInterval { 2'000 }; // of the list of reporting hosts, if no table is written
     Millis storeTimeout { 1'000 };
     // When the store has not answered for this long, reports of leaving servers are ignored: no move could be announced
@@ -60,10 +57,13 @@
     Coordinator(boost::asio::any_io_executor, const Clock&, const PlatformAdapter&, CoordinatorOptions, Store&,
         PlatformView&, Election&, Metrics&, TableSink);
     boost::asio::awaitable<void> run(); // doesn't return
-    void wake() { m_wakeUp.notifyAll(); } // the leadership or the platform view has changed
+    void wake(); // the leadership or the platform view has changed
     void setTimeSinceStoreAnswer(Millis duration) { m_timeSinceStoreAnswer = duration; }
-    wire::HostAdvice onReport(const wire::HostReport&);
+    wire::HostAdvice onReport(const wire::HostReport&, bool mayBeLarge); // `mayBeLarge`: as for the Announcer
     void onEvents(int64_t afterChange, const std::vector<WatchEvent>&); // forwards changes in the store to all hosts
+    // Records changes that the present coordinator relays, for the case that this host succeeds it. `complete`: none of
+    // the changes after `afterChange` up to `lastChange` is left out.
+    void onNews(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>&, bool complete);
 
 private:
     struct HostState {
@@ -74,7 +74,7 @@
         std::string address; // kept after the server's registration has ended, to send it releases
         uint16_t port = 0;
         std::shared_ptr<HttpClient> client;
-        std::deque<std::pair<GrantOrder, std::string>> grants; // to be sent in this order, each with its service
+        std::list<std::pair<GrantOrder, std::string>> grants; // to be sent in this order, each with its service
         // Number of sendGrants() coroutines, each with one connection; more than one while answers are missing.
         unsigned senders = 0;
         Instant lastSentAt {}; // when the last grant was sent
@@ -97,7 +97,7 @@
     void checkPreviousCoordinators(std::string_view reporter);
     void onPreviousStopped(const std::string& service, Instant at, std::string_view why);
     bool isStandby(std::string_view host) const;
-    Millis reportInterval() const;
+    FleetTiming timing() const { return fleetTiming(m_hosts.size()); }
     void balance();
     double loadLifetimeSeconds() const; // mean lifetime of a load sample under the exponential decay
     double meanWorkMillis(const GrantPlan&) const; // of one request, averaged over the servers of this service
@@ -173,6 +173,9 @@
         m_previousCoordinators; // by service: the host whose orders may still arrive at servers
     Instant m_hostListCheckedAt {};
     Instant m_lastBalance {};
+    bool m_needsMaintenance = true; // something that the plans go by has changed
+    Instant m_lastMaintenance {};
+    uint64_t m_knownServersEdition = 0; // of the servers whose addresses are in m_servers; 0: none in this term
     Instant m_mostServersAnsweredAt {}; // the last step in which most servers were responsive
     Millis m_timeSinceStoreAnswer { 0 };
 };
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -31,7 +31,7 @@
     constexpr Millis reportInterval { 250 };
     // A request that waits for a permit is reported at once, but not sooner after the last report than this: many
     // requests wait while a key is hot.
-    constexpr Millis minReportInterval { 100 };
+    constexpr Millis minEarlyReportInterval { 100 };
     // A request is overdue after this many times the usual duration: it was most likely lost in a full server. While
     // the server answers other requests, overdue ones don't count as being at the server.
     constexpr int overdueFactor = 4;
@@ -138,7 +138,8 @@
     , m_added(metrics.distribution("request_added"))
     , m_answered(metrics.counter("requests_answered"))
     , m_retries(metrics.counter("requests_sent_again"))
-    , m_registeredServers(std::make_shared<ServerMap>())
+    , m_servers(m_executor, clock, m_options.host, m_options.dataCentre,
+          [this](const Upstream& server) { recordServerGone(server, "the server's entry was removed"); })
     , m_changed(executor)
     , m_urgentReport(executor)
 {
@@ -158,17 +159,16 @@
 
 void Gateway::apply(GatewayUpdate update)
 {
-    const bool serversChanged = update.rules || update.servers;
+    const bool serversChanged = update.rules || !update.servers.empty() || update.allServers;
     if (update.rules) {
         m_rules = std::move(update.rules);
         m_boundsSink(m_rules->bounds);
+        m_servers.setRules(m_rules);
     }
-    if (update.servers) {
-        m_registeredServers = std::move(update.servers);
+    if (!update.servers.empty() || update.allServers) {
+        m_servers.apply(update.servers, update.allServers);
         m_registeredRevision = update.serversAsOf;
     }
-    if (serversChanged)
-        applyServers();
     if (update.crashes) {
         const auto cleared
             = m_crashes.applyCoordinatorUpdate(update.crashes->suspects, update.crashes->quarantined, m_clock.now());
@@ -181,16 +181,13 @@
         m_crashes.repeatToNewCoordinator();
         if (m_crashes.hasUnreported())
             reportEarly();
-        for (const auto& [id, server] : m_servers)
+        for (const auto& [id, server] : m_servers.inUse())
             server->repeatLimitReport();
     }
     if (update.shares)
         applyShares(*update.shares);
-    for (const auto& id : update.crowded) {
-        const auto server = m_servers.find(id);
-        if (server != m_servers.end())
-            server->second->setCrowded(m_clock.now());
-    }
+    if (!update.crowded.empty())
+        m_servers.setCrowded(update.crowded);
     for (auto& table : update.tables) {
         auto& held = m_tables[table->service];
         if (held && !(held->edition < table->edition))
@@ -212,27 +209,9 @@
         m_hosts = shares.hosts;
         for (auto& [service, budget] : m_budgets)
             budget.setBurst(retryBurst());
-        applyServers();
-    }
-    const size_t sharers = m_hostCount.settled(now).value_or(0);
-    for (const auto& [id, server] : m_servers) {
-        const auto limit = shares.limits ? shares.limits->find(id) : RateLimits::const_iterator {};
-        const bool limited = shares.limits && limit != shares.limits->end();
-        server->setLimitFromCoordinator(limited ? std::optional(limit->second) : std::nullopt, sharers, now);
-    }
-    for (const auto& id : std::exchange(m_sharedServers, {})) {
-        const auto server = m_servers.find(id);
-        if (server != m_servers.end() && !shares.servers.count(id))
-            server->second->clearShare(now);
-    }
-    for (const auto& [id, advice] : shares.servers) {
-        const auto server = m_servers.find(id);
-        if (server == m_servers.end())
-            continue;
-        server->second->applyAdvice(advice, now);
-        if (advice.kind == ServerAdvice::Kind::Share)
-            m_sharedServers.push_back(id);
+        m_servers.setHosts(m_hosts);
     }
+    m_servers.applyShares(shares, m_hostCount.settled(now).value_or(0));
 }
 
 // Requests that wait for a server from which their key has moved away would only be refused there.
@@ -242,43 +221,22 @@
         const KeyRange* old = before.find(range.first);
         if (!old || (old->holder == range.holder && old->moving() == range.moving()))
             continue;
-        const auto server = m_servers.find(old->holder);
-        if (server != m_servers.end())
+        const auto server = m_servers.inUse().find(old->holder);
+        if (server != m_servers.inUse().end())
             server->second->pool.evictQueue();
     }
 }
 
-void Gateway::applyServers()
-{
-    std::erase_if(m_servers, [&](const auto& entry) {
-        const bool gone = !m_registeredServers->count(entry.first);
-        if (!gone)
-            return false;
-        entry.second->pool.evictQueue();
-        recordServerGone(*entry.second, "the server's entry was removed");
-        return true;
-    });
-    m_byService.clear();
-    const Instant now = m_clock.now();
-    for (const auto& [id, entry] : *m_registeredServers) {
-        const RoutedService* service = m_rules ? m_rules->service(entry.service) : nullptr;
-        auto& server = m_servers[id];
-        if (!server)
-            server = std::make_shared<Upstream>(m_executor, m_clock, entry, service);
-        server->update(entry, service, m_hosts, now);
-        m_byService[entry.service].push_back(server);
-    }
-}
-
 // --- Requests
 
-BodyPolicy Gateway::bodyPolicy(const CallerHeader& header)
+RequestPolicy Gateway::requestPolicy(const CallerHeader& header)
 {
     if (!m_rules)
         return { ErrorKind::NotFresh, 0 };
-    if (!m_rules->match(hostOf(header[http::field::host]), pathOf(header.target())))
+    const HostRoute* route = m_rules->match(hostOf(header[http::field::host]), pathOf(header.target()));
+    if (!route)
         return { ErrorKind::UnknownService, 0 };
-    return { ErrorKind::None, m_rules->bounds.bodyBytes };
+    return { ErrorKind::None, m_rules->bounds.bodyBytes, route->idempotent() };
 }
 
 CallerResponse Gateway::errorResponse(ErrorKind kind)
@@ -388,7 +346,7 @@
     if (error == ErrorKind::Moving || error == ErrorKind::NoOwner || error == ErrorKind::WarmingUp)
         return !job.waited;
     if (error == ErrorKind::ServerUnreachable)
-        return !job.keyed && job.tried.size() < m_byService[job.service].size();
+        return !job.keyed && job.tried.size() < m_servers.countOf(job.service);
     if (job.sends >= job.route->maxAttempts || !budgetOf(job.service).tryWithdraw())
         return false;
     m_retries.add();
@@ -409,11 +367,8 @@
     const HolderState state = range->holderState;
     if (range->moving() && state != HolderState::Unreachable)
         return { ErrorKind::Moving, nullptr, state == HolderState::Releasing };
-    const auto server = m_servers.find(range->holder);
-    if (server == m_servers.end())
-        return { ErrorKind::NoOwner, nullptr, false };
-    const auto& upstream = server->second;
-    if (upstream->replaced)
+    const auto upstream = m_servers.upstream(range->holder);
+    if (!upstream || upstream->replaced)
         return { ErrorKind::NoOwner, nullptr, false };
     // The keys of a leaving or evacuated server are about to move. If that takes too long, the server must get no new
     // requests after its time limit.
@@ -434,19 +389,19 @@
         return { ErrorKind::ServerAtLimit, nullptr, false, upstream->nextLocalSend(now) };
     // The keys of a server that is warming up move to a warm one, if there is any.
     if (!maySendTo(*upstream, now))
-        return { ErrorKind::WarmingUp, nullptr, anyWarm(job.service, now), upstream->warmupEnd() };
+        return { ErrorKind::WarmingUp, nullptr, m_servers.anyWarm(job.service, now), upstream->warmupEnd() };
     return { ErrorKind::None, upstream };
 }
 
 Gateway::Located Gateway::chooseByLoad(const Job& job)
 {
-    const auto found = m_byService.find(job.service);
-    if (found == m_byService.end())
+    const auto servers = m_servers.candidates(job.service, randomNumber());
+    if (servers.empty())
         return { ErrorKind::NoOwner, nullptr, false };
     const Instant now = m_clock.now();
     std::vector<ServerCandidate> candidates;
-    candidates.reserve(found->second.size());
-    for (const auto& server : found->second) {
+    candidates.reserve(servers.size());
+    for (const auto& server : servers) {
         const auto& admission = server->pool.admission();
         ServerCandidate candidate;
         candidate.usable = !server->isUnready(now)
@@ -457,6 +412,7 @@
         candidate.waiting = static_cast<unsigned>(admission.queued());
         candidate.limit = admission.limit();
         candidate.workMillis = static_cast<double>(admission.meanWork(job.priority).count());
+        candidate.connected = server->pool.hasConnection(now);
         // Prefer a server with a rate limit: an unused permit expires, and only a response shows the end of the limit.
         if (server->rateLimit())
             candidate.workMillis = 0;
@@ -470,15 +426,14 @@
     const bool large = job.request.body().size() > largeBody;
     const auto best = chooseServer(candidates, randomNumber(), large ? farForLarge : farForSmall);
     if (!best)
-        return chooseFallback(job);
-    return { ErrorKind::None, found->second[*best] };
+        return chooseFallback(job, servers);
+    return { ErrorKind::None, servers[*best] };
 }
 
-Gateway::Located Gateway::chooseFallback(const Job& job)
+Gateway::Located Gateway::chooseFallback(const Job& job, std::span<const std::shared_ptr<Upstream>> servers)
 {
     const Instant now = m_clock.now();
     Located located { ErrorKind::NoOwner, nullptr, false };
-    const auto& servers = m_byService.find(job.service)->second;
     const size_t start = randomNumber() % servers.size();
     for (size_t i = 0; i < servers.size(); ++i) {
         const auto& server = servers[(start + i) % servers.size()];
@@ -518,14 +473,6 @@
         && maySendDuringWarmUp(m_options.host, server.entry.id, *hosts, server.warmUp());
 }
 
-bool Gateway::anyWarm(const std::string& service, Instant now) const
-{
-    const auto found = m_byService.find(service);
-    return found != m_byService.end()
-        && std::any_of(found->second.begin(), found->second.end(),
-            [&](const auto& server) { return !server->outOfUse() && !server->warmingUp(now); });
-}
-
 // --- One attempt
 
 asio::awaitable<ErrorKind> Gateway::tryOnce(Job& job, CallerResponse& response)
@@ -576,7 +523,8 @@
     }
     // During the wait for a slot or a connection the table or the server may have changed, or the caller may have gone.
     const Instant connectedAt = m_clock.now();
-    const bool closed = server->outOfUse() || server->backingOff(connectedAt) || !m_servers.count(server->entry.id);
+    const bool closed
+        = server->outOfUse() || server->backingOff(connectedAt) || !m_servers.isRegistered(server->entry.id);
     const bool moved = job.keyed ? locate(job).server != server : closed;
     const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
     const bool late = connectedAt + leastTime >= job.deadline;
@@ -600,8 +548,7 @@
 asio::awaitable<ErrorKind> Gateway::exchange(
     Job& job, Upstream& target, ConnectionPointer connection, CallerResponse& response)
 {
-    const auto server = m_servers.find(target.entry.id);
-    const std::shared_ptr<Upstream> held = server == m_servers.end() ? nullptr : server->second;
+    const std::shared_ptr<Upstream> held = m_servers.upstream(target.entry.id);
     if (!held)
         co_return ErrorKind::NoOwner;
     const std::string id = target.entry.id;
@@ -614,6 +561,7 @@
     request.prepare_payload();
     ++job.sends;
     job.tried.push_back(id);
+    held->lastUsed = sentAt;
     if (job.route->idempotent())
         job.presence.onDisconnect = [&connection] { connection->cancelExchange(); };
     const Millis usual = held->pool.admission().meanWork(job.priority);
@@ -961,7 +909,8 @@
             keys.push_back({ key, micros });
     }
     m_keyUse.clear();
-    for (const auto& [id, server] : m_servers) {
+    m_servers.dropUnused(now);
+    for (const auto& [id, server] : m_servers.inUse()) {
         if (server->announcedLeaving() && !server->entry.leaving)
             report.leaving.push_back(id);
         if (const auto observation = server->limitToReport(now))
@@ -988,8 +937,8 @@
         if (!m_reportIsUrgent)
             co_await m_urgentReport.wait(reportInterval);
         const Millis since = m_clock.now() - m_lastReport;
-        if (since < minReportInterval)
-            co_await sleepFor(minReportInterval - since);
+        if (since < minEarlyReportInterval)
+            co_await sleepFor(minEarlyReportInterval - since);
         m_report(makeReport());
     }
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/Messages.h"
 #include "gateway/PlatformAdapter.h"
 #include "gateway/Upstream.h"
+#include "gateway/UpstreamRegistry.h"
 #include "resources/Settings.h"
 #include "web/Signal.h"
 
@@ -22,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <utility>
 
 namespace cumindale {
@@ -48,7 +50,7 @@
     void start(); // starts the periodic reports
 
     // --- From callers
-    BodyPolicy bodyPolicy(const CallerHeader&) override;
+    RequestPolicy requestPolicy(const CallerHeader&) override;
     boost::asio::awaitable<CallerResponse> handle(CallerRequest&, CallerConnection&) override;
     CallerResponse errorResponse(ErrorKind) override;
     bool ready() const override;
@@ -63,14 +65,14 @@
         Instant readyAt = Instant::max(); // when the refusing server accepts requests again
     };
 
-    void applyServers();
     void applyShares(const HostShares&);
     void evictMoved(const GrantTable& before, const GrantTable& after);
     ErrorKind prepare(Job&);
     Located locate(const Job&);
     Located locateKey(const Job&);
     Located chooseByLoad(const Job&);
-    Located chooseFallback(const Job&); // when all servers are warming up, backing off or at their limits
+    // When all candidates are warming up, backing off or at their limits.
+    Located chooseFallback(const Job&, std::span<const std::shared_ptr<Upstream>>);
     const std::vector<Fingerprint>& fingerprintsOf(const Job&) const;
     Fingerprint relevantFingerprint(const Job&) const; // the quarantined one, if any; else of the whole request
     bool quarantined(const Job&) const;
@@ -82,7 +84,6 @@
     std::pair<ErrorKind, Instant> unreadyReason(const Upstream&, Instant now) const; // and until when; None: ready
     // False while this host must wait because the server is warming up or has announced a rate limit.
     bool maySendTo(const Upstream&, Instant now) const;
-    bool anyWarm(const std::string& service, Instant now) const;
     boost::asio::awaitable<CallerResponse> run(Job&);
     boost::asio::awaitable<ErrorKind> tryOnce(Job&, CallerResponse&);
     boost::asio::awaitable<ErrorKind> exchange(Job&, Upstream&, ConnectionPointer, CallerResponse&);
@@ -116,16 +117,13 @@
     Counter& m_retries;
 
     std::shared_ptr<const RouteRules> m_rules; // null until the first rules arrive
-    std::shared_ptr<const ServerMap> m_registeredServers;
+    UpstreamRegistry m_servers;
     int64_t m_registeredRevision = 0; // GatewayUpdate::serversAsOf
     size_t m_hosts = 0; // number of hosts that share the servers; 0: not known yet
     HostCount m_hostCount;
     HostCrashTracker m_crashes;
     uint64_t m_lastSharesNumber = 0;
-    std::vector<std::string> m_sharedServers; // ids of servers for which this host has a share
     std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>> m_tables; // by service
-    std::map<std::string, std::shared_ptr<Upstream>, std::less<>> m_servers; // by id
-    std::map<std::string, std::vector<std::shared_ptr<Upstream>>, std::less<>> m_byService;
     std::map<std::string, RetryBudget, std::less<>> m_budgets; // by service
     TrafficSplitter m_splits;
     std::map<std::string, Millis, std::less<>> m_longestCallerTimeout; // by route
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -16,13 +16,14 @@
 
 namespace {
 
-    constexpr Millis minReportInterval { 100 };
-    constexpr Millis maxReportInterval { 2'000 };
+    constexpr Millis shortestReportInterval { 100 };
     // Fraction of the report interval that must pass before a report that asks for permits.
     constexpr double minReportIntervalFactor = 0.4;
     constexpr Millis maxStoreSilence { 1'500 }; // beyond it at the coordinator, this host watches the store itself
-    constexpr Millis reportTimeout { 400 };
     constexpr Millis connectionErrorTime { 100 }; // a report that fails sooner met a broken connection, not a timeout
+    // Answers that wait for this host's link. With more than this a host's table follows with a later answer: when a
+    // fleet starts, all hosts lack it at once. A strong host's link carries so much in a third of a second.
+    constexpr size_t maxPendingReplyBytes = 8'000'000;
     constexpr double centi = 100;
 
     std::string textOf(const Endpoint& endpoint) { return endpoint.address + ":" + std::to_string(endpoint.port); }
@@ -36,11 +37,11 @@
         CoordinatorOptions options;
         options.host = settings.host.name;
         options.grants.leaseDuration = std::min(settings.gateway->maxGrantHold, options.grants.leaseDuration);
+        options.grants.maxLeaseDuration = settings.gateway->maxGrantHold;
         // The election, the leadership rules and the grant plans must use the same values: a coordinator that acted
         // beyond its lease, or for longer than its successor waits, could leave a key with two holders.
         options.leadership.lease = leaseOf(*settings.gateway);
         options.leadership.maxWithoutStore = options.grants.maxRenewalWithoutStore;
-        options.leadership.reportTimeout = reportTimeout;
         return options;
     }
 
@@ -116,6 +117,7 @@
 void GatewayControl::start()
 {
     spawnLoop(m_executor, "store-follower", m_follower.run());
+    spawnLoop(m_executor, "leader-watch", m_follower.watchLeader());
     spawnLoop(m_executor, "election", m_election.run());
     spawnLoop(m_executor, "coordinator", m_coordinator.run());
     spawnLoop(m_executor, "reports", reportLoop());
@@ -145,7 +147,8 @@
     m_pushFailed = false;
     GatewayUpdate update;
     update.rules = m_view.rules();
-    update.servers = m_view.servers();
+    update.servers = m_view.allServers();
+    update.allServers = true;
     update.serversAsOf = m_view.lastChange();
     for (const auto& [service, table] : m_view.tables())
         update.tables.push_back(table);
@@ -158,18 +161,20 @@
     if (change.leader) {
         m_election.onLeaderChange();
         m_link.reset();
+        if (m_view.leader().host.empty())
+            m_follower.followStore(); // as the next coordinator this host would need all changes at once
     }
     GatewayUpdate update;
     update.newCoordinator = change.leader && m_view.leader().modRevision != m_answeringTerm;
     if (change.rules)
         update.rules = m_view.rules();
-    if (change.servers) {
-        update.servers = m_view.servers();
+    if (!change.servers.empty()) {
+        update.servers = m_view.changesOf(change.servers);
         update.serversAsOf = m_view.lastChange();
     }
     for (const auto& service : change.tables)
         update.tables.push_back(m_view.table(service));
-    if (update.newCoordinator || change.rules || change.servers || !change.tables.empty())
+    if (update.newCoordinator || change.rules || !change.servers.empty() || !change.tables.empty())
         pushUpdate(std::move(update));
     if (change.quarantine)
         publishCrashes();
@@ -179,7 +184,10 @@
 
 // --- Reports
 
-wire::HostAdvice GatewayControl::onReport(const wire::HostReport& report) { return m_coordinator.onReport(report); }
+wire::HostAdvice GatewayControl::onReport(const wire::HostReport& report)
+{
+    return m_coordinator.onReport(report, m_server->pendingReplyBytes() < maxPendingReplyBytes);
+}
 
 void GatewayControl::onAdopt(const wire::News& news)
 {
@@ -201,6 +209,7 @@
     if (!news.items.empty()) {
         (news.afterChange > m_view.lastChange() ? m_newsGaps : m_newsTaken).add();
         onViewChange(m_view.applyNews(news.afterChange, news.lastChange, events));
+        m_coordinator.onNews(news.afterChange, news.lastChange, events, events.size() == news.items.size());
     }
     if (!news.crowded.empty()) {
         GatewayUpdate update;
@@ -209,6 +218,8 @@
     }
     if (news.crashesEdition)
         updateCrashes(news.crashesEdition, news.suspects, news.quarantined);
+    for (const auto& table : news.packedTables)
+        handleTable(table);
     for (const auto& text : news.tables) {
         const auto change = decodeGrantChange(text);
         const auto held = change ? m_view.table(change->service) : nullptr;
@@ -225,6 +236,11 @@
         logChange(LogLevel::Error, "table-refused", { { "from", "coordinator" } });
 }
 
+void GatewayControl::handleTable(const wire::PackedTable& packed)
+{
+    handleTable(inflated(packed.value, static_cast<size_t>(std::max(0, packed.plainBytes))).value_or(std::string()));
+}
+
 // Hosts with enough processor time are candidates first, then weaker ones, and hosts that aren't standbys later still:
 // a coordinator with little processor time serves its callers worse, and each candidate costs the store two writes.
 Millis GatewayControl::campaignDelay() const
@@ -298,6 +314,7 @@
     report.released.assign(m_unreportedReleases.begin(), m_unreportedReleases.end());
     report.leaving = m_pendingReport.leaving;
     report.ratesKnown = m_ratesEdition;
+    report.readsPackedTables = true;
     for (const auto& knownRate : m_pendingReport.rates) {
         wire::ServerRate& rate = report.rates.emplace_back();
         rate.server = knownRate.server;
@@ -339,8 +356,10 @@
     m_view.confirmUnchanged(advice.lastChange, advice.storeRevision);
     for (const auto& text : advice.tables)
         handleTable(text);
+    for (const auto& table : advice.packedTables)
+        handleTable(table);
     m_isStandby = advice.standsBy;
-    m_reportInterval = std::clamp(Millis(advice.reportMillis), minReportInterval, maxReportInterval);
+    m_reportInterval = std::clamp(Millis(advice.reportMillis), shortestReportInterval, maxReportInterval);
     const auto shares = std::make_shared<HostShares>();
     shares->number = m_shares ? m_shares->number + 1 : 1;
     shares->hosts = static_cast<size_t>(std::max(1, advice.hosts));
@@ -441,7 +460,7 @@
     m_awaitsPermit = false;
     if (leader.host == m_settings.host.name) {
         m_linkAddress.clear();
-        advice = m_coordinator.onReport(report);
+        advice = m_coordinator.onReport(report, true);
     } else if (!leader.address.empty()) {
         advice = co_await reportTo(leader.address, report);
         // A connection reset doesn't show that the coordinator is unavailable, so the report is sent once more over a
@@ -466,10 +485,10 @@
     m_coordinatorAnswers = answers;
     if (answers)
         handleAdvice(*advice, reportedServers);
-    if (!answers || m_election.isLeader() || m_isStandby || Millis(advice->storeSilentMillis) > maxStoreSilence)
+    if (!answers || m_election.isLeader() || Millis(advice->storeSilentMillis) > maxStoreSilence)
         m_follower.followStore();
     else
-        m_follower.followCoordinator(advice->lastChange, Millis(advice->storeSilentMillis));
+        m_follower.followCoordinator(advice->lastChange, Millis(advice->storeSilentMillis), m_isStandby);
 }
 
 asio::awaitable<void> GatewayControl::reportLoop()
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -48,6 +48,7 @@
     // Permits for the server that the routing thread's last report doesn't take into account yet.
     unsigned unseenPermits(const std::string& server) const;
     void handleTable(const std::string& text);
+    void handleTable(const wire::PackedTable&);
     void updateCrashes(int64_t edition, std::span<const int64_t> suspects, std::span<const int64_t> quarantined);
     void publishCrashes(); // to the routing thread, if they differ from what it was sent last
     Millis campaignDelay() const;
--- a/packages/gateway/Messages.h
+++ b/packages/gateway/Messages.h
@@ -45,10 +45,17 @@
     bool operator==(const CrashUpdate&) const = default;
 };
 
+// A server that was registered or whose entry has changed, or one that is registered no more.
+struct ServerChange {
+    std::string id;
+    std::shared_ptr<const RegisteredServer> entry; // null: registered no more
+};
+
 // From control to routing. Empty members mean no change.
 struct GatewayUpdate {
     std::shared_ptr<const RouteRules> rules;
-    std::shared_ptr<const ServerMap> servers;
+    std::vector<ServerChange> servers;
+    bool allServers = false; // `servers` names every registered server; all others are gone
     int64_t serversAsOf = 0; // with `servers`: the host knew all writes of others up to this revision of the store
     std::vector<std::shared_ptr<const GrantTable>> tables;
     std::shared_ptr<const HostShares> shares;
--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -21,6 +21,7 @@
         news.lastChange = std::max(news.lastChange, more.lastChange);
         news.items.insert(news.items.end(), more.items.begin(), more.items.end());
         news.tables.insert(news.tables.end(), more.tables.begin(), more.tables.end());
+        news.packedTables.insert(news.packedTables.end(), more.packedTables.begin(), more.packedTables.end());
         news.crowded.insert(news.crowded.end(), more.crowded.begin(), more.crowded.end());
         if (more.crashesEdition > news.crashesEdition) {
             news.crashesEdition = more.crashesEdition;
@@ -37,6 +38,8 @@
             bytes += item.key.size() + item.value.size();
         for (const auto& table : news.tables)
             bytes += table.size();
+        for (const auto& table : news.packedTables)
+            bytes += table.value.size();
         for (const auto& server : news.crowded)
             bytes += server.size();
         return bytes + (news.suspects.size() + news.quarantined.size()) * sizeof(int64_t);
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -41,6 +41,7 @@
     , m_bytesRead(metrics.counter("store_bytes_read"))
     , m_watches(metrics.counter("store_watches"))
     , m_failures(metrics.counter("store_failures"))
+    , m_standbyChanged(m_executor)
     , m_modeChanged(m_executor)
 {
 }
@@ -203,8 +204,8 @@
             const auto change = m_view.applyEvents(revision, events);
             if (change.any())
                 m_changeSink(change);
-            if (changed)
-                m_eventSink(before, events);
+            if (!change.news.empty())
+                m_eventSink(before, change.news);
             return false; // one batch per watch, so that the caller checks whether to watch on
         });
     if (changed)
@@ -212,16 +213,63 @@
     co_return end;
 }
 
-void PlatformFollower::followCoordinator(int64_t coordinatorLastChange, Millis storeSilence)
+void PlatformFollower::followCoordinator(int64_t coordinatorLastChange, Millis storeSilence, bool asStandby)
 {
     m_followsCoordinator = true;
+    if (asStandby && !m_isStandby) {
+        m_leaderKnownUpTo = 0;
+        m_standbyChanged.notifyAll();
+    }
+    m_isStandby = asStandby;
     m_lastAnswer = std::max(m_lastAnswer, m_clock.now() - storeSilence);
     if (coordinatorLastChange > m_view.lastChange() && !std::exchange(m_isCatchingUp, true))
         spawnLoop(m_executor, "catch-up", catchUp(coordinatorLastChange));
 }
 
+asio::awaitable<bool> PlatformFollower::readLeader()
+{
+    const RangeReply reply = co_await m_store.range(leaderKey(), false, m_options.callTimeout);
+    if (reply.status != StoreStatus::Ok)
+        co_return false;
+    m_changeSink(m_view.applyLeader(reply));
+    m_leaderKnownUpTo = reply.revision;
+    co_return true;
+}
+
+// Each heartbeat of a server ends a watch of all keys, so that with some hundred servers a standby that watched them
+// would call the store several times a second, to learn what the coordinator relays anyway.
+asio::awaitable<void> PlatformFollower::watchLeader()
+{
+    Millis backoff = initialBackoff;
+    for (;;) {
+        if (!m_isStandby || !m_followsCoordinator) {
+            co_await m_standbyChanged.wait(m_options.modeCheckInterval);
+            continue;
+        }
+        bool answered = m_leaderKnownUpTo > 0;
+        if (!answered) {
+            answered = co_await readLeader();
+        } else {
+            m_watches.add();
+            const WatchEnd end = co_await m_store.watch(leaderKey(), m_leaderKnownUpTo + 1,
+                m_options.leaderWatchDuration, [&](int64_t revision, const std::vector<WatchEvent>& events) {
+                    m_leaderKnownUpTo = std::max(m_leaderKnownUpTo, revision);
+                    m_changeSink(m_view.applyLeaderEvents(events));
+                    return false;
+                });
+            answered = end == WatchEnd::Stopped;
+            if (end == WatchEnd::HistoryGone)
+                m_leaderKnownUpTo = 0;
+        }
+        backoff = answered ? initialBackoff : std::min(m_options.maxStandbyBackoff, backoff * 2);
+        if (!answered)
+            co_await sleepFor(backoff / 2 + randomUpTo(backoff));
+    }
+}
+
 void PlatformFollower::followStore()
 {
+    m_isStandby = false;
     if (std::exchange(m_followsCoordinator, false))
         m_modeChanged.notifyAll();
 }
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -23,6 +23,11 @@
     // A change that the coordinator knows of and that hasn't arrived after this time counts as lost, and the store is
     // read. Reports are up to 2 s apart, and a change must be in force within 2 to 2.5 s.
     Millis newsTimeout { 300 };
+    // Length of a standby's watch of the leader's key, which changes only when the coordinator does.
+    Millis leaderWatchDuration { 5'000 };
+    // Between a standby's attempts to watch while the store refuses them: the coordinator still answers, and each
+    // refused call counts against the rate that all hosts share.
+    Millis maxStandbyBackoff { 3'000 };
     Millis modeCheckInterval { 1'000 }; // between checks whether the coordinator still relays changes
     // Pause after a batch of changes, so that the next answer holds several further changes instead of one each.
     Millis batchDelay { 120 };
@@ -35,25 +40,29 @@
 class PlatformFollower {
 public:
     using ChangeSink = std::function<void(const PlatformView::Change&)>;
-    using EventSink = std::function<void(int64_t afterChange, const std::vector<WatchEvent>&)>; // in the order received
+    // External writes that say something new, in the order received.
+    using EventSink = std::function<void(int64_t afterChange, const std::vector<WatchEvent>&)>;
 
     PlatformFollower(boost::asio::any_io_executor, const Clock&, FollowerOptions, Store&, PlatformView&, Metrics&,
         ChangeSink, EventSink);
     boost::asio::awaitable<void> run(); // never returns
+    boost::asio::awaitable<void> watchLeader(); // while this host is a standby; never returns
     // The coordinator relays every change, so this host stops watching the store. If the coordinator knows of a change
     // that doesn't arrive here, the store is read. `storeSilence`: time since the store last answered the coordinator.
     // It counts as this host's own last contact: if the time without requests counted as a store outage, servers whose
     // entries are gone would be kept as after an outage, and get requests for seconds after their removal.
-    void followCoordinator(int64_t coordinatorLastChange, Millis storeSilence);
+    // A standby also watches the leader's key, so that it can take over at once.
+    void followCoordinator(int64_t coordinatorLastChange, Millis storeSilence, bool asStandby);
     // The coordinator has announced an item that is too large to be repeated in an answer. If the item hasn't arrived
     // after `timeout`, its message counts as lost, and the item alone is read from the store.
     void readItemIfMissed(std::string key, int64_t revision, Millis timeout);
-    void followStore(); // no coordinator relays changes, or this host is the coordinator or a standby
+    void followStore(); // no coordinator relays changes, or this host is the coordinator
     Instant lastAnswer() const { return m_lastAnswer; }
 
 private:
     boost::asio::awaitable<bool> readAll(std::string_view why);
     boost::asio::awaitable<bool> readRouterItems();
+    boost::asio::awaitable<bool> readLeader();
     boost::asio::awaitable<void> watchLoop(); // until the coordinator relays changes, or the store must be read again
     boost::asio::awaitable<WatchEnd> watchOnce(Millis wait);
     bool outageWasLong() const;
@@ -80,6 +89,9 @@
     bool m_storeAnswers = true;
     bool m_hasSnapshot = false;
     bool m_followsCoordinator = false;
+    bool m_isStandby = false;
+    int64_t m_leaderKnownUpTo = 0; // all changes of the leader's key up to this revision are known; 0: none
+    Signal m_standbyChanged; // m_isStandby was set
     bool m_isCatchingUp = false; // catchUp() is running: the coordinator knows of changes that may still arrive
     Signal m_modeChanged; // m_followsCoordinator was cleared
 };
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -58,21 +58,23 @@
 {
     Change change;
     for (const auto& event : events) {
-        if (isExternalKey(event.value.key))
-            m_knownChanges.markCompleteUpTo(event.value.modRevision);
-        applyEvent(event, change);
+        const bool isNews = applyEvent(event, change) && isExternalKey(event.value.key);
+        if (!isNews)
+            continue;
+        m_knownChanges.markCompleteUpTo(event.value.modRevision);
+        change.news.push_back(event);
     }
     logOmittedRegistrations();
     m_revision = std::max(m_revision, revision);
     return change;
 }
 
-void PlatformView::applyEvent(const WatchEvent& event, Change& change)
+bool PlatformView::applyEvent(const WatchEvent& event, Change& change)
 {
-    if (event.erased)
-        applyErased(event.value.key, event.value.modRevision, change);
-    else
-        applyValue(event.value, change);
+    if (!event.erased)
+        return applyValue(event.value, change);
+    applyErased(event.value.key, event.value.modRevision, change);
+    return true;
 }
 
 PlatformView::Change PlatformView::applySnapshot(const RangeReply& reply, bool afterOutage)
@@ -101,10 +103,10 @@
             applyEvacuation(key, reply.revision, false, change);
     }
     for (const auto& [name, snapshotRevision] : m_missing)
-        mutableServers(change).at(m_serverEntries.at(name).id).unconfirmed = true;
+        editServer(m_serverEntries.at(name).id, change).unconfirmed = true;
     if (!afterOutage) {
-        const Change dropped = removeMissingServers();
-        change.servers |= dropped.servers;
+        Change dropped = removeMissingServers();
+        change.servers.merge(dropped.servers);
     }
     // Deletions leave no item behind, so the snapshot is complete up to the store's revision, not only up to the newest
     // item.
@@ -140,6 +142,24 @@
     return change;
 }
 
+PlatformView::Change PlatformView::applyLeader(const RangeReply& reply)
+{
+    Change change;
+    if (reply.values.empty())
+        applyErased(leaderKey(), reply.revision, change);
+    else
+        applyValue(reply.values.front(), change);
+    return change;
+}
+
+PlatformView::Change PlatformView::applyLeaderEvents(const std::vector<WatchEvent>& events)
+{
+    Change change;
+    for (const auto& event : events)
+        applyEvent(event, change);
+    return change;
+}
+
 void PlatformView::confirmUnchanged(int64_t lastChange, int64_t storeRevision)
 {
     if (m_knownChanges.complete() >= lastChange)
@@ -195,13 +215,32 @@
     return change;
 }
 
-ServerMap& PlatformView::mutableServers(Change& change)
+RegisteredServer& PlatformView::editServer(const std::string& id, Change& change)
+{
+    change.servers.insert(id);
+    ++m_serversEdition;
+    return (*m_servers)[id];
+}
+
+std::vector<ServerChange> PlatformView::changesOf(const std::set<std::string>& ids) const
 {
-    // Each batch of changes gets a new map, since the routing thread reads the previous one concurrently.
-    if (!change.servers)
-        m_servers = std::make_shared<ServerMap>(*m_servers);
-    change.servers = true;
-    return *m_servers;
+    std::vector<ServerChange> changes;
+    changes.reserve(ids.size());
+    for (const auto& id : ids) {
+        const auto server = m_servers->find(id);
+        const bool registered = server != m_servers->end();
+        changes.push_back({ id, registered ? std::make_shared<const RegisteredServer>(server->second) : nullptr });
+    }
+    return changes;
+}
+
+std::vector<ServerChange> PlatformView::allServers() const
+{
+    std::vector<ServerChange> changes;
+    changes.reserve(m_servers->size());
+    for (const auto& [id, server] : *m_servers)
+        changes.push_back({ id, std::make_shared<const RegisteredServer>(server) });
+    return changes;
 }
 
 void PlatformView::applyRules(const KeyValue& value, Change& change)
@@ -234,23 +273,25 @@
     m_missing.erase(name);
     if (id.empty())
         return;
-    mutableServers(change).erase(id);
+    change.servers.insert(id);
+    ++m_serversEdition;
+    m_servers->erase(id);
     logChange(LogLevel::Info, "server-removed", { { "server", id }, { "revision", revision }, { "why", why } });
 }
 
-void PlatformView::applyServer(const KeyValue& value, Change& change)
+bool PlatformView::applyServer(const KeyValue& value, Change& change)
 {
     const std::string name = m_adapter.serverNameIn(value.key);
     ServerEntry& entry = m_serverEntries[name];
     if (value.modRevision < entry.revision)
-        return;
+        return false;
     const bool wasMissing = m_missing.erase(name);
     // The same write may arrive twice. A write older than a snapshot without its server was followed by a deletion that
     // this host didn't receive.
     const bool erasedSince = !entry.revision && value.modRevision <= m_snapshotRevision;
     const bool repeated = value.modRevision == entry.revision && !wasMissing;
     if (repeated || erasedSince)
-        return;
+        return false;
     entry.revision = value.modRevision;
     RegisteredServer server;
     const auto fault = fieldErrorOf([&]() -> boost::leaf::result<void> {
@@ -265,18 +306,18 @@
     };
     if (fault) {
         refuse(fault->text());
-        return;
+        return true;
     }
     if (!server.born && entry.born) {
         refuse("born: missing, but present in earlier entries of this server");
-        return;
+        return true;
     }
     // A write by an incarnation that has ended may take effect late, but such an incarnation has at most one write in
     // flight. A second write comes from a live server whose clock was set back before it started.
     if (server.born < entry.born && std::exchange(entry.olderBorn, server.born) != server.born) {
         logChange(LogLevel::Warning, "server-entry-outdated",
             { { "server", server.id }, { "present", entry.id }, { "revision", value.modRevision } });
-        return;
+        return true; // a second one of the same incarnation counts, so hosts must know of the first
     }
     entry.born = server.born;
     entry.olderBorn = 0;
@@ -289,11 +330,12 @@
         dropServer(name, value.modRevision, "restarted", change);
     const auto held = m_servers->find(server.id);
     if (held != m_servers->end() && held->second == server)
-        return;
+        return false; // a heartbeat
     if (held == m_servers->end() || held->second.leaving != server.leaving)
         logServer(server, value.modRevision);
     entry.id = server.id;
-    mutableServers(change).insert_or_assign(entry.id, std::move(server));
+    editServer(entry.id, change) = std::move(server);
+    return true;
 }
 
 void PlatformView::applyEvacuation(const std::string& key, int64_t revision, bool inForce, Change& change)
@@ -327,7 +369,7 @@
     }
     const Instant now = m_clock.now();
     for (const auto& id : serverIds) {
-        RegisteredServer& server = mutableServers(change).at(id);
+        RegisteredServer& server = editServer(id, change);
         server.evacuated = evacuated;
         // Servers without traffic may have lost their caches, and their entries show that up to one heartbeat later.
         // After an evacuation the servers are therefore treated as warming up until a newer entry says otherwise.
@@ -347,57 +389,57 @@
     return centres;
 }
 
-void PlatformView::applyValue(const KeyValue& value, Change& change)
+bool PlatformView::applyValue(const KeyValue& value, Change& change)
 {
     if (value.key == leaderKey()) {
         if (value.modRevision <= m_leader.modRevision)
-            return;
+            return true;
         m_leader = decodeLeader(value.value, value.modRevision);
         change.leader = true;
         logChange(
             LogLevel::Info, "coordinator-changed", { { "coordinator", m_leader.host }, { "term", value.modRevision } });
-        return;
+        return true;
     }
     if (value.key == listedHostsKey()) {
         recordListed(decodeListedHosts(value.value), value.modRevision);
-        return;
+        return true;
     }
     if (value.key == quarantineKey()) {
         if (value.modRevision <= m_quarantineRevision)
-            return;
+            return true;
         m_quarantineRevision = value.modRevision;
         m_quarantine = decodeQuarantine(value.value, m_clock.now(), m_clock.unixMillis());
         change.quarantine = true;
-        return;
+        return true;
     }
     if (isGrantTableKey(value.key)) {
         int64_t& revision = m_tableRevisions[value.key];
         if (value.modRevision <= revision)
-            return;
+            return true;
         revision = value.modRevision;
         auto table = decodeGrantTable(value.value);
         if (!table) {
             logChange(LogLevel::Error, "table-refused", { { "key", value.key }, { "revision", value.modRevision } });
-            return;
+            return true;
         }
         m_storedTables[table->service] = std::make_shared<const GrantTable>(*table);
         const Change applied = applyTable(std::move(*table));
         change.tables.insert(applied.tables.begin(), applied.tables.end());
-        return;
+        return true;
     }
     switch (m_adapter.itemOf(value.key)) {
     case StoreItem::Rules:
         applyRules(value, change);
         break;
     case StoreItem::Server:
-        applyServer(value, change);
-        break;
+        return applyServer(value, change);
     case StoreItem::Evacuation:
         applyEvacuation(value.key, value.modRevision, true, change);
         break;
     case StoreItem::Other:
         break;
     }
+    return true;
 }
 
 void PlatformView::applyErased(const std::string& key, int64_t revision, Change& change)
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -26,12 +26,14 @@
     // Which parts changed.
     struct Change {
         bool rules = false;
-        bool servers = false;
+        std::set<std::string> servers; // ids
         bool leader = false;
         bool quarantine = false;
         std::set<std::string> tables; // services
+        // External writes that say something new, in order. Most writes are heartbeats of servers, which don't.
+        std::vector<WatchEvent> news;
 
-        bool any() const { return rules || servers || leader || quarantine || !tables.empty(); }
+        bool any() const { return rules || !servers.empty() || leader || quarantine || !tables.empty(); }
     };
 
     PlatformView(const PlatformAdapter&, const Clock&);
@@ -50,6 +52,8 @@
     // A read of the router's own items alone. A watch then continues from the newest revision up to which this host
     // knows all external writes.
     Change applyRouterItems(const RangeReply&);
+    Change applyLeader(const RangeReply&); // a read of the leader's key alone
+    Change applyLeaderEvents(const std::vector<WatchEvent>&); // from a watch of the leader's key alone
     // The coordinator reports that there is no external write after `lastChange` up to `storeRevision`.
     void confirmUnchanged(int64_t lastChange, int64_t storeRevision);
     Change applyItem(const KeyValue&); // a read of one item
@@ -58,12 +62,17 @@
     // --- Queries
     int64_t revision() const override { return m_revision; }
     const LeaderView& leader() const override { return m_leader; }
-    // All external writes up to this revision are known.
+    // All external writes up to this revision that said something new are known.
     int64_t lastChange() const { return m_knownChanges.complete(); }
     // Whether this external write to the key, or a later one, is known.
     bool knows(std::string_view key, int64_t revision) const;
     const std::shared_ptr<const RouteRules>& rules() const { return m_rules; } // null: none yet
+    // The map itself, which later updates change. Only for this host's control thread.
     std::shared_ptr<const ServerMap> servers() const { return m_servers; }
+    uint64_t serversEdition() const { return m_serversEdition; } // grows with each change of the servers
+    // The present entries of these servers, for the routing thread.
+    std::vector<ServerChange> changesOf(const std::set<std::string>& ids) const;
+    std::vector<ServerChange> allServers() const;
     const std::vector<QuarantinedRequest>& quarantine() const { return m_quarantine; } // as in the store
     // Data centre -> when this host learned of its evacuation. Active evacuations only.
     std::map<std::string, Instant> evacuations() const;
@@ -73,6 +82,7 @@
     const std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>>& tables() const { return m_tables; }
     const std::set<std::string, std::less<>>& listedHosts() const { return m_listedHosts; } // as in the store
     int64_t modRevisionOf(const std::string& key) const; // of a table's key; 0: absent
+    int64_t listedRevision() const { return m_listedRevision; } // of the list of hosts; 0: absent
     void recordWritten(const GrantTable&, int64_t modRevision); // after a write by this host
     void recordStored(const GrantTable&, int64_t modRevision); // after a read of the store
     // After a write by this host, or a read of the store.
@@ -83,26 +93,28 @@
     void applyEvacuation(const std::string& key, int64_t revision, bool evacuated, Change&);
     void markEvacuated(const std::string& dataCentre, bool evacuated, Change&); // sets the flag of its servers
     void logOmittedRegistrations(); // at the end of a batch
-    void applyEvent(const WatchEvent&, Change&);
-    void applyValue(const KeyValue&, Change&);
+    // These return whether the write said something new.
+    bool applyEvent(const WatchEvent&, Change&);
+    bool applyValue(const KeyValue&, Change&);
+    bool applyServer(const KeyValue&, Change&);
     void applyErased(const std::string& key, int64_t revision, Change&);
     void applyRules(const KeyValue&, Change&);
-    void applyServer(const KeyValue&, Change&);
     // Does nothing if the server is not known.
     void dropServer(const std::string& name, int64_t revision, std::string_view why, Change&);
-    ServerMap& mutableServers(Change&);
+    RegisteredServer& editServer(const std::string& id, Change&);
 
     const PlatformAdapter& m_adapter;
     const Clock& m_clock;
     int64_t m_revision = 0;
     int64_t m_snapshotRevision = 0; // of the last read of the whole store
-    KnownChanges m_knownChanges; // external writes
+    KnownChanges m_knownChanges; // external writes that said something new
     // There is no external write up to this revision that this host doesn't know. Kept apart from m_knownChanges, whose
     // revision hosts compare with each other and which therefore moves with external writes only.
     int64_t m_unchangedUpTo = 0;
     std::shared_ptr<const RouteRules> m_rules;
     int64_t m_rulesRevision = 0; // of the last rules document, accepted or not
-    std::shared_ptr<ServerMap> m_servers = std::make_shared<ServerMap>(); // copied before each batch of changes
+    std::shared_ptr<ServerMap> m_servers = std::make_shared<ServerMap>();
+    uint64_t m_serversEdition = 0;
     // State of a server's entry in the store.
     struct ServerEntry {
         int64_t revision = 0; // of its last write or deletion
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -46,10 +46,6 @@
 
 void Upstream::update(const RegisteredServer& registered, const RoutedService* service, size_t hosts, Instant now)
 {
-    if (registered.leaving && !entry.leaving)
-        leavingSince = now;
-    if (registered.evacuated && !entry.evacuated)
-        evacuatedSince = now;
     const bool wasOpen = !draining() && !warmingUp(now);
     entry = registered;
     if (service)
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -99,6 +99,7 @@
     Instant evacuatedSince {}; // when this host learned of its data centre's evacuation
     unsigned failures = 0; // consecutive
     Instant failingUntil {};
+    Instant lastUsed {}; // when a request was last sent to the server
     // Set when the server refused a key that the table assigns to it, as its hold may have expired. Until then it would
     // refuse other requests for its keys as well.
     Instant refusesKeysUntil {};
--- a/packages/peers/FrameServer.cpp
+++ b/packages/peers/FrameServer.cpp
@@ -29,6 +29,7 @@
     tcp::acceptor acceptor;
     std::shared_ptr<TProcessor> processor;
     Counter& bytesSent;
+    size_t pendingReplyBytes = 0;
 
     bool handleRequest(const std::string& request, std::string& reply)
     {
@@ -55,7 +56,10 @@
             stream.expires_after(idleTimeout);
             if (!co_await readFrame(stream, request) || !shared->handleRequest(request, reply))
                 co_return;
-            if (!co_await writeFrame(stream, reply))
+            shared->pendingReplyBytes += reply.size();
+            const bool written = co_await writeFrame(stream, reply);
+            shared->pendingReplyBytes -= reply.size();
+            if (!written)
                 co_return;
         }
     }
@@ -85,6 +89,8 @@
     m_shared->acceptor.close(ignored);
 }
 
+size_t FrameServer::pendingReplyBytes() const { return m_shared->pendingReplyBytes; }
+
 uint16_t FrameServer::port() const { return m_shared->acceptor.local_endpoint().port(); }
 
 }
--- a/packages/peers/FrameServer.h
+++ b/packages/peers/FrameServer.h
@@ -20,6 +20,7 @@
         std::shared_ptr<apache::thrift::TProcessor>, Counter& bytesSent);
     ~FrameServer();
     uint16_t port() const;
+    size_t pendingReplyBytes() const; // of replies that aren't completely written
 
 private:
     struct Shared;
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -52,6 +52,7 @@
     13: list<string> leaving // servers that announce in their answers that they are leaving, and whose entries don't
     14: list<ServerRate> rates // limits that servers stated recently
     15: i64 ratesKnown // edition of the coordinator's list of limits
+    16: bool readsPackedTables // the host takes HostAdvice.packedTables and News.packedTables
 }
 
 struct ServerShare {
@@ -72,6 +73,13 @@
     6: i32 plainBytes // uncompressed length of the deflated value; 0: the value isn't compressed
 }
 
+// A deflated table.
+struct PackedTable {
+    1: string serviceName
+    2: binary value
+    3: i32 plainBytes // uncompressed length
+}
+
 // Changes that the coordinator sends to each host that doesn't watch the store itself.
 struct News {
     1: i64 afterChange // the items follow this change without a gap
@@ -83,6 +91,7 @@
     7: i64 crashesEdition // of the two lists that follow; 0: the lists aren't included
     8: list<i64> suspects // as in HostAdvice
     9: list<i64> quarantined // likewise
+    10: list<PackedTable> packedTables // whole tables, for hosts that route by an older one
 }
 
 struct HostAdvice {
@@ -93,7 +102,7 @@
     5: list<string> tables // newer ones than the host routes by, encoded
     6: i64 storeSilentMillis // since the store last answered the coordinator
     7: i64 lastChange // revision of the newest write by other clients that the coordinator has seen
-    8: bool standsBy // the host must watch the store itself, to take over at once
+    8: bool standsBy // the host watches the leader's key in the store, to take over at once
     9: i32 reportMillis // until the next report
     11: i64 storeRevision // store revision up to which other clients wrote nothing after lastChange
     16: i64 crashesEdition // of the two lists that follow
@@ -101,6 +110,7 @@
     13: list<i64> quarantined // fingerprints of requests that no host may send
     14: i64 ratesEdition // of the list of limits in force
     15: list<ServerRate> rates // all of them, unless the host knows this edition
+    17: list<PackedTable> packedTables // in place of `tables`, for hosts that read them
     10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
 }
 
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -849,6 +849,10 @@
 void HostReport::__set_ratesKnown(const int64_t val) {
   this->ratesKnown = val;
 }
+
+void HostReport::__set_readsPackedTables(const bool val) {
+  this->readsPackedTables = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -1065,6 +1069,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->readsPackedTables);
+          this->__isset.readsPackedTables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1190,6 +1202,10 @@
   xfer += oprot->writeI64(this->ratesKnown);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("readsPackedTables", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->readsPackedTables);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1210,6 +1226,7 @@
   swap(a.leaving, b.leaving);
   swap(a.rates, b.rates);
   swap(a.ratesKnown, b.ratesKnown);
+  swap(a.readsPackedTables, b.readsPackedTables);
   swap(a.__isset, b.__isset);
 }
 
@@ -1227,6 +1244,7 @@
   leaving = other64.leaving;
   rates = other64.rates;
   ratesKnown = other64.ratesKnown;
+  readsPackedTables = other64.readsPackedTables;
   __isset = other64.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other65) {
@@ -1243,6 +1261,7 @@
   leaving = other65.leaving;
   rates = other65.rates;
   ratesKnown = other65.ratesKnown;
+  readsPackedTables = other65.readsPackedTables;
   __isset = other65.__isset;
   return *this;
 }
@@ -1262,6 +1281,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "rates=" << to_string(rates);
   out << ", " << "ratesKnown=" << to_string(ratesKnown);
+  out << ", " << "readsPackedTables=" << to_string(readsPackedTables);
   out << ")";
 }
 
@@ -1630,6 +1650,138 @@
 }
 
 
+PackedTable::~PackedTable() noexcept {
+}
+
+
+void PackedTable::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void PackedTable::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void PackedTable::__set_plainBytes(const int32_t val) {
+  this->plainBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const PackedTable& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PackedTable::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->plainBytes);
+          this->__isset.plainBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PackedTable::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PackedTable");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("plainBytes", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->plainBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PackedTable &a, PackedTable &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.value, b.value);
+  swap(a.plainBytes, b.plainBytes);
+  swap(a.__isset, b.__isset);
+}
+
+PackedTable::PackedTable(const PackedTable& other70) {
+  serviceName = other70.serviceName;
+  value = other70.value;
+  plainBytes = other70.plainBytes;
+  __isset = other70.__isset;
+}
+PackedTable& PackedTable::operator=(const PackedTable& other71) {
+  serviceName = other71.serviceName;
+  value = other71.value;
+  plainBytes = other71.plainBytes;
+  __isset = other71.__isset;
+  return *this;
+}
+void PackedTable::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PackedTable(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "plainBytes=" << to_string(plainBytes);
+  out << ")";
+}
+
+
 News::~News() noexcept {
 }
 
@@ -1669,6 +1821,10 @@
 void News::__set_quarantined(const std::vector<int64_t> & val) {
   this->quarantined = val;
 }
+
+void News::__set_packedTables(const std::vector<PackedTable> & val) {
+  this->packedTables = val;
+}
 std::ostream& operator<<(std::ostream& out, const News& obj)
 {
   obj.printTo(out);
@@ -1717,14 +1873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->items.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->items.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->items[_i74].read(iprot);
+              xfer += this->items[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1737,14 +1893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->tables.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->tables.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += iprot->readString(this->tables[_i79]);
+              xfer += iprot->readString(this->tables[_i81]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1757,14 +1913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forwardTo.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->forwardTo.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->forwardTo.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += iprot->readString(this->forwardTo[_i84]);
+              xfer += iprot->readString(this->forwardTo[_i86]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1777,14 +1933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crowded.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->crowded.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->crowded.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readString(this->crowded[_i89]);
+              xfer += iprot->readString(this->crowded[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1805,14 +1961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->suspects.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->suspects.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += iprot->readI64(this->suspects[_i94]);
+              xfer += iprot->readI64(this->suspects[_i96]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1825,14 +1981,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->quarantined.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->quarantined.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += iprot->readI64(this->quarantined[_i99]);
+              xfer += iprot->readI64(this->quarantined[_i101]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1841,6 +1997,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->packedTables.clear();
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->packedTables.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
+            {
+              xfer += this->packedTables[_i106].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.packedTables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1869,10 +2045,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItem> ::const_iterator _iter100;
-    for (_iter100 = this->items.begin(); _iter100 != this->items.end(); ++_iter100)
+    std::vector<StoreItem> ::const_iterator _iter107;
+    for (_iter107 = this->items.begin(); _iter107 != this->items.end(); ++_iter107)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1881,10 +2057,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter101;
-    for (_iter101 = this->tables.begin(); _iter101 != this->tables.end(); ++_iter101)
+    std::vector<std::string> ::const_iterator _iter108;
+    for (_iter108 = this->tables.begin(); _iter108 != this->tables.end(); ++_iter108)
     {
-      xfer += oprot->writeString((*_iter101));
+      xfer += oprot->writeString((*_iter108));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1893,10 +2069,10 @@
   xfer += oprot->writeFieldBegin("forwardTo", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forwardTo.size()));
-    std::vector<std::string> ::const_iterator _iter102;
-    for (_iter102 = this->forwardTo.begin(); _iter102 != this->forwardTo.end(); ++_iter102)
+    std::vector<std::string> ::const_iterator _iter109;
+    for (_iter109 = this->forwardTo.begin(); _iter109 != this->forwardTo.end(); ++_iter109)
     {
-      xfer += oprot->writeString((*_iter102));
+      xfer += oprot->writeString((*_iter109));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1905,10 +2081,10 @@
   xfer += oprot->writeFieldBegin("crowded", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crowded.size()));
-    std::vector<std::string> ::const_iterator _iter103;
-    for (_iter103 = this->crowded.begin(); _iter103 != this->crowded.end(); ++_iter103)
+    std::vector<std::string> ::const_iterator _iter110;
+    for (_iter110 = this->crowded.begin(); _iter110 != this->crowded.end(); ++_iter110)
     {
-      xfer += oprot->writeString((*_iter103));
+      xfer += oprot->writeString((*_iter110));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1921,10 +2097,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter104;
-    for (_iter104 = this->suspects.begin(); _iter104 != this->suspects.end(); ++_iter104)
+    std::vector<int64_t> ::const_iterator _iter111;
+    for (_iter111 = this->suspects.begin(); _iter111 != this->suspects.end(); ++_iter111)
     {
-      xfer += oprot->writeI64((*_iter104));
+      xfer += oprot->writeI64((*_iter111));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1933,10 +2109,22 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter105;
-    for (_iter105 = this->quarantined.begin(); _iter105 != this->quarantined.end(); ++_iter105)
+    std::vector<int64_t> ::const_iterator _iter112;
+    for (_iter112 = this->quarantined.begin(); _iter112 != this->quarantined.end(); ++_iter112)
+    {
+      xfer += oprot->writeI64((*_iter112));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("packedTables", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packedTables.size()));
+    std::vector<PackedTable> ::const_iterator _iter113;
+    for (_iter113 = this->packedTables.begin(); _iter113 != this->packedTables.end(); ++_iter113)
     {
-      xfer += oprot->writeI64((*_iter105));
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1958,32 +2146,35 @@
   swap(a.crashesEdition, b.crashesEdition);
   swap(a.suspects, b.suspects);
   swap(a.quarantined, b.quarantined);
+  swap(a.packedTables, b.packedTables);
   swap(a.__isset, b.__isset);
 }
 
-News::News(const News& other106) {
-  afterChange = other106.afterChange;
-  lastChange = other106.lastChange;
-  items = other106.items;
-  tables = other106.tables;
-  forwardTo = other106.forwardTo;
-  crowded = other106.crowded;
-  crashesEdition = other106.crashesEdition;
-  suspects = other106.suspects;
-  quarantined = other106.quarantined;
-  __isset = other106.__isset;
-}
-News& News::operator=(const News& other107) {
-  afterChange = other107.afterChange;
-  lastChange = other107.lastChange;
-  items = other107.items;
-  tables = other107.tables;
-  forwardTo = other107.forwardTo;
-  crowded = other107.crowded;
-  crashesEdition = other107.crashesEdition;
-  suspects = other107.suspects;
-  quarantined = other107.quarantined;
-  __isset = other107.__isset;
+News::News(const News& other114) {
+  afterChange = other114.afterChange;
+  lastChange = other114.lastChange;
+  items = other114.items;
+  tables = other114.tables;
+  forwardTo = other114.forwardTo;
+  crowded = other114.crowded;
+  crashesEdition = other114.crashesEdition;
+  suspects = other114.suspects;
+  quarantined = other114.quarantined;
+  packedTables = other114.packedTables;
+  __isset = other114.__isset;
+}
+News& News::operator=(const News& other115) {
+  afterChange = other115.afterChange;
+  lastChange = other115.lastChange;
+  items = other115.items;
+  tables = other115.tables;
+  forwardTo = other115.forwardTo;
+  crowded = other115.crowded;
+  crashesEdition = other115.crashesEdition;
+  suspects = other115.suspects;
+  quarantined = other115.quarantined;
+  packedTables = other115.packedTables;
+  __isset = other115.__isset;
   return *this;
 }
 void News::printTo(std::ostream& out) const {
@@ -1998,6 +2189,7 @@
   out << ", " << "crashesEdition=" << to_string(crashesEdition);
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "quarantined=" << to_string(quarantined);
+  out << ", " << "packedTables=" << to_string(packedTables);
   out << ")";
 }
 
@@ -2066,6 +2258,10 @@
   this->rates = val;
 }
 
+void HostAdvice::__set_packedTables(const std::vector<PackedTable> & val) {
+  this->packedTables = val;
+}
+
 void HostAdvice::__set_missed(const News& val) {
   this->missed = val;
 }
@@ -2125,14 +2321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->shares.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->shares.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->shares[_i112].read(iprot);
+              xfer += this->shares[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2145,14 +2341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->tables.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->tables.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
             {
-              xfer += iprot->readString(this->tables[_i117]);
+              xfer += iprot->readString(this->tables[_i125]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2213,14 +2409,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->suspects.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->suspects.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += iprot->readI64(this->suspects[_i122]);
+              xfer += iprot->readI64(this->suspects[_i130]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2233,14 +2429,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->quarantined.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->quarantined.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              xfer += iprot->readI64(this->quarantined[_i127]);
+              xfer += iprot->readI64(this->quarantined[_i135]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2261,14 +2457,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->rates.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->rates.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->rates[_i132].read(iprot);
+              xfer += this->rates[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2277,6 +2473,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->packedTables.clear();
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->packedTables.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
+            {
+              xfer += this->packedTables[_i145].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.packedTables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->missed.read(iprot);
@@ -2317,10 +2533,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ServerShare> ::const_iterator _iter133;
-    for (_iter133 = this->shares.begin(); _iter133 != this->shares.end(); ++_iter133)
+    std::vector<ServerShare> ::const_iterator _iter146;
+    for (_iter146 = this->shares.begin(); _iter146 != this->shares.end(); ++_iter146)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2329,10 +2545,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter134;
-    for (_iter134 = this->tables.begin(); _iter134 != this->tables.end(); ++_iter134)
+    std::vector<std::string> ::const_iterator _iter147;
+    for (_iter147 = this->tables.begin(); _iter147 != this->tables.end(); ++_iter147)
     {
-      xfer += oprot->writeString((*_iter134));
+      xfer += oprot->writeString((*_iter147));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2365,10 +2581,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter135;
-    for (_iter135 = this->suspects.begin(); _iter135 != this->suspects.end(); ++_iter135)
+    std::vector<int64_t> ::const_iterator _iter148;
+    for (_iter148 = this->suspects.begin(); _iter148 != this->suspects.end(); ++_iter148)
     {
-      xfer += oprot->writeI64((*_iter135));
+      xfer += oprot->writeI64((*_iter148));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2377,10 +2593,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter136;
-    for (_iter136 = this->quarantined.begin(); _iter136 != this->quarantined.end(); ++_iter136)
+    std::vector<int64_t> ::const_iterator _iter149;
+    for (_iter149 = this->quarantined.begin(); _iter149 != this->quarantined.end(); ++_iter149)
     {
-      xfer += oprot->writeI64((*_iter136));
+      xfer += oprot->writeI64((*_iter149));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2393,10 +2609,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<ServerRate> ::const_iterator _iter137;
-    for (_iter137 = this->rates.begin(); _iter137 != this->rates.end(); ++_iter137)
+    std::vector<ServerRate> ::const_iterator _iter150;
+    for (_iter150 = this->rates.begin(); _iter150 != this->rates.end(); ++_iter150)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2406,6 +2622,18 @@
   xfer += oprot->writeI64(this->crashesEdition);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("packedTables", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packedTables.size()));
+    std::vector<PackedTable> ::const_iterator _iter151;
+    for (_iter151 = this->packedTables.begin(); _iter151 != this->packedTables.end(); ++_iter151)
+    {
+      xfer += (*_iter151).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2428,47 +2656,50 @@
   swap(a.quarantined, b.quarantined);
   swap(a.ratesEdition, b.ratesEdition);
   swap(a.rates, b.rates);
+  swap(a.packedTables, b.packedTables);
   swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
 }
 
-HostAdvice::HostAdvice(const HostAdvice& other138) {
-  coordinates = other138.coordinates;
-  term = other138.term;
-  hosts = other138.hosts;
-  shares = other138.shares;
-  tables = other138.tables;
-  storeSilentMillis = other138.storeSilentMillis;
-  lastChange = other138.lastChange;
-  standsBy = other138.standsBy;
-  reportMillis = other138.reportMillis;
-  storeRevision = other138.storeRevision;
-  crashesEdition = other138.crashesEdition;
-  suspects = other138.suspects;
-  quarantined = other138.quarantined;
-  ratesEdition = other138.ratesEdition;
-  rates = other138.rates;
-  missed = other138.missed;
-  __isset = other138.__isset;
-}
-HostAdvice& HostAdvice::operator=(const HostAdvice& other139) {
-  coordinates = other139.coordinates;
-  term = other139.term;
-  hosts = other139.hosts;
-  shares = other139.shares;
-  tables = other139.tables;
-  storeSilentMillis = other139.storeSilentMillis;
-  lastChange = other139.lastChange;
-  standsBy = other139.standsBy;
-  reportMillis = other139.reportMillis;
-  storeRevision = other139.storeRevision;
-  crashesEdition = other139.crashesEdition;
-  suspects = other139.suspects;
-  quarantined = other139.quarantined;
-  ratesEdition = other139.ratesEdition;
-  rates = other139.rates;
-  missed = other139.missed;
-  __isset = other139.__isset;
+HostAdvice::HostAdvice(const HostAdvice& other152) {
+  coordinates = other152.coordinates;
+  term = other152.term;
+  hosts = other152.hosts;
+  shares = other152.shares;
+  tables = other152.tables;
+  storeSilentMillis = other152.storeSilentMillis;
+  lastChange = other152.lastChange;
+  standsBy = other152.standsBy;
+  reportMillis = other152.reportMillis;
+  storeRevision = other152.storeRevision;
+  crashesEdition = other152.crashesEdition;
+  suspects = other152.suspects;
+  quarantined = other152.quarantined;
+  ratesEdition = other152.ratesEdition;
+  rates = other152.rates;
+  packedTables = other152.packedTables;
+  missed = other152.missed;
+  __isset = other152.__isset;
+}
+HostAdvice& HostAdvice::operator=(const HostAdvice& other153) {
+  coordinates = other153.coordinates;
+  term = other153.term;
+  hosts = other153.hosts;
+  shares = other153.shares;
+  tables = other153.tables;
+  storeSilentMillis = other153.storeSilentMillis;
+  lastChange = other153.lastChange;
+  standsBy = other153.standsBy;
+  reportMillis = other153.reportMillis;
+  storeRevision = other153.storeRevision;
+  crashesEdition = other153.crashesEdition;
+  suspects = other153.suspects;
+  quarantined = other153.quarantined;
+  ratesEdition = other153.ratesEdition;
+  rates = other153.rates;
+  packedTables = other153.packedTables;
+  missed = other153.missed;
+  __isset = other153.__isset;
   return *this;
 }
 void HostAdvice::printTo(std::ostream& out) const {
@@ -2489,6 +2720,7 @@
   out << ", " << "quarantined=" << to_string(quarantined);
   out << ", " << "ratesEdition=" << to_string(ratesEdition);
   out << ", " << "rates=" << to_string(rates);
+  out << ", " << "packedTables=" << to_string(packedTables);
   out << ", " << "missed=" << to_string(missed);
   out << ")";
 }
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -37,6 +37,8 @@
 
 class StoreItem;
 
+class PackedTable;
+
 class News;
 
 class HostAdvice;
@@ -353,7 +355,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerRate& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPackedTables(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -367,6 +369,7 @@
   bool leaving :1;
   bool rates :1;
   bool ratesKnown :1;
+  bool readsPackedTables :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -380,7 +383,8 @@
                lastChange(0),
                strengthCenti(0),
                dataCentre(),
-               ratesKnown(0) {
+               ratesKnown(0),
+               readsPackedTables(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -397,6 +401,7 @@
   std::vector<std::string>  leaving;
   std::vector<ServerRate>  rates;
   int64_t ratesKnown;
+  bool readsPackedTables;
 
   _HostReport__isset __isset;
 
@@ -426,6 +431,8 @@
 
   void __set_ratesKnown(const int64_t val);
 
+  void __set_readsPackedTables(const bool val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -454,6 +461,8 @@
       return false;
     if (!(ratesKnown == rhs.ratesKnown))
       return false;
+    if (!(readsPackedTables == rhs.readsPackedTables))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -621,8 +630,65 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreItem& obj);
 
+typedef struct _PackedTable__isset {
+  _PackedTable__isset() : serviceName(false), value(false), plainBytes(false) {}
+  bool serviceName :1;
+  bool value :1;
+  bool plainBytes :1;
+} _PackedTable__isset;
+
+class PackedTable : public virtual ::apache::thrift::TBase {
+ public:
+
+  PackedTable(const PackedTable&);
+  PackedTable& operator=(const PackedTable&);
+  PackedTable() noexcept
+              : serviceName(),
+                value(),
+                plainBytes(0) {
+  }
+
+  virtual ~PackedTable() noexcept;
+  std::string serviceName;
+  std::string value;
+  int32_t plainBytes;
+
+  _PackedTable__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_plainBytes(const int32_t val);
+
+  bool operator == (const PackedTable & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(plainBytes == rhs.plainBytes))
+      return false;
+    return true;
+  }
+  bool operator != (const PackedTable &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PackedTable & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PackedTable &a, PackedTable &b);
+
+std::ostream& operator<<(std::ostream& out, const PackedTable& obj);
+
 typedef struct _News__isset {
-  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false) {}
+  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false), packedTables(false) {}
   bool afterChange :1;
   bool lastChange :1;
   bool items :1;
@@ -632,6 +698,7 @@
   bool crashesEdition :1;
   bool suspects :1;
   bool quarantined :1;
+  bool packedTables :1;
 } _News__isset;
 
 class News : public virtual ::apache::thrift::TBase {
@@ -655,6 +722,7 @@
   int64_t crashesEdition;
   std::vector<int64_t>  suspects;
   std::vector<int64_t>  quarantined;
+  std::vector<PackedTable>  packedTables;
 
   _News__isset __isset;
 
@@ -676,6 +744,8 @@
 
   void __set_quarantined(const std::vector<int64_t> & val);
 
+  void __set_packedTables(const std::vector<PackedTable> & val);
+
   bool operator == (const News & rhs) const
   {
     if (!(afterChange == rhs.afterChange))
@@ -696,6 +766,8 @@
       return false;
     if (!(quarantined == rhs.quarantined))
       return false;
+    if (!(packedTables == rhs.packedTables))
+      return false;
     return true;
   }
   bool operator != (const News &rhs) const {
@@ -715,7 +787,7 @@
 std::ostream& operator<<(std::ostream& out, const News& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -731,6 +803,7 @@
   bool quarantined :1;
   bool ratesEdition :1;
   bool rates :1;
+  bool packedTables :1;
   bool missed :1;
 } _HostAdvice__isset;
 
@@ -768,6 +841,7 @@
   std::vector<int64_t>  quarantined;
   int64_t ratesEdition;
   std::vector<ServerRate>  rates;
+  std::vector<PackedTable>  packedTables;
   News missed;
 
   _HostAdvice__isset __isset;
@@ -802,6 +876,8 @@
 
   void __set_rates(const std::vector<ServerRate> & val);
 
+  void __set_packedTables(const std::vector<PackedTable> & val);
+
   void __set_missed(const News& val);
 
   bool operator == (const HostAdvice & rhs) const
@@ -836,6 +912,8 @@
       return false;
     if (!(rates == rhs.rates))
       return false;
+    if (!(packedTables == rhs.packedTables))
+      return false;
     if (!(missed == rhs.missed))
       return false;
     return true;
