--- a/packages/decisions/ChangeHistory.cpp
+++ b/packages/decisions/ChangeHistory.cpp
@@ -39,12 +39,17 @@
     }
 }
 
-std::optional<std::vector<ItemChange>> ChangeHistory::changesSince(int64_t knownRevision) const
+std::optional<std::vector<ItemChange>> ChangeHistory::changesSince(int64_t knownRevision, size_t maxBytes) const
 {
     if (knownRevision < m_begin)
         return std::nullopt;
     const auto first = std::partition_point(
         m_changes.begin(), m_changes.end(), [&](const ItemChange& change) { return change.revision <= knownRevision; });
+    size_t bytes = 0;
+    for (auto change = first; change != m_changes.end() && bytes <= maxBytes; ++change)
+        bytes += sizeOf(*change);
+    if (bytes > maxBytes)
+        return std::nullopt;
     return std::vector<ItemChange>(first, m_changes.end());
 }
 
--- a/packages/decisions/ChangeHistory.h
+++ b/packages/decisions/ChangeHistory.h
@@ -44,8 +44,8 @@
     // Takes all changes with revisions above `after`, up to `last`.
     void add(int64_t after, int64_t last, std::span<const ItemChange>);
     int64_t last() const { return m_last; }
-    // Nothing if the history doesn't reach back to that revision.
-    std::optional<std::vector<ItemChange>> changesSince(int64_t knownRevision) const;
+    // Nothing if the history doesn't reach back to that revision, or if the changes exceed `maxBytes`.
+    std::optional<std::vector<ItemChange>> changesSince(int64_t knownRevision, size_t maxBytes = SIZE_MAX) const;
 
 private:
     ChangeHistoryOptions m_options;
--- a/packages/gateway/Announcer.cpp
+++ b/packages/gateway/Announcer.cpp
@@ -16,6 +16,12 @@
     // seconds, some 20 kB.
     constexpr size_t maxRecentChanges = 16;
 
+    // The entries of some thousand servers that register at once. Packed they are a fifth, which the smallest links
+    // carry within half of the time that a report waits for its answer.
+    constexpr ChangeHistoryOptions historyOptions { 1'048'576, ChangeHistoryOptions {}.maxValueBytes };
+    constexpr size_t maxUnpackedBytes
+        = ChangeHistoryOptions {}.maxBytes; // in the answer to a host that reads none packed
+
     // Large values are deflated. The document of routes, which is sent to every host, has a megabyte and shrinks to a
     // tenth. Uncompressed, a relay with ten members behind a small link would need more time to forward it than a
     // configuration may take to be in force.
@@ -50,12 +56,14 @@
 
 Announcer::Announcer(asio::any_io_executor executor, const Clock& clock, Counter& bytesSent)
     : m_news(std::move(executor), clock, bytesSent)
+    , m_history(historyOptions)
 {
 }
 
 void Announcer::updateHost(const wire::HostReport& report)
 {
-    m_news.updateHost(report.sender, report.address, report.dataCentre, report.strengthCenti / centi);
+    m_news.updateHost(
+        report.sender, report.address, report.dataCentre, report.strengthCenti / centi, report.readsPacked);
 }
 
 void Announcer::removeHost(std::string_view host) { m_news.removeHost(host); }
@@ -149,12 +157,9 @@
 {
     // Without these changes the host would have to read the whole store, which takes a small link longer than the
     // interval between changes.
-    const auto missed = m_history.changesSince(report.lastChange);
-    if (missed && !missed->empty()) {
-        advice.missed.afterChange = report.lastChange;
-        advice.missed.lastChange = m_history.last();
-        advice.missed.items = itemsOf(*missed);
-    }
+    const auto missed = m_history.changesSince(report.lastChange, report.readsPacked ? SIZE_MAX : maxUnpackedBytes);
+    if (missed && !missed->empty())
+        addMissedItems(*missed, report, mayBeLarge, advice);
     for (const auto& [name, table] : tables) {
         const auto held = std::find_if(report.services.begin(), report.services.end(),
             [&wanted = name](const wire::ServiceUse& service) { return service.serviceName == wanted; });
@@ -166,6 +171,26 @@
     }
 }
 
+void Announcer::addMissedItems(const std::vector<ItemChange>& missed, const wire::HostReport& report, bool mayBeLarge,
+    wire::HostAdvice& advice) const
+{
+    wire::News& news = advice.missed;
+    news.items = itemsOf(missed);
+    const size_t bytes = bytesOf(news.items);
+    // When a fleet starts, servers register while hosts read the store, and each host has missed hundreds of entries.
+    if (!mayBeLarge && report.readsPacked && bytes > minBytesToPack) {
+        news.items.clear();
+        advice.missedLater = true;
+        return;
+    }
+    news.afterChange = report.lastChange;
+    news.lastChange = m_history.last();
+    if (report.readsPacked && bytes > minBytesToPack) {
+        news.packedItems.push_back(packItems(news.items));
+        news.items.clear();
+    }
+}
+
 // Most hosts that know an older table lack only its last change, or are about to receive it. They are sent the changes
 // since their edition, others the whole table.
 void Announcer::addTableUpdate(const GrantTable& table, const wire::HostReport& report, const TableEdition& known,
@@ -184,7 +209,7 @@
     }
     if (!mayBeLarge)
         return;
-    if (report.readsPackedTables)
+    if (report.readsPacked)
         advice.packedTables.push_back(packed(table));
     else
         advice.tables.push_back(encodeGrantTable(table));
--- a/packages/gateway/Announcer.h
+++ b/packages/gateway/Announcer.h
@@ -50,6 +50,8 @@
 
     void addTableUpdate(
         const GrantTable&, const wire::HostReport&, const TableEdition& known, bool mayBeLarge, wire::HostAdvice&);
+    void addMissedItems(
+        const std::vector<ItemChange>&, const wire::HostReport&, bool mayBeLarge, wire::HostAdvice&) const;
     const wire::PackedTable& packed(const GrantTable&); // made once for each edition
 
     NewsFanout m_news;
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -196,21 +196,34 @@
     handleNews(news);
 }
 
-void GatewayControl::handleNews(const wire::News& news)
+void GatewayControl::handleItems(int64_t afterChange, int64_t lastChange, const std::vector<wire::StoreItem>& items)
 {
     std::vector<WatchEvent> events;
-    for (const auto& item : news.items) {
+    for (const auto& item : items) {
         if (auto event = decodeStoreItem(item))
             events.push_back(std::move(*event));
         else
             m_follower.readItemIfMissed(
                 item.key, item.revision, deliveryTimeout(static_cast<size_t>(item.leftOutBytes)));
     }
-    if (!news.items.empty()) {
-        (news.afterChange > m_view.lastChange() ? m_newsGaps : m_newsTaken).add();
-        onViewChange(m_view.applyNews(news.afterChange, news.lastChange, events));
-        m_coordinator.onNews(news.afterChange, news.lastChange, events, events.size() == news.items.size());
+    (afterChange > m_view.lastChange() ? m_newsGaps : m_newsTaken).add();
+    onViewChange(m_view.applyNews(afterChange, lastChange, events));
+    m_coordinator.onNews(afterChange, lastChange, events, events.size() == items.size());
+}
+
+void GatewayControl::handleNews(const wire::News& news)
+{
+    std::vector<wire::StoreItem> items = news.items;
+    bool complete = true; // all items could be read
+    for (const auto& packed : news.packedItems) {
+        auto unpacked = unpackItems(packed);
+        complete = complete && unpacked;
+        if (unpacked)
+            items.insert(items.end(), unpacked->begin(), unpacked->end());
     }
+    // Otherwise this host's next report shows what it has missed.
+    if (!items.empty() && complete)
+        handleItems(news.afterChange, news.lastChange, items);
     if (!news.crowded.empty()) {
         GatewayUpdate update;
         update.crowded = news.crowded;
@@ -314,7 +327,7 @@
     report.released.assign(m_unreportedReleases.begin(), m_unreportedReleases.end());
     report.leaving = m_pendingReport.leaving;
     report.ratesKnown = m_ratesEdition;
-    report.readsPackedTables = true;
+    report.readsPacked = true;
     for (const auto& knownRate : m_pendingReport.rates) {
         wire::ServerRate& rate = report.rates.emplace_back();
         rate.server = knownRate.server;
@@ -488,7 +501,8 @@
     if (!answers || m_election.isLeader() || Millis(advice->storeSilentMillis) > maxStoreSilence)
         m_follower.followStore();
     else
-        m_follower.followCoordinator(advice->lastChange, Millis(advice->storeSilentMillis), m_isStandby);
+        m_follower.followCoordinator(advice->missedLater ? m_view.lastChange() : advice->lastChange,
+            Millis(advice->storeSilentMillis), m_isStandby);
 }
 
 asio::awaitable<void> GatewayControl::reportLoop()
--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -16,10 +16,11 @@
 
     void append(wire::News& news, const wire::News& more)
     {
-        if (news.items.empty())
+        if (news.items.empty() && news.packedItems.empty())
             news.afterChange = more.afterChange;
         news.lastChange = std::max(news.lastChange, more.lastChange);
         news.items.insert(news.items.end(), more.items.begin(), more.items.end());
+        news.packedItems.insert(news.packedItems.end(), more.packedItems.begin(), more.packedItems.end());
         news.tables.insert(news.tables.end(), more.tables.begin(), more.tables.end());
         news.packedTables.insert(news.packedTables.end(), more.packedTables.begin(), more.packedTables.end());
         news.crowded.insert(news.crowded.end(), more.crowded.begin(), more.crowded.end());
@@ -33,9 +34,9 @@
 
     size_t sizeOf(const wire::News& news)
     {
-        size_t bytes = 0;
-        for (const auto& item : news.items)
-            bytes += item.key.size() + item.value.size();
+        size_t bytes = bytesOf(news.items);
+        for (const auto& items : news.packedItems)
+            bytes += items.value.size();
         for (const auto& table : news.tables)
             bytes += table.size();
         for (const auto& table : news.packedTables)
@@ -47,6 +48,28 @@
 
 }
 
+size_t bytesOf(const std::vector<wire::StoreItem>& items)
+{
+    size_t bytes = 0;
+    for (const auto& item : items)
+        bytes += item.key.size() + item.value.size();
+    return bytes;
+}
+
+namespace {
+
+    wire::News packedCopy(const wire::News& news)
+    {
+        wire::News packed = news;
+        if (bytesOf(news.items) > minBytesToPack) {
+            packed.packedItems.push_back(packItems(news.items));
+            packed.items.clear();
+        }
+        return packed;
+    }
+
+}
+
 // --- Link to one host
 
 NewsLink::NewsLink(asio::any_io_executor executor, std::unique_ptr<CoordinationLink> link, FailureHandler failure)
@@ -113,13 +136,14 @@
 {
 }
 
-void NewsFanout::updateHost(
-    const std::string& host, const std::string& address, const std::string& dataCentre, double strength)
+void NewsFanout::updateHost(const std::string& host, const std::string& address, const std::string& dataCentre,
+    double strength, bool readsPacked)
 {
     Host& known = m_hosts[host];
-    if (known.address == address && known.dataCentre == dataCentre && known.strength == strength)
+    if (known.address == address && known.dataCentre == dataCentre && known.strength == strength
+        && known.readsPacked == readsPacked)
         return;
-    known = { address, dataCentre, strength, {}, nullptr };
+    known = { address, dataCentre, strength, readsPacked, {}, nullptr };
     m_groupsOutdated = true;
 }
 
@@ -148,7 +172,9 @@
         candidates.push_back({ name, host.dataCentre, host.strength, host.mayRelayFrom <= now });
     m_groups.clear();
     for (auto& planned : planRelays(candidates)) {
-        Group group { planned.relay, std::move(planned.members), nullptr };
+        Group group { planned.relay, std::move(planned.members), m_hosts.at(planned.relay).readsPacked, nullptr };
+        for (const auto& member : group.members)
+            group.readsPacked = group.readsPacked && m_hosts.at(member).readsPacked;
         if (!group.members.empty()) {
             group.link = std::make_shared<NewsLink>(m_executor,
                 makeCoordinationLink(m_executor, m_hosts.at(group.relay).address, m_bytesSent),
@@ -163,19 +189,20 @@
 {
     if (m_groupsOutdated)
         regroup();
+    const wire::News packed = packedCopy(news);
     for (auto& group : m_groups) {
         if (!group.link) {
-            sendDirectly(group.relay, news);
+            sendDirectly(group.relay, news, packed);
             continue;
         }
-        wire::News forwarded = news;
+        wire::News forwarded = group.readsPacked ? packed : news;
         for (const auto& member : group.members)
             forwarded.forwardTo.push_back(m_hosts.at(member).address);
         group.link->enqueue(forwarded);
     }
 }
 
-void NewsFanout::sendDirectly(const std::string& host, const wire::News& news)
+void NewsFanout::sendDirectly(const std::string& host, const wire::News& news, const wire::News& packed)
 {
     const auto found = m_hosts.find(host);
     if (found == m_hosts.end())
@@ -184,7 +211,7 @@
     if (!link)
         link = std::make_shared<NewsLink>(m_executor,
             makeCoordinationLink(m_executor, found->second.address, m_bytesSent), NewsLink::FailureHandler {});
-    link->enqueue(news);
+    link->enqueue(found->second.readsPacked ? packed : news);
 }
 
 void NewsFanout::onRelayFailed(
@@ -198,8 +225,9 @@
     }
     wire::News direct = news;
     direct.forwardTo.clear();
+    // What was packed went to a group in which each host reads it.
     for (const auto& member : members)
-        sendDirectly(member, direct);
+        sendDirectly(member, direct, direct);
 }
 
 }
--- a/packages/gateway/NewsFanout.h
+++ b/packages/gateway/NewsFanout.h
@@ -48,14 +48,18 @@
     std::map<std::string, std::shared_ptr<NewsLink>, std::less<>> m_links; // by address
 };
 
+size_t bytesOf(const std::vector<wire::StoreItem>&);
+// Fewer bytes aren't worth packing: a message costs some hundred bytes anyway.
+constexpr size_t minBytesToPack = 2'048;
+
 // The coordinator's side: divides the hosts into groups and sends the news to one relay of each group.
 class NewsFanout {
 public:
     NewsFanout(boost::asio::any_io_executor, const Clock&, Counter& bytesSent);
 
     // --- Recipients
-    void updateHost(
-        const std::string& host, const std::string& address, const std::string& dataCentre, double strength);
+    void updateHost(const std::string& host, const std::string& address, const std::string& dataCentre, double strength,
+        bool readsPacked);
     void removeHost(std::string_view host);
     void clear();
 
@@ -66,17 +70,20 @@
         std::string address; // "IP:port" of the host's peer port
         std::string dataCentre;
         double strength = 0; // cores
+        bool readsPacked = false; // as in wire::HostReport
         Instant mayRelayFrom {}; // after a failure as a relay, the host is not a relay until this time
         std::shared_ptr<NewsLink> link; // for sending directly; null: not used yet
     };
     struct Group {
         std::string relay;
         std::vector<std::string> members; // without the relay
+        bool readsPacked = false; // all of them do
         std::shared_ptr<NewsLink> link; // to the relay; null: the group has no other members
     };
 
     void regroup();
-    void sendDirectly(const std::string& host, const wire::News&);
+    // `packed`: the same news with packed items, for hosts that read them.
+    void sendDirectly(const std::string& host, const wire::News&, const wire::News& packed);
     void onRelayFailed(const std::string& relay, const std::vector<std::string>& members, const wire::News&);
 
     boost::asio::any_io_executor m_executor;
--- a/packages/peers/Coordination.cpp
+++ b/packages/peers/Coordination.cpp
@@ -1,7 +1,9 @@
 #include "peers/Coordination.h"
 
+#include "peers/Deflate.h"
 #include <Coordination.h>
 
+#include "peers/Frame.h"
 #include <thrift/protocol/TCompactProtocol.h>
 
 namespace cumindale {
@@ -33,6 +35,39 @@
 
 }
 
+wire::PackedItems packItems(const std::vector<wire::StoreItem>& items)
+{
+    wire::ItemList list;
+    list.items = items;
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocol protocol(buffer);
+    list.write(&protocol);
+    const std::string plain = buffer->getBufferAsString();
+    wire::PackedItems packed;
+    packed.value = deflated(plain);
+    packed.plainBytes = static_cast<int32_t>(plain.size());
+    return packed;
+}
+
+std::optional<std::vector<wire::StoreItem>> unpackItems(const wire::PackedItems& packed)
+{
+    if (packed.plainBytes <= 0 || static_cast<uint32_t>(packed.plainBytes) > maxFrameBytes)
+        return std::nullopt;
+    const auto plain = inflated(packed.value, static_cast<size_t>(packed.plainBytes));
+    if (!plain)
+        return std::nullopt;
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    buffer->write(reinterpret_cast<const uint8_t*>(plain->data()), static_cast<uint32_t>(plain->size()));
+    TCompactProtocol protocol(buffer);
+    wire::ItemList list;
+    try {
+        list.read(&protocol);
+    } catch (const TException&) {
+        return std::nullopt;
+    }
+    return std::move(list.items);
+}
+
 struct CoordinationLink::Codec {
     FrameLink link;
     std::shared_ptr<TMemoryBuffer> out = std::make_shared<TMemoryBuffer>();
--- a/packages/peers/Coordination.h
+++ b/packages/peers/Coordination.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cumindale::wire {
 class CoordinationClient;
@@ -18,6 +19,11 @@
 
 namespace cumindale {
 
+// Deflates the items of a message, so that a batch of servers' entries takes a fifth of its bytes. No value: they can't
+// be read.
+wire::PackedItems packItems(const std::vector<wire::StoreItem>&);
+std::optional<std::vector<wire::StoreItem>> unpackItems(const wire::PackedItems&);
+
 class CoordinationLink {
 public:
     CoordinationLink(boost::asio::any_io_executor, std::string address, uint16_t port, Counter& bytesSent);
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -52,7 +52,7 @@
     13: list<string> leaving // servers that announce in their answers that they are leaving, and whose entries don't
     14: list<ServerRate> rates // limits that servers stated recently
     15: i64 ratesKnown // edition of the coordinator's list of limits
-    16: bool readsPackedTables // the host takes HostAdvice.packedTables and News.packedTables
+    16: bool readsPacked // the host reads packed tables and items
 }
 
 struct ServerShare {
@@ -73,6 +73,16 @@
     6: i32 plainBytes // uncompressed length of the deflated value; 0: the value isn't compressed
 }
 
+struct ItemList {
+    1: list<StoreItem> items
+}
+
+// A deflated ItemList.
+struct PackedItems {
+    1: binary value
+    2: i32 plainBytes // uncompressed length
+}
+
 // A deflated table.
 struct PackedTable {
     1: string serviceName
@@ -92,6 +102,7 @@
     8: list<i64> suspects // as in HostAdvice
     9: list<i64> quarantined // likewise
     10: list<PackedTable> packedTables // whole tables, for hosts that route by an older one
+    11: list<PackedItems> packedItems // further items, for hosts that read them
 }
 
 struct HostAdvice {
@@ -111,6 +122,7 @@
     14: i64 ratesEdition // of the list of limits in force
     15: list<ServerRate> rates // all of them, unless the host knows this edition
     17: list<PackedTable> packedTables // in place of `tables`, for hosts that read them
+    18: bool missedLater // what the host missed is left out, and follows with a later answer
     10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
 }
 
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -850,8 +850,8 @@
   this->ratesKnown = val;
 }
 
-void HostReport::__set_readsPackedTables(const bool val) {
-  this->readsPackedTables = val;
+void HostReport::__set_readsPacked(const bool val) {
+  this->readsPacked = val;
 }
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
@@ -1071,8 +1071,8 @@
         break;
       case 16:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->readsPackedTables);
-          this->__isset.readsPackedTables = true;
+          xfer += iprot->readBool(this->readsPacked);
+          this->__isset.readsPacked = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1202,8 +1202,8 @@
   xfer += oprot->writeI64(this->ratesKnown);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("readsPackedTables", ::apache::thrift::protocol::T_BOOL, 16);
-  xfer += oprot->writeBool(this->readsPackedTables);
+  xfer += oprot->writeFieldBegin("readsPacked", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->readsPacked);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1226,7 +1226,7 @@
   swap(a.leaving, b.leaving);
   swap(a.rates, b.rates);
   swap(a.ratesKnown, b.ratesKnown);
-  swap(a.readsPackedTables, b.readsPackedTables);
+  swap(a.readsPacked, b.readsPacked);
   swap(a.__isset, b.__isset);
 }
 
@@ -1244,7 +1244,7 @@
   leaving = other64.leaving;
   rates = other64.rates;
   ratesKnown = other64.ratesKnown;
-  readsPackedTables = other64.readsPackedTables;
+  readsPacked = other64.readsPacked;
   __isset = other64.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other65) {
@@ -1261,7 +1261,7 @@
   leaving = other65.leaving;
   rates = other65.rates;
   ratesKnown = other65.ratesKnown;
-  readsPackedTables = other65.readsPackedTables;
+  readsPacked = other65.readsPacked;
   __isset = other65.__isset;
   return *this;
 }
@@ -1281,7 +1281,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "rates=" << to_string(rates);
   out << ", " << "ratesKnown=" << to_string(ratesKnown);
-  out << ", " << "readsPackedTables=" << to_string(readsPackedTables);
+  out << ", " << "readsPacked=" << to_string(readsPacked);
   out << ")";
 }
 
@@ -1650,6 +1650,230 @@
 }
 
 
+ItemList::~ItemList() noexcept {
+}
+
+
+void ItemList::__set_items(const std::vector<StoreItem> & val) {
+  this->items = val;
+}
+std::ostream& operator<<(std::ostream& out, const ItemList& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ItemList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->items.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += this->items[_i74].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ItemList::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ItemList");
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<StoreItem> ::const_iterator _iter75;
+    for (_iter75 = this->items.begin(); _iter75 != this->items.end(); ++_iter75)
+    {
+      xfer += (*_iter75).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ItemList &a, ItemList &b) {
+  using ::std::swap;
+  swap(a.items, b.items);
+  swap(a.__isset, b.__isset);
+}
+
+ItemList::ItemList(const ItemList& other76) {
+  items = other76.items;
+  __isset = other76.__isset;
+}
+ItemList& ItemList::operator=(const ItemList& other77) {
+  items = other77.items;
+  __isset = other77.__isset;
+  return *this;
+}
+void ItemList::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ItemList(";
+  out << "items=" << to_string(items);
+  out << ")";
+}
+
+
+PackedItems::~PackedItems() noexcept {
+}
+
+
+void PackedItems::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void PackedItems::__set_plainBytes(const int32_t val) {
+  this->plainBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const PackedItems& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PackedItems::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->plainBytes);
+          this->__isset.plainBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PackedItems::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PackedItems");
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("plainBytes", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->plainBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PackedItems &a, PackedItems &b) {
+  using ::std::swap;
+  swap(a.value, b.value);
+  swap(a.plainBytes, b.plainBytes);
+  swap(a.__isset, b.__isset);
+}
+
+PackedItems::PackedItems(const PackedItems& other78) {
+  value = other78.value;
+  plainBytes = other78.plainBytes;
+  __isset = other78.__isset;
+}
+PackedItems& PackedItems::operator=(const PackedItems& other79) {
+  value = other79.value;
+  plainBytes = other79.plainBytes;
+  __isset = other79.__isset;
+  return *this;
+}
+void PackedItems::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PackedItems(";
+  out << "value=" << to_string(value);
+  out << ", " << "plainBytes=" << to_string(plainBytes);
+  out << ")";
+}
+
+
 PackedTable::~PackedTable() noexcept {
 }
 
@@ -1759,17 +1983,17 @@
   swap(a.__isset, b.__isset);
 }
 
-PackedTable::PackedTable(const PackedTable& other70) {
-  serviceName = other70.serviceName;
-  value = other70.value;
-  plainBytes = other70.plainBytes;
-  __isset = other70.__isset;
+PackedTable::PackedTable(const PackedTable& other80) {
+  serviceName = other80.serviceName;
+  value = other80.value;
+  plainBytes = other80.plainBytes;
+  __isset = other80.__isset;
 }
-PackedTable& PackedTable::operator=(const PackedTable& other71) {
-  serviceName = other71.serviceName;
-  value = other71.value;
-  plainBytes = other71.plainBytes;
-  __isset = other71.__isset;
+PackedTable& PackedTable::operator=(const PackedTable& other81) {
+  serviceName = other81.serviceName;
+  value = other81.value;
+  plainBytes = other81.plainBytes;
+  __isset = other81.__isset;
   return *this;
 }
 void PackedTable::printTo(std::ostream& out) const {
@@ -1825,6 +2049,10 @@
 void News::__set_packedTables(const std::vector<PackedTable> & val) {
   this->packedTables = val;
 }
+
+void News::__set_packedItems(const std::vector<PackedItems> & val) {
+  this->packedItems = val;
+}
 std::ostream& operator<<(std::ostream& out, const News& obj)
 {
   obj.printTo(out);
@@ -1873,14 +2101,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->items.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->items.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->items[_i76].read(iprot);
+              xfer += this->items[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1893,14 +2121,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->tables.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->tables.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readString(this->tables[_i81]);
+              xfer += iprot->readString(this->tables[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1913,14 +2141,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->forwardTo.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->forwardTo.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->forwardTo.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += iprot->readString(this->forwardTo[_i86]);
+              xfer += iprot->readString(this->forwardTo[_i96]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1933,14 +2161,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crowded.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->crowded.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->crowded.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += iprot->readString(this->crowded[_i91]);
+              xfer += iprot->readString(this->crowded[_i101]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1961,14 +2189,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->suspects.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->suspects.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += iprot->readI64(this->suspects[_i96]);
+              xfer += iprot->readI64(this->suspects[_i106]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1981,14 +2209,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->quarantined.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->quarantined.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += iprot->readI64(this->quarantined[_i101]);
+              xfer += iprot->readI64(this->quarantined[_i111]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2001,14 +2229,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->packedTables.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->packedTables.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->packedTables.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->packedTables[_i106].read(iprot);
+              xfer += this->packedTables[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2017,6 +2245,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->packedItems.clear();
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->packedItems.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
+            {
+              xfer += this->packedItems[_i121].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.packedItems = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2045,10 +2293,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<StoreItem> ::const_iterator _iter107;
-    for (_iter107 = this->items.begin(); _iter107 != this->items.end(); ++_iter107)
+    std::vector<StoreItem> ::const_iterator _iter122;
+    for (_iter122 = this->items.begin(); _iter122 != this->items.end(); ++_iter122)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2057,10 +2305,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter108;
-    for (_iter108 = this->tables.begin(); _iter108 != this->tables.end(); ++_iter108)
+    std::vector<std::string> ::const_iterator _iter123;
+    for (_iter123 = this->tables.begin(); _iter123 != this->tables.end(); ++_iter123)
     {
-      xfer += oprot->writeString((*_iter108));
+      xfer += oprot->writeString((*_iter123));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2069,10 +2317,10 @@
   xfer += oprot->writeFieldBegin("forwardTo", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->forwardTo.size()));
-    std::vector<std::string> ::const_iterator _iter109;
-    for (_iter109 = this->forwardTo.begin(); _iter109 != this->forwardTo.end(); ++_iter109)
+    std::vector<std::string> ::const_iterator _iter124;
+    for (_iter124 = this->forwardTo.begin(); _iter124 != this->forwardTo.end(); ++_iter124)
     {
-      xfer += oprot->writeString((*_iter109));
+      xfer += oprot->writeString((*_iter124));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2081,10 +2329,10 @@
   xfer += oprot->writeFieldBegin("crowded", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->crowded.size()));
-    std::vector<std::string> ::const_iterator _iter110;
-    for (_iter110 = this->crowded.begin(); _iter110 != this->crowded.end(); ++_iter110)
+    std::vector<std::string> ::const_iterator _iter125;
+    for (_iter125 = this->crowded.begin(); _iter125 != this->crowded.end(); ++_iter125)
     {
-      xfer += oprot->writeString((*_iter110));
+      xfer += oprot->writeString((*_iter125));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2097,10 +2345,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter111;
-    for (_iter111 = this->suspects.begin(); _iter111 != this->suspects.end(); ++_iter111)
+    std::vector<int64_t> ::const_iterator _iter126;
+    for (_iter126 = this->suspects.begin(); _iter126 != this->suspects.end(); ++_iter126)
     {
-      xfer += oprot->writeI64((*_iter111));
+      xfer += oprot->writeI64((*_iter126));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2109,10 +2357,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter112;
-    for (_iter112 = this->quarantined.begin(); _iter112 != this->quarantined.end(); ++_iter112)
+    std::vector<int64_t> ::const_iterator _iter127;
+    for (_iter127 = this->quarantined.begin(); _iter127 != this->quarantined.end(); ++_iter127)
     {
-      xfer += oprot->writeI64((*_iter112));
+      xfer += oprot->writeI64((*_iter127));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2121,10 +2369,22 @@
   xfer += oprot->writeFieldBegin("packedTables", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packedTables.size()));
-    std::vector<PackedTable> ::const_iterator _iter113;
-    for (_iter113 = this->packedTables.begin(); _iter113 != this->packedTables.end(); ++_iter113)
+    std::vector<PackedTable> ::const_iterator _iter128;
+    for (_iter128 = this->packedTables.begin(); _iter128 != this->packedTables.end(); ++_iter128)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter128).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("packedItems", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packedItems.size()));
+    std::vector<PackedItems> ::const_iterator _iter129;
+    for (_iter129 = this->packedItems.begin(); _iter129 != this->packedItems.end(); ++_iter129)
+    {
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2147,34 +2407,37 @@
   swap(a.suspects, b.suspects);
   swap(a.quarantined, b.quarantined);
   swap(a.packedTables, b.packedTables);
+  swap(a.packedItems, b.packedItems);
   swap(a.__isset, b.__isset);
 }
 
-News::News(const News& other114) {
-  afterChange = other114.afterChange;
-  lastChange = other114.lastChange;
-  items = other114.items;
-  tables = other114.tables;
-  forwardTo = other114.forwardTo;
-  crowded = other114.crowded;
-  crashesEdition = other114.crashesEdition;
-  suspects = other114.suspects;
-  quarantined = other114.quarantined;
-  packedTables = other114.packedTables;
-  __isset = other114.__isset;
-}
-News& News::operator=(const News& other115) {
-  afterChange = other115.afterChange;
-  lastChange = other115.lastChange;
-  items = other115.items;
-  tables = other115.tables;
-  forwardTo = other115.forwardTo;
-  crowded = other115.crowded;
-  crashesEdition = other115.crashesEdition;
-  suspects = other115.suspects;
-  quarantined = other115.quarantined;
-  packedTables = other115.packedTables;
-  __isset = other115.__isset;
+News::News(const News& other130) {
+  afterChange = other130.afterChange;
+  lastChange = other130.lastChange;
+  items = other130.items;
+  tables = other130.tables;
+  forwardTo = other130.forwardTo;
+  crowded = other130.crowded;
+  crashesEdition = other130.crashesEdition;
+  suspects = other130.suspects;
+  quarantined = other130.quarantined;
+  packedTables = other130.packedTables;
+  packedItems = other130.packedItems;
+  __isset = other130.__isset;
+}
+News& News::operator=(const News& other131) {
+  afterChange = other131.afterChange;
+  lastChange = other131.lastChange;
+  items = other131.items;
+  tables = other131.tables;
+  forwardTo = other131.forwardTo;
+  crowded = other131.crowded;
+  crashesEdition = other131.crashesEdition;
+  suspects = other131.suspects;
+  quarantined = other131.quarantined;
+  packedTables = other131.packedTables;
+  packedItems = other131.packedItems;
+  __isset = other131.__isset;
   return *this;
 }
 void News::printTo(std::ostream& out) const {
@@ -2190,6 +2453,7 @@
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "quarantined=" << to_string(quarantined);
   out << ", " << "packedTables=" << to_string(packedTables);
+  out << ", " << "packedItems=" << to_string(packedItems);
   out << ")";
 }
 
@@ -2262,6 +2526,10 @@
   this->packedTables = val;
 }
 
+void HostAdvice::__set_missedLater(const bool val) {
+  this->missedLater = val;
+}
+
 void HostAdvice::__set_missed(const News& val) {
   this->missed = val;
 }
@@ -2321,14 +2589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->shares.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->shares.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->shares[_i120].read(iprot);
+              xfer += this->shares[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2341,14 +2609,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->tables.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->tables.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += iprot->readString(this->tables[_i125]);
+              xfer += iprot->readString(this->tables[_i141]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2409,14 +2677,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->suspects.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->suspects.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += iprot->readI64(this->suspects[_i130]);
+              xfer += iprot->readI64(this->suspects[_i146]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2429,14 +2697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->quarantined.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->quarantined.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += iprot->readI64(this->quarantined[_i135]);
+              xfer += iprot->readI64(this->quarantined[_i151]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2457,14 +2725,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->rates.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->rates.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->rates[_i140].read(iprot);
+              xfer += this->rates[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2477,14 +2745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->packedTables.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _etype144;
-            xfer += iprot->readListBegin(_etype144, _size141);
-            this->packedTables.resize(_size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->packedTables.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              xfer += this->packedTables[_i145].read(iprot);
+              xfer += this->packedTables[_i161].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2493,6 +2761,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->missedLater);
+          this->__isset.missedLater = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->missed.read(iprot);
@@ -2533,10 +2809,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ServerShare> ::const_iterator _iter146;
-    for (_iter146 = this->shares.begin(); _iter146 != this->shares.end(); ++_iter146)
+    std::vector<ServerShare> ::const_iterator _iter162;
+    for (_iter162 = this->shares.begin(); _iter162 != this->shares.end(); ++_iter162)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2545,10 +2821,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter147;
-    for (_iter147 = this->tables.begin(); _iter147 != this->tables.end(); ++_iter147)
+    std::vector<std::string> ::const_iterator _iter163;
+    for (_iter163 = this->tables.begin(); _iter163 != this->tables.end(); ++_iter163)
     {
-      xfer += oprot->writeString((*_iter147));
+      xfer += oprot->writeString((*_iter163));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2581,10 +2857,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter148;
-    for (_iter148 = this->suspects.begin(); _iter148 != this->suspects.end(); ++_iter148)
+    std::vector<int64_t> ::const_iterator _iter164;
+    for (_iter164 = this->suspects.begin(); _iter164 != this->suspects.end(); ++_iter164)
     {
-      xfer += oprot->writeI64((*_iter148));
+      xfer += oprot->writeI64((*_iter164));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2593,10 +2869,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter149;
-    for (_iter149 = this->quarantined.begin(); _iter149 != this->quarantined.end(); ++_iter149)
+    std::vector<int64_t> ::const_iterator _iter165;
+    for (_iter165 = this->quarantined.begin(); _iter165 != this->quarantined.end(); ++_iter165)
     {
-      xfer += oprot->writeI64((*_iter149));
+      xfer += oprot->writeI64((*_iter165));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2609,10 +2885,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<ServerRate> ::const_iterator _iter150;
-    for (_iter150 = this->rates.begin(); _iter150 != this->rates.end(); ++_iter150)
+    std::vector<ServerRate> ::const_iterator _iter166;
+    for (_iter166 = this->rates.begin(); _iter166 != this->rates.end(); ++_iter166)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2625,15 +2901,19 @@
   xfer += oprot->writeFieldBegin("packedTables", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packedTables.size()));
-    std::vector<PackedTable> ::const_iterator _iter151;
-    for (_iter151 = this->packedTables.begin(); _iter151 != this->packedTables.end(); ++_iter151)
+    std::vector<PackedTable> ::const_iterator _iter167;
+    for (_iter167 = this->packedTables.begin(); _iter167 != this->packedTables.end(); ++_iter167)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("missedLater", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->missedLater);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2657,49 +2937,52 @@
   swap(a.ratesEdition, b.ratesEdition);
   swap(a.rates, b.rates);
   swap(a.packedTables, b.packedTables);
+  swap(a.missedLater, b.missedLater);
   swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
 }
 
-HostAdvice::HostAdvice(const HostAdvice& other152) {
-  coordinates = other152.coordinates;
-  term = other152.term;
-  hosts = other152.hosts;
-  shares = other152.shares;
-  tables = other152.tables;
-  storeSilentMillis = other152.storeSilentMillis;
-  lastChange = other152.lastChange;
-  standsBy = other152.standsBy;
-  reportMillis = other152.reportMillis;
-  storeRevision = other152.storeRevision;
-  crashesEdition = other152.crashesEdition;
-  suspects = other152.suspects;
-  quarantined = other152.quarantined;
-  ratesEdition = other152.ratesEdition;
-  rates = other152.rates;
-  packedTables = other152.packedTables;
-  missed = other152.missed;
-  __isset = other152.__isset;
-}
-HostAdvice& HostAdvice::operator=(const HostAdvice& other153) {
-  coordinates = other153.coordinates;
-  term = other153.term;
-  hosts = other153.hosts;
-  shares = other153.shares;
-  tables = other153.tables;
-  storeSilentMillis = other153.storeSilentMillis;
-  lastChange = other153.lastChange;
-  standsBy = other153.standsBy;
-  reportMillis = other153.reportMillis;
-  storeRevision = other153.storeRevision;
-  crashesEdition = other153.crashesEdition;
-  suspects = other153.suspects;
-  quarantined = other153.quarantined;
-  ratesEdition = other153.ratesEdition;
-  rates = other153.rates;
-  packedTables = other153.packedTables;
-  missed = other153.missed;
-  __isset = other153.__isset;
+HostAdvice::HostAdvice(const HostAdvice& other168) {
+  coordinates = other168.coordinates;
+  term = other168.term;
+  hosts = other168.hosts;
+  shares = other168.shares;
+  tables = other168.tables;
+  storeSilentMillis = other168.storeSilentMillis;
+  lastChange = other168.lastChange;
+  standsBy = other168.standsBy;
+  reportMillis = other168.reportMillis;
+  storeRevision = other168.storeRevision;
+  crashesEdition = other168.crashesEdition;
+  suspects = other168.suspects;
+  quarantined = other168.quarantined;
+  ratesEdition = other168.ratesEdition;
+  rates = other168.rates;
+  packedTables = other168.packedTables;
+  missedLater = other168.missedLater;
+  missed = other168.missed;
+  __isset = other168.__isset;
+}
+HostAdvice& HostAdvice::operator=(const HostAdvice& other169) {
+  coordinates = other169.coordinates;
+  term = other169.term;
+  hosts = other169.hosts;
+  shares = other169.shares;
+  tables = other169.tables;
+  storeSilentMillis = other169.storeSilentMillis;
+  lastChange = other169.lastChange;
+  standsBy = other169.standsBy;
+  reportMillis = other169.reportMillis;
+  storeRevision = other169.storeRevision;
+  crashesEdition = other169.crashesEdition;
+  suspects = other169.suspects;
+  quarantined = other169.quarantined;
+  ratesEdition = other169.ratesEdition;
+  rates = other169.rates;
+  packedTables = other169.packedTables;
+  missedLater = other169.missedLater;
+  missed = other169.missed;
+  __isset = other169.__isset;
   return *this;
 }
 void HostAdvice::printTo(std::ostream& out) const {
@@ -2721,6 +3004,7 @@
   out << ", " << "ratesEdition=" << to_string(ratesEdition);
   out << ", " << "rates=" << to_string(rates);
   out << ", " << "packedTables=" << to_string(packedTables);
+  out << ", " << "missedLater=" << to_string(missedLater);
   out << ", " << "missed=" << to_string(missed);
   out << ")";
 }
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -37,6 +37,10 @@
 
 class StoreItem;
 
+class ItemList;
+
+class PackedItems;
+
 class PackedTable;
 
 class News;
@@ -355,7 +359,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerRate& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPackedTables(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -369,7 +373,7 @@
   bool leaving :1;
   bool rates :1;
   bool ratesKnown :1;
-  bool readsPackedTables :1;
+  bool readsPacked :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -384,7 +388,7 @@
                strengthCenti(0),
                dataCentre(),
                ratesKnown(0),
-               readsPackedTables(0) {
+               readsPacked(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -401,7 +405,7 @@
   std::vector<std::string>  leaving;
   std::vector<ServerRate>  rates;
   int64_t ratesKnown;
-  bool readsPackedTables;
+  bool readsPacked;
 
   _HostReport__isset __isset;
 
@@ -431,7 +435,7 @@
 
   void __set_ratesKnown(const int64_t val);
 
-  void __set_readsPackedTables(const bool val);
+  void __set_readsPacked(const bool val);
 
   bool operator == (const HostReport & rhs) const
   {
@@ -461,7 +465,7 @@
       return false;
     if (!(ratesKnown == rhs.ratesKnown))
       return false;
-    if (!(readsPackedTables == rhs.readsPackedTables))
+    if (!(readsPacked == rhs.readsPacked))
       return false;
     return true;
   }
@@ -630,6 +634,98 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreItem& obj);
 
+typedef struct _ItemList__isset {
+  _ItemList__isset() : items(false) {}
+  bool items :1;
+} _ItemList__isset;
+
+class ItemList : public virtual ::apache::thrift::TBase {
+ public:
+
+  ItemList(const ItemList&);
+  ItemList& operator=(const ItemList&);
+  ItemList() noexcept {
+  }
+
+  virtual ~ItemList() noexcept;
+  std::vector<StoreItem>  items;
+
+  _ItemList__isset __isset;
+
+  void __set_items(const std::vector<StoreItem> & val);
+
+  bool operator == (const ItemList & rhs) const
+  {
+    if (!(items == rhs.items))
+      return false;
+    return true;
+  }
+  bool operator != (const ItemList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ItemList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ItemList &a, ItemList &b);
+
+std::ostream& operator<<(std::ostream& out, const ItemList& obj);
+
+typedef struct _PackedItems__isset {
+  _PackedItems__isset() : value(false), plainBytes(false) {}
+  bool value :1;
+  bool plainBytes :1;
+} _PackedItems__isset;
+
+class PackedItems : public virtual ::apache::thrift::TBase {
+ public:
+
+  PackedItems(const PackedItems&);
+  PackedItems& operator=(const PackedItems&);
+  PackedItems() noexcept
+              : value(),
+                plainBytes(0) {
+  }
+
+  virtual ~PackedItems() noexcept;
+  std::string value;
+  int32_t plainBytes;
+
+  _PackedItems__isset __isset;
+
+  void __set_value(const std::string& val);
+
+  void __set_plainBytes(const int32_t val);
+
+  bool operator == (const PackedItems & rhs) const
+  {
+    if (!(value == rhs.value))
+      return false;
+    if (!(plainBytes == rhs.plainBytes))
+      return false;
+    return true;
+  }
+  bool operator != (const PackedItems &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PackedItems & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PackedItems &a, PackedItems &b);
+
+std::ostream& operator<<(std::ostream& out, const PackedItems& obj);
+
 typedef struct _PackedTable__isset {
   _PackedTable__isset() : serviceName(false), value(false), plainBytes(false) {}
   bool serviceName :1;
@@ -688,7 +784,7 @@
 std::ostream& operator<<(std::ostream& out, const PackedTable& obj);
 
 typedef struct _News__isset {
-  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false), packedTables(false) {}
+  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false), packedTables(false), packedItems(false) {}
   bool afterChange :1;
   bool lastChange :1;
   bool items :1;
@@ -699,6 +795,7 @@
   bool suspects :1;
   bool quarantined :1;
   bool packedTables :1;
+  bool packedItems :1;
 } _News__isset;
 
 class News : public virtual ::apache::thrift::TBase {
@@ -723,6 +820,7 @@
   std::vector<int64_t>  suspects;
   std::vector<int64_t>  quarantined;
   std::vector<PackedTable>  packedTables;
+  std::vector<PackedItems>  packedItems;
 
   _News__isset __isset;
 
@@ -746,6 +844,8 @@
 
   void __set_packedTables(const std::vector<PackedTable> & val);
 
+  void __set_packedItems(const std::vector<PackedItems> & val);
+
   bool operator == (const News & rhs) const
   {
     if (!(afterChange == rhs.afterChange))
@@ -768,6 +868,8 @@
       return false;
     if (!(packedTables == rhs.packedTables))
       return false;
+    if (!(packedItems == rhs.packedItems))
+      return false;
     return true;
   }
   bool operator != (const News &rhs) const {
@@ -787,7 +889,7 @@
 std::ostream& operator<<(std::ostream& out, const News& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -804,6 +906,7 @@
   bool ratesEdition :1;
   bool rates :1;
   bool packedTables :1;
+  bool missedLater :1;
   bool missed :1;
 } _HostAdvice__isset;
 
@@ -822,7 +925,8 @@
                reportMillis(0),
                storeRevision(0),
                crashesEdition(0),
-               ratesEdition(0) {
+               ratesEdition(0),
+               missedLater(0) {
   }
 
   virtual ~HostAdvice() noexcept;
@@ -842,6 +946,7 @@
   int64_t ratesEdition;
   std::vector<ServerRate>  rates;
   std::vector<PackedTable>  packedTables;
+  bool missedLater;
   News missed;
 
   _HostAdvice__isset __isset;
@@ -878,6 +983,8 @@
 
   void __set_packedTables(const std::vector<PackedTable> & val);
 
+  void __set_missedLater(const bool val);
+
   void __set_missed(const News& val);
 
   bool operator == (const HostAdvice & rhs) const
@@ -914,6 +1021,8 @@
       return false;
     if (!(packedTables == rhs.packedTables))
       return false;
+    if (!(missedLater == rhs.missedLater))
+      return false;
     if (!(missed == rhs.missed))
       return false;
     return true;
--- a/tests/news_fanout_test.cpp
+++ b/tests/news_fanout_test.cpp
@@ -25,6 +25,8 @@
     {
         forwardAddresses += news.forwardTo.size();
         items += news.items.size();
+        for (const auto& packed : news.packedItems)
+            packedItems += unpackItems(packed).value_or(std::vector<wire::StoreItem> {}).size();
         if (!news.forwardTo.empty() && forwardsNews)
             m_relay.forward(news);
     }
@@ -32,7 +34,8 @@
     std::string address() const { return loopback + ":" + std::to_string(m_server->port()); }
     void stop() { m_server.reset(); }
 
-    size_t items = 0;
+    size_t items = 0; // that came as they are
+    size_t packedItems = 0;
     size_t forwardAddresses = 0; // to which this host was asked to forward news
     bool forwardsNews = true;
 
@@ -49,12 +52,12 @@
     NewsFanout fanout { context.get_executor(), clock, bytes };
     std::vector<std::unique_ptr<RecordingHost>> hosts;
 
-    explicit Fleet(size_t count)
+    explicit Fleet(size_t count, bool readPacked = false)
     {
         for (size_t i = 0; i < count; ++i) {
             hosts.push_back(std::make_unique<RecordingHost>(context, bytes));
             const double strength = i ? 0.1 : 0.5; // the first host becomes the relay
-            fanout.updateHost("host-" + std::to_string(i), hosts[i]->address(), "dc-1", strength);
+            fanout.updateHost("host-" + std::to_string(i), hosts[i]->address(), "dc-1", strength, readPacked);
         }
     }
 
@@ -118,3 +121,50 @@
     CHECK(fleet.hosts[0]->items == 2);
     CHECK(fleet.hosts[1]->items == 1);
 }
+
+// Guards against a start that fills the coordinator's memory: the entries of 10,000 servers wait for each of 82 relays,
+// or for each host of a relay whose small link takes longer for them than a message may.
+TEST_CASE("many items are sent packed, in a third of their bytes, and as they are to hosts that can't read that")
+{
+    uint64_t plainBytes = 0;
+    for (const bool readPacked : { false, true }) {
+        CAPTURE(readPacked);
+        Fleet fleet(8, readPacked);
+        wire::News news;
+        news.lastChange = 200;
+        for (int64_t i = 1; i <= 200; ++i) {
+            wire::StoreItem item;
+            item.key = "servers/i-" + std::to_string(i * 7'919 % 100'003);
+            item.value = R"({"service":"desk","address":"10.1.)" + std::to_string(i)
+                + R"(.7:8063","zone":"dc-1",)"
+                  R"("version":"v1","slots":4,"state":"ready","warmup_left_s":0,"sequence":17,"born":1796310400000})";
+            item.revision = i;
+            news.items.push_back(item);
+        }
+        fleet.fanout.publish(news);
+        fleet.context.run_for(Millis(100));
+        for (const auto& host : fleet.hosts) {
+            CHECK(host->items == (readPacked ? 0 : 200));
+            CHECK(host->packedItems == (readPacked ? 200 : 0));
+        }
+        if (!readPacked)
+            plainBytes = fleet.bytes.value();
+        else
+            CHECK(fleet.bytes.value() * 3 < plainBytes);
+    }
+}
+
+TEST_CASE("packed items that can't be read are recognized")
+{
+    wire::PackedItems packed = packItems({ {}, {} });
+    CHECK(unpackItems(packed).value_or(std::vector<wire::StoreItem> {}).size() == 2);
+    wire::PackedItems wrongSize = packed;
+    wrongSize.plainBytes += 1;
+    CHECK_FALSE(unpackItems(wrongSize));
+    wire::PackedItems spoiled = packed;
+    spoiled.value = "not deflated";
+    CHECK_FALSE(unpackItems(spoiled));
+    wire::PackedItems negative = packed;
+    negative.plainBytes = -1;
+    CHECK_FALSE(unpackItems(negative));
+}
