--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "decisions/ServerIdentity.h"
+#include "gateway/CoordinatorWrites.h"
 #include "resources/GrantTableCodec.h"
 #include "resources/QuarantineCodec.h"
 
@@ -399,40 +400,6 @@
 
 // --- Writes
 
-namespace {
-
-    // Built outside the coroutine: g++ 12 destroys lists of temporaries inside one twice.
-    std::vector<Compare> conditionsFor(
-        const Compare& leadership, const std::vector<GrantTable>& tables, bool hosts, const PlatformView& view)
-    {
-        std::vector<Compare> conditions { leadership };
-        conditions.reserve(tables.size() + 2);
-        // A write without an answer may take effect seconds later. It must not replace a list that was written since.
-        if (hosts)
-            conditions.push_back({ listedHostsKey(), view.listedRevision() });
-        for (const auto& table : tables) {
-            const std::string key = grantTableKey(table.service);
-            conditions.push_back({ key, view.modRevisionOf(key) });
-        }
-        return conditions;
-    }
-
-    std::vector<WriteOperation> writesOf(const std::vector<GrantTable>& tables,
-        const std::set<std::string, std::less<>>& hosts, const std::optional<std::string>& quarantine)
-    {
-        std::vector<WriteOperation> writes;
-        writes.reserve(tables.size() + 2);
-        for (const auto& table : tables)
-            writes.push_back({ grantTableKey(table.service), encodeGrantTable(table) });
-        if (!hosts.empty())
-            writes.push_back({ listedHostsKey(), encodeListedHosts(hosts) });
-        if (quarantine)
-            writes.push_back({ quarantineKey(), *quarantine });
-        return writes;
-    }
-
-}
-
 std::set<std::string, std::less<>> Coordinator::changedHostList() const
 {
     std::set<std::string, std::less<>> hosts;
@@ -495,8 +462,8 @@
 
 asio::awaitable<void> Coordinator::write(PendingWrite writing, int64_t term)
 {
-    const auto conditions = conditionsFor(m_election.fence(), writing.tables, !writing.hosts.empty(), m_view);
-    const auto writes = writesOf(writing.tables, writing.hosts, writing.quarantine);
+    const auto conditions = conditionsOf(writing, m_election.fence(), m_view);
+    const auto writes = operationsOf(writing);
     m_writes.add();
     const TxnReply reply = co_await m_store.txn(conditions, writes, m_options.storeTimeout);
     int64_t revision = reply.status == StoreStatus::Ok && reply.succeeded ? reply.revision : 0;
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -10,6 +10,7 @@
 #include "decisions/KeyBalance.h"
 #include "decisions/LeadershipRules.h"
 #include "gateway/Announcer.h"
+#include "gateway/CoordinatorWrites.h"
 #include "gateway/PlatformAdapter.h"
 #include "gateway/PlatformView.h"
 #include "gateway/ServerShares.h"
@@ -108,13 +109,6 @@
     boost::asio::awaitable<void> sendGrants(std::string server, int64_t term);
     std::optional<uint64_t> fenceToSend(const GrantOrder&, const std::string& service, bool newConnection);
     boost::asio::awaitable<void> executeOrder(GrantOrder, int64_t term, std::string service);
-    struct PendingWrite {
-        std::vector<GrantTable> tables;
-        std::set<std::string, std::less<>> hosts; // empty: the list is not written
-        std::optional<std::string> quarantine; // encoded; no value: not written
-        uint64_t quarantineEdition = 0;
-    };
-
     // The registered servers. Those that have announced in responses to hosts that they are leaving are marked as
     // leaving.
     std::shared_ptr<const GrantPlan::Servers> servers();
