--- a/packages/gateway/UpstreamRegistry.cpp
+++ b/packages/gateway/UpstreamRegistry.cpp
@@ -238,7 +238,7 @@
     std::erase_if(m_upstreams, [&](const auto& entry) {
         const Upstream& upstream = *entry.second;
         const auto& admission = upstream.pool.admission();
-        const bool busy = admission.inFlight() || admission.queued() || upstream.overdueTimes.size();
+        const bool busy = admission.inFlight() || admission.queued() || !upstream.overdueTimes.empty();
         // Only this host may know that the server is leaving, wants no requests, or has another one at its address.
         const bool knowsMore = upstream.announcedLeaving() || upstream.backingOff(now) || upstream.replaced
             || upstream.rateLimit() || upstream.failing(now);
