Observability: new connections that fail to several servers in a row

What callers saw: hosts that were partitioned from all servers refused every request. Their logs had two lines for each refused request, which filled them, and none that said what the host thinks of the servers taken together. Metrics counted refusals but no failed connections, so that a host with no way to any server looked like one with failing servers.

Change: decisions/ServerReach keeps the outcome of new connections and when a server last answered. Lines server-connects-fail and server-connects-work when the state changes, with the number of servers that failed in a row and in use and the time since the last answer; the counter server_connects_failed. No decision depends on it yet.

--- /dev/null
+++ b/packages/decisions/ServerReach.cpp
@@ -0,0 +1,91 @@
+#include "decisions/ServerReach.h"
+
+#include <algorithm>
+
+namespace cumindale {
+
+void ServerReach::connected(std::string_view server, Instant now)
+{
+    m_failures.clear();
+    if (!m_cutOff)
+        return;
+    m_evidence[std::string(server)].connected = true;
+    m_successes.emplace(server);
+    if (m_successes.size() >= std::min(m_options.successesUntilReconnected, m_servers))
+        setCutOff(false, now);
+}
+
+void ServerReach::connectFailed(std::string_view server, Instant now)
+{
+    if (!m_cutOff) {
+        std::erase_if(
+            m_failures, [&](const auto& failure) { return now - failure.second > m_options.failureLifetime; });
+        m_failures[std::string(server)] = now;
+        return;
+    }
+    m_successes.clear();
+    const auto known = m_evidence.find(server);
+    if (known != m_evidence.end())
+        known->second.connected = false;
+}
+
+void ServerReach::answered(std::string_view server, Instant now)
+{
+    m_lastAnswer = now;
+    if (m_cutOff)
+        m_evidence[std::string(server)].answered = true;
+}
+
+void ServerReach::checked(size_t probes, size_t failures, size_t servers, Instant now)
+{
+    m_checkedAt = now;
+    m_servers = servers;
+    if (!m_cutOff && failures * 2 > probes)
+        setCutOff(true, now);
+}
+
+bool ServerReach::suspicious(Instant now) const
+{
+    const auto recent = std::count_if(m_failures.begin(), m_failures.end(),
+        [&](const auto& failure) { return now - failure.second <= m_options.failureLifetime; });
+    return static_cast<size_t>(recent) >= m_options.failuresUntilSuspicion;
+}
+
+bool ServerReach::acceptsConnections(std::string_view server) const
+{
+    const auto known = m_evidence.find(server);
+    return known != m_evidence.end() && known->second.connected;
+}
+
+bool ServerReach::answers(std::string_view server) const
+{
+    const auto known = m_evidence.find(server);
+    return known != m_evidence.end() && known->second.answered;
+}
+
+void ServerReach::setCutOff(bool cutOff, Instant now)
+{
+    m_cutOff = cutOff;
+    m_since = now;
+    m_failures.clear();
+    m_successes.clear();
+    m_evidence.clear();
+}
+
+std::vector<size_t> chooseProbes(std::span<const ProbeCandidate> candidates, size_t count, uint64_t random)
+{
+    std::vector<size_t> chosen;
+    std::set<std::string_view> dataCentres;
+    for (const bool newDataCentresOnly : { true, false }) {
+        for (size_t i = 0; i < candidates.size() && chosen.size() < count; ++i) {
+            const size_t index = (random % candidates.size() + i) % candidates.size();
+            const bool taken = std::find(chosen.begin(), chosen.end(), index) != chosen.end();
+            if (taken || (newDataCentresOnly && !dataCentres.insert(candidates[index].dataCentre).second))
+                continue;
+            chosen.push_back(index);
+        }
+    }
+    return chosen;
+}
+
+}
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -111,6 +111,7 @@
     , m_added(metrics.distribution("request_added"))
     , m_answered(metrics.counter("requests_answered"))
     , m_retries(metrics.counter("requests_sent_again"))
+    , m_connectsFailed(metrics.counter("server_connects_failed"))
     , m_crashes(executor, clock, metrics, { m_options.settings.fingerprintKey, m_options.connectTimeout },
           [this] { reportEarly(); })
     , m_log(clock, metrics, m_crashes)
@@ -590,6 +591,9 @@
         co_return refused;
     const auto giveUp = [&] { releaseSlot(job, *server, Millis(0), false); };
     auto connection = co_await server->pool.acquireConnection(job.route->idempotent(), m_options.connectTimeout);
+    const bool newConnection = !connection || connection->lastResponseAt == Instant {};
+    if (newConnection)
+        recordConnect(*server, connection != nullptr);
     if (!connection) {
         giveUp();
         server->recordFailure(m_clock.now());
@@ -658,6 +662,8 @@
     releaseSlot(job, *held, worked ? took : Millis(0), error == ErrorKind::ServerRefused);
     if (held->crowded(endedAt))
         reportEarly();
+    if (!result.incomplete)
+        m_reach.answered(id, endedAt);
     if (worked) {
         held->recordSuccess();
         held->recordWork(took);
@@ -726,6 +732,23 @@
         m_crashes.recordLostResponse(job.fingerprints, server, error);
 }
 
+void Gateway::recordConnect(const Upstream& server, bool connected)
+{
+    const Instant now = m_clock.now();
+    if (connected) {
+        m_reach.connected(server.entry.id, now);
+    } else {
+        m_connectsFailed.add();
+        m_reach.connectFailed(server.entry.id, now);
+    }
+    const bool fail = m_reach.suspicious(now);
+    if (std::exchange(m_connectsFail, fail) == fail)
+        return;
+    logChange(fail ? LogLevel::Warning : LogLevel::Info, fail ? "server-connects-fail" : "server-connects-work",
+        { { "server", server.entry.id }, { "serversFailed", m_reach.failuresInARow() },
+            { "serversInUse", m_servers.inUse().size() }, { "lastAnswerMs", (now - m_reach.lastAnswer()).count() } });
+}
+
 void Gateway::applyNotice(const Job& job, Upstream& server, const BackendResponse& answer)
 {
     const std::string limit = joinedValues(answer, m_names.limit);
