What a cut-off host loses is no evidence against requests or servers

Cause: a lost response was checked by a new connection from the same host to the same server. To a host without a path every server refuses it, so that each looked crashed with the requests at work. Class: a failure that is seen from one place is taken for one at the far end.

Change: ServerReachMonitor decides by connections to servers in several data centres whether this host is cut off (decisions/ServerReach). Before a server is reported as crashed the host checks its own path; on losing or regaining it, it forgets lost requests and the failures that it had counted. host-cut-off and host-reconnected in the log, host_is_cut_off and host_cut_offs in the metrics, in place of server-connects-fail.

--- a/packages/decisions/CrashEvidence.h
+++ b/packages/decisions/CrashEvidence.h
@@ -43,6 +43,7 @@
     // --- Events on this host
     void responseLost(std::string_view server, Fingerprint, Instant now); // not answered, and may have run
     void serverAlive(std::string_view server); // or shut down in order: drops its unanswered requests
+    void forgetLostRequests() { m_lostRequests.clear(); } // the host itself had lost its path to the servers
     // The server refuses connections, or another incarnation runs there. Returns the requests that were at the server.
     std::vector<Fingerprint> serverGone(std::string_view server, Instant now);
     void answered(Fingerprint, Instant now); // by a server, with any status
--- a/packages/decisions/ServerReach.cpp
+++ b/packages/decisions/ServerReach.cpp
@@ -4,15 +4,17 @@
 
 namespace cumindale {
 
-void ServerReach::connected(std::string_view server, Instant now)
+void ServerReach::connected(std::string_view server)
 {
     m_failures.clear();
     if (!m_cutOff)
         return;
-    m_evidence[std::string(server)].connected = true;
+    Evidence& evidence = m_evidence[std::string(server)];
+    evidence.tried = true;
+    evidence.connected = true;
     m_successes.emplace(server);
     if (m_successes.size() >= std::min(m_options.successesUntilReconnected, m_servers))
-        setCutOff(false, now);
+        setCutOff(false);
 }
 
 void ServerReach::connectFailed(std::string_view server, Instant now)
@@ -24,9 +26,9 @@
         return;
     }
     m_successes.clear();
-    const auto known = m_evidence.find(server);
-    if (known != m_evidence.end())
-        known->second.connected = false;
+    Evidence& evidence = m_evidence[std::string(server)];
+    evidence.tried = true;
+    evidence.connected = false;
 }
 
 void ServerReach::answered(std::string_view server, Instant now)
@@ -41,7 +43,7 @@
     m_checkedAt = now;
     m_servers = servers;
     if (!m_cutOff && failures * 2 > probes)
-        setCutOff(true, now);
+        setCutOff(true);
 }
 
 bool ServerReach::suspicious(Instant now) const
@@ -51,22 +53,24 @@
     return static_cast<size_t>(recent) >= m_options.failuresUntilSuspicion;
 }
 
-bool ServerReach::acceptsConnections(std::string_view server) const
-{
-    const auto known = m_evidence.find(server);
-    return known != m_evidence.end() && known->second.connected;
-}
-
-bool ServerReach::answers(std::string_view server) const
+ServerReach::Path ServerReach::pathTo(std::string_view server) const
 {
+    if (!m_cutOff)
+        return Path::Connects;
     const auto known = m_evidence.find(server);
-    return known != m_evidence.end() && known->second.answered;
+    if (known == m_evidence.end())
+        return Path::Unknown;
+    const Evidence& evidence = known->second;
+    if (evidence.connected)
+        return Path::Connects;
+    if (evidence.answered)
+        return Path::AnswersOnly;
+    return evidence.tried ? Path::Fails : Path::Unknown;
 }
 
-void ServerReach::setCutOff(bool cutOff, Instant now)
+void ServerReach::setCutOff(bool cutOff)
 {
     m_cutOff = cutOff;
-    m_since = now;
     m_failures.clear();
     m_successes.clear();
     m_evidence.clear();
--- a/packages/decisions/ServerReach.h
+++ b/packages/decisions/ServerReach.h
@@ -14,6 +14,7 @@
 #include "base/Time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <span>
@@ -40,7 +41,7 @@
     }
 
     // --- Events
-    void connected(std::string_view server, Instant now); // by a new connection
+    void connected(std::string_view server); // by a new connection
     void connectFailed(std::string_view server, Instant now);
     void answered(std::string_view server, Instant now); // a response arrived, over whichever connection
     // A check has ended. `servers`: number that this host could probe in all.
@@ -48,26 +49,31 @@
 
     // --- State
     bool cutOff() const { return m_cutOff; }
-    Instant since() const { return m_since; } // when the state last changed
-    size_t failuresInARow() const { return m_failures.size(); } // distinct servers
     bool suspicious(Instant now) const; // connections fail to several servers in a row
     bool mayCheck(Instant now) const { return !m_cutOff && now - m_checkedAt >= m_options.checkInterval; }
     Instant lastAnswer() const { return m_lastAnswer; } // from any server
-    // While cut off: whether the server has accepted a new connection, or answered over an open one.
-    bool acceptsConnections(std::string_view server) const;
-    bool answers(std::string_view server) const;
+    bool failedRecently(std::string_view server) const { return m_failures.count(server) > 0; }
+
+    // What is known of one server since the host was cut off. While it isn't, all servers connect.
+    enum class Path : uint8_t {
+        Unknown,
+        Fails, // the last new connection failed
+        Connects, // the last new connection was opened
+        AnswersOnly, // over open connections
+    };
+    Path pathTo(std::string_view server) const;
 
 private:
     struct Evidence {
+        bool tried = false; // a new connection
         bool connected = false; // the last new connection
         bool answered = false;
     };
 
-    void setCutOff(bool, Instant now);
+    void setCutOff(bool);
 
     ServerReachOptions m_options;
     bool m_cutOff = false;
-    Instant m_since {};
     Instant m_checkedAt {};
     Instant m_lastAnswer {};
     size_t m_servers = 0; // that can be probed
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -111,14 +111,16 @@
     , m_added(metrics.distribution("request_added"))
     , m_answered(metrics.counter("requests_answered"))
     , m_retries(metrics.counter("requests_sent_again"))
-    , m_connectsFailed(metrics.counter("server_connects_failed"))
-    , m_crashes(executor, clock, metrics, { m_options.settings.fingerprintKey, m_options.connectTimeout },
-          [this] { reportEarly(); })
+    , m_crashes(
+          executor, clock, metrics, { m_options.settings.fingerprintKey, m_options.connectTimeout },
+          [this] { reportEarly(); }, [this] { return m_reach.checkCutOff(); })
     , m_log(clock, metrics, m_crashes)
     , m_servers(m_executor, clock, m_options.host, m_options.dataCentre,
           [this](const Upstream& server) { m_crashes.recordServerGone(server, "the server's entry was removed"); })
     , m_slots(m_executor, clock,
           { m_options.host, m_options.dataCentre, m_options.peers, m_options.settings.slotBrokers }, m_servers, metrics)
+    , m_reach(m_executor, clock, m_servers, metrics, m_options.connectTimeout,
+          [this](bool cutOff) { onReachChange(cutOff); })
     , m_changed(executor)
     , m_urgentReport(executor)
 {
@@ -130,11 +132,24 @@
 {
     m_lastReport = m_clock.now();
     m_slots.start();
+    m_reach.start();
     spawnLoop(m_executor, "reports", reportLoop());
 }
 
 bool Gateway::ready() const { return m_rules != nullptr; }
 
+// Failures that were counted while this host lost or regained its path say nothing about the servers.
+void Gateway::onReachChange(bool cutOff)
+{
+    for (const auto& [id, server] : m_servers.inUse()) {
+        server->forgetFailures();
+        if (cutOff)
+            server->pool.evictQueue();
+    }
+    m_crashes.setCutOff(cutOff);
+    reportEarly();
+}
+
 // --- From control
 
 void Gateway::apply(GatewayUpdate update)
@@ -593,11 +608,14 @@
     auto connection = co_await server->pool.acquireConnection(job.route->idempotent(), m_options.connectTimeout);
     const bool newConnection = !connection || connection->lastResponseAt == Instant {};
     if (newConnection)
-        recordConnect(*server, connection != nullptr);
+        m_reach.recordConnect(*server, connection != nullptr);
     if (!connection) {
         giveUp();
-        server->recordFailure(m_clock.now());
-        server->connectFailed();
+        const bool cutOff = m_reach.cutOff() || co_await m_reach.confirmCutOff();
+        if (!cutOff) {
+            server->recordFailure(m_clock.now());
+            server->connectFailed();
+        }
         job.tried.push_back(server->entry.id);
         logRequest(job, "server-unreachable", ErrorKind::ServerUnreachable, server->entry.id);
         co_return ErrorKind::ServerUnreachable;
@@ -663,11 +681,11 @@
     if (held->crowded(endedAt))
         reportEarly();
     if (!result.incomplete)
-        m_reach.answered(id, endedAt);
+        m_reach.recordAnswer(*held);
     if (worked) {
         held->recordSuccess();
         held->recordWork(took);
-    } else if (!job.presence.disconnected) {
+    } else if (!job.presence.disconnected && !m_reach.cutOff()) {
         // Refusals by a full server count as failures, too. Such a server answers at once and has no measured work, so
         // it would look like the fastest one and be chosen again and again, especially while servers are replaced.
         held->recordFailure(endedAt);
@@ -732,23 +750,6 @@
         m_crashes.recordLostResponse(job.fingerprints, server, error);
 }
 
-void Gateway::recordConnect(const Upstream& server, bool connected)
-{
-    const Instant now = m_clock.now();
-    if (connected) {
-        m_reach.connected(server.entry.id, now);
-    } else {
-        m_connectsFailed.add();
-        m_reach.connectFailed(server.entry.id, now);
-    }
-    const bool fail = m_reach.suspicious(now);
-    if (std::exchange(m_connectsFail, fail) == fail)
-        return;
-    logChange(fail ? LogLevel::Warning : LogLevel::Info, fail ? "server-connects-fail" : "server-connects-work",
-        { { "server", server.entry.id }, { "serversFailed", m_reach.failuresInARow() },
-            { "serversInUse", m_servers.inUse().size() }, { "lastAnswerMs", (now - m_reach.lastAnswer()).count() } });
-}
-
 void Gateway::applyNotice(const Job& job, Upstream& server, const BackendResponse& answer)
 {
     const std::string limit = joinedValues(answer, m_names.limit);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -10,12 +10,12 @@
 #include "callers/CallerServer.h"
 #include "decisions/RetryBudget.h"
 #include "decisions/RouteRules.h"
-#include "decisions/ServerReach.h"
 #include "decisions/WarmUp.h"
 #include "gateway/Messages.h"
 #include "gateway/PlatformAdapter.h"
 #include "gateway/RequestCrashes.h"
 #include "gateway/RequestLog.h"
+#include "gateway/ServerReachMonitor.h"
 #include "gateway/SlotExchange.h"
 #include "gateway/Upstream.h"
 #include "gateway/UpstreamRegistry.h"
@@ -82,7 +82,7 @@
     // When all candidates are warming up, backing off or at their limits.
     Located chooseFallback(const Job&, std::span<const std::shared_ptr<Upstream>>);
     void recordLostResponse(const Job&, const std::shared_ptr<Upstream>&, ErrorKind);
-    void recordConnect(const Upstream&, bool connected); // the outcome of a new connection
+    void onReachChange(bool cutOff);
     std::pair<ErrorKind, Instant> unreadyReason(const Upstream&, Instant now) const; // and until when; None: ready
     // False while this host must wait because the server is warming up or has announced a rate limit.
     bool maySendTo(const Upstream&, Instant now) const;
@@ -122,15 +122,13 @@
     Distribution& m_added;
     Counter& m_answered;
     Counter& m_retries;
-    Counter& m_connectsFailed;
 
     RequestCrashes m_crashes;
     RequestLog m_log;
     std::shared_ptr<const RouteRules> m_rules; // null until the first rules arrive
     UpstreamRegistry m_servers;
     SlotExchange m_slots;
-    ServerReach m_reach;
-    bool m_connectsFail = false; // new connections fail to several servers in a row, as logged
+    ServerReachMonitor m_reach;
     int64_t m_registeredRevision = 0; // GatewayUpdate::serversAsOf
     size_t m_hosts = 0; // number of hosts that share the servers; 0: not known yet
     HostCount m_hostCount;
--- a/packages/gateway/RequestCrashes.cpp
+++ b/packages/gateway/RequestCrashes.cpp
@@ -43,13 +43,14 @@
 }
 
 RequestCrashes::RequestCrashes(asio::any_io_executor executor, const Clock& clock, Metrics& metrics,
-    const RequestCrashOptions& options, EarlyReport reportEarly)
+    const RequestCrashOptions& options, EarlyReport reportEarly, CutOffCheck checkCutOff)
     : m_executor(executor)
     , m_clock(clock)
     , m_metrics(metrics)
     , m_fingerprintSeed(hashOf(0, { options.fingerprintKey }))
     , m_connectTimeout(options.connectTimeout)
     , m_reportEarly(std::move(reportEarly))
+    , m_checkCutOff(std::move(checkCutOff))
 {
 }
 
@@ -111,7 +112,7 @@
 void RequestCrashes::recordLostResponse(
     const RequestFingerprints& request, const std::shared_ptr<Upstream>& server, ErrorKind error)
 {
-    if (!mayHaveCrashedServer(error) || server->leaving())
+    if (!mayHaveCrashedServer(error) || server->leaving() || m_cutOff)
         return;
     const Instant now = m_clock.now();
     for (const Fingerprint fingerprint : request.all())
@@ -144,10 +145,20 @@
         server->pool.returnConnection(std::move(connection));
         co_return;
     }
+    // Without a path to any server all of them seem to have crashed.
+    const bool cutOff = co_await m_checkCutOff();
+    if (cutOff)
+        co_return;
     server->connectFailed();
     recordServerGone(*server, "the server accepts no connections");
 }
 
+void RequestCrashes::setCutOff(bool cutOff)
+{
+    m_cutOff = cutOff;
+    m_tracker.forgetLostRequests();
+}
+
 void RequestCrashes::recordServerGone(const Upstream& server, std::string_view why)
 {
     // A server that shut down in good order has not crashed.
--- a/packages/gateway/RequestCrashes.h
+++ b/packages/gateway/RequestCrashes.h
@@ -52,8 +52,10 @@
 class RequestCrashes {
 public:
     using EarlyReport = std::function<void()>; // called when there is news that can't wait for the next report
+    using CutOffCheck = std::function<boost::asio::awaitable<bool>()>; // whether this host reaches no server at all
 
-    RequestCrashes(boost::asio::any_io_executor, const Clock&, Metrics&, const RequestCrashOptions&, EarlyReport);
+    RequestCrashes(
+        boost::asio::any_io_executor, const Clock&, Metrics&, const RequestCrashOptions&, EarlyReport, CutOffCheck);
 
     // --- From the coordinator
     void apply(const CrashUpdate&);
@@ -72,6 +74,9 @@
     // Reports the requests that were at the server when it went away: one of them may have crashed it.
     void recordServerGone(const Upstream&, std::string_view why);
 
+    // While this host reaches no server, what it loses says nothing about the servers.
+    void setCutOff(bool);
+
     // --- Reports
     void addTo(GatewayReport&, Instant now); // what has not been reported yet
 
@@ -85,6 +90,8 @@
     uint64_t m_fingerprintSeed;
     Millis m_connectTimeout;
     EarlyReport m_reportEarly;
+    CutOffCheck m_checkCutOff;
+    bool m_cutOff = false;
     HostCrashTracker m_tracker;
 };
 
--- /dev/null
+++ b/packages/gateway/ServerReachMonitor.h
@@ -0,0 +1,71 @@
+// Finds out whether this host has lost its network path to the backend servers, by opening connections to some of them.
+//
+// decisions/ServerReach.h describes the evidence. No connection is opened for this while the host's own requests show
+// that it reaches the servers. Everything here runs on the routing thread.
+#pragma once
+
+#include "base/Metrics.h"
+#include "decisions/ServerReach.h"
+#include "gateway/UpstreamRegistry.h"
+#include "web/Signal.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace cumindale {
+
+class ServerReachMonitor {
+public:
+    using ChangeHandler = std::function<void(bool cutOff)>;
+
+    ServerReachMonitor(boost::asio::any_io_executor, const Clock&, const UpstreamRegistry&, Metrics&,
+        Millis connectTimeout, ChangeHandler);
+    void start();
+
+    // --- Events
+    void recordConnect(const Upstream&, bool connected); // the outcome of a new connection
+    void recordAnswer(const Upstream&);
+
+    // --- State
+    bool cutOff() const { return m_reach.cutOff(); }
+    Instant lastAnswer() const { return m_reach.lastAnswer(); } // from any server
+    // Whether to send to this server from here. `mayTry`: also to one of which nothing is known since the host was cut
+    // off.
+    bool sendsDirectly(const Upstream&, bool mayTry) const;
+    // After a failed connection: checks whether the host is cut off, unless connections fail to one server only or a
+    // check has just found a path.
+    boost::asio::awaitable<bool> confirmCutOff();
+    // The same, but checks also after the first failed connection.
+    boost::asio::awaitable<bool> checkCutOff();
+
+private:
+    using UpstreamPointer = std::shared_ptr<Upstream>;
+    struct Check;
+
+    std::vector<UpstreamPointer> probeTargets(size_t count) const;
+    boost::asio::awaitable<void> check();
+    boost::asio::awaitable<void> probe(UpstreamPointer, std::shared_ptr<Check>);
+    boost::asio::awaitable<bool> tryConnect(UpstreamPointer);
+    boost::asio::awaitable<void> probeNext(); // while cut off
+    boost::asio::awaitable<void> run();
+    bool requestsAreStuck(Instant now) const;
+    void onEvidence(bool wasCutOff);
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    const UpstreamRegistry& m_servers;
+    Millis m_connectTimeout;
+    ChangeHandler m_onChange;
+    Counter& m_connectsFailed;
+    Counter& m_cutOffs;
+    Counter& m_isCutOff; // gauge
+    ServerReach m_reach;
+    bool m_checking = false;
+    Signal m_checked;
+    Signal m_changed; // of m_reach
+};
+
+}
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -183,6 +183,13 @@
     failingUntil = now + std::min(maxBackoff, minBackoff * (1 << doublings));
 }
 
+void Upstream::forgetFailures()
+{
+    failures = 0;
+    failingUntil = {};
+    m_connectFailed = false;
+}
+
 bool Upstream::recordConnected(Instant now)
 {
     // A server writes its entry as soon as it has started, and the change reaches hosts within half a second.
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -54,6 +54,7 @@
     // --- Health, from responses to requests only
     void recordSuccess() { failures = 0; }
     void recordFailure(Instant now);
+    void forgetFailures(); // they were this host's own
 
     // --- Announced by the server in response headers
     void setAnnouncedLeaving(Instant now);
