A coordinator that is cut off from the servers gives way to a host that reaches them

What callers saw: with the coordinator's host among the cut ones, the callers of hosts that reach all servers were refused too (421 and then 503 server-refused or moving; in the customer's record 0 of 66 and 0 of 64 requests of the keyed service in two seconds, on all hosts).

Cause: a coordinator without a path renews no grants. It resigned a second after most servers counted as unresponsive, which takes two seconds more, and nothing kept a host that is cut off as well from succeeding it: one such successor never gave up, since it had heard from no server. Class: the leader is chosen by its path to the store alone, though it needs another one for its work.

Change: hosts report that they are cut off; a coordinator that is cut off for 200 ms, or whose orders reach no server for a second, steps down if another host reaches them. Where none does, nobody steps down. A host that is cut off, or has just stepped down, lets others be elected first, and a host without recent answers checks its path when the coordinator is lost. A cut-off host leaves requests that are stuck in the network out of its figures of servers, so that they take no other host's slots.

--- a/packages/control/Election.cpp
+++ b/packages/control/Election.cpp
@@ -59,6 +59,9 @@
     if (m_options.campaignDelay)
         delay = m_options.campaignDelay();
     co_await sleepFor(delay);
+    constexpr Millis deferral { 1'000 }; // longer than an election among other hosts takes
+    if (m_options.defersToOthers && m_options.defersToOthers())
+        co_await sleepFor(deferral);
     if (!m_view.leader().host.empty())
         co_return false;
     m_nonce = std::to_string(randomNumber());
--- a/packages/control/Election.h
+++ b/packages/control/Election.h
@@ -22,6 +22,9 @@
     Millis lease { 2'000 };
     Millis callTimeout { 1'500 }; // for one call to the store
     std::function<void()> onLeadershipChange; // leadership won or lost; not called after stepDown() or resign()
+    // Whether another host, if there is one, should be elected rather than this one. Asked after the delay; may be
+    // empty.
+    std::function<bool()> defersToOthers;
     std::function<Millis()> campaignDelay; // wait before campaigning; if empty, up to 50 ms at random
 };
 
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -88,6 +88,7 @@
     m_term = m_election.term();
     m_needsMaintenance = true;
     m_mostServersAnsweredAt = m_clock.now();
+    m_orderReach = ServerReach();
     m_lastBalance = m_clock.now();
     m_hostListCheckedAt = m_clock.now();
     m_leadership = LeadershipRules(m_options.leadership);
@@ -154,13 +155,13 @@
             return;
         }
         isolated |= plan->mostAreUnresponsive();
+        // Also where there are too few servers for a majority, or a new coordinator has heard from none of them.
+        isolated |= m_orderReach.suspicious(now);
         publish(*plan);
     }
     addSendersToStalledServers();
-    if (!isolated)
-        m_mostServersAnsweredAt = now;
-    else if (now - m_mostServersAnsweredAt > isolationTimeout) {
-        logChange(LogLevel::Warning, "coordinator-isolated", { { "term", m_term } });
+    if (mustStepDown(isolated, now)) {
+        logChange(LogLevel::Warning, "coordinator-isolated", { { "term", m_term }, { "cutOff", m_cutOff } });
         m_election.stepDown();
         endTerm();
         return;
@@ -171,6 +172,34 @@
         balance();
 }
 
+void Coordinator::setCutOff(bool cutOff)
+{
+    if (cutOff && !m_cutOff)
+        m_cutOffSince = m_clock.now();
+    m_cutOff = cutOff;
+}
+
+// Another host can lead only if it reaches the servers.
+bool Coordinator::mustStepDown(bool isolated, Instant now)
+{
+    constexpr Millis cutOffTimeout { 200 }; // for a path that is lost for a moment
+    if (!isolated)
+        m_mostServersAnsweredAt = now;
+    const bool lostPath = m_cutOff && now - m_cutOffSince > cutOffTimeout;
+    if (!lostPath && now - m_mostServersAnsweredAt <= isolationTimeout)
+        return false;
+    if (!m_hosts.anyOtherReachesServers(m_options.host))
+        return false;
+    m_steppedDownAt = now;
+    return true;
+}
+
+bool Coordinator::hasSteppedDownRecently() const
+{
+    constexpr Millis recent { 5'000 };
+    return m_steppedDownAt != Instant {} && m_clock.now() - m_steppedDownAt < recent;
+}
+
 // --- Plans
 
 void Coordinator::createMissingPlans()
@@ -378,6 +407,10 @@
     if (term != m_term)
         co_return; // the term has ended meanwhile
     answer.endedAt = m_clock.now();
+    if (answer.result == OrderResult::Unanswered || answer.result == OrderResult::NotSent)
+        m_orderReach.connectFailed(order.server, answer.endedAt);
+    else
+        m_orderReach.connected(order.server);
     if (answer.result != OrderResult::Done) {
         m_ordersFailed.add();
         logChange(LogLevel::Warning, "grant-order-failed",
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -9,6 +9,7 @@
 #include "decisions/GrantPlan.h"
 #include "decisions/KeyBalance.h"
 #include "decisions/LeadershipRules.h"
+#include "decisions/ServerReach.h"
 #include "gateway/Announcer.h"
 #include "gateway/BrokerAnnouncer.h"
 #include "gateway/CoordinatorWrites.h"
@@ -62,6 +63,8 @@
     boost::asio::awaitable<void> run(); // doesn't return
     void wake(); // the leadership or the platform view has changed
     void setTimeSinceStoreAnswer(Millis duration) { m_timeSinceStoreAnswer = duration; }
+    void setCutOff(bool); // this host reaches no server
+    bool hasSteppedDownRecently() const; // since it reached too few servers, while other hosts do
     wire::HostAdvice onReport(const wire::HostReport&, bool mayBeLarge); // `mayBeLarge`: as for the Announcer
     void onEvents(int64_t afterChange, const std::vector<WatchEvent>&); // forwards changes in the store to all hosts
     // Records changes that the present coordinator relays, for the case that this host succeeds it. `complete`: none of
@@ -90,6 +93,7 @@
     void beginTerm();
     void endTerm();
     void step();
+    bool mustStepDown(bool isolated, Instant now);
     void createMissingPlans();
     bool registrationsSettled(const std::string& service);
     void publish(GrantPlan&);
@@ -157,6 +161,10 @@
     Instant m_crashesPublishedAt {};
     ReportingHosts m_hosts;
     BrokerAnnouncer m_brokers;
+    bool m_cutOff = false;
+    Instant m_cutOffSince {};
+    ServerReach m_orderReach; // from orders in this term
+    Instant m_steppedDownAt {};
     Announcer m_announcer;
     bool m_writing = false;
     LeadershipRules m_leadership;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -166,6 +166,8 @@
     }
     if (update.crashes)
         m_crashes.apply(*update.crashes);
+    if (update.coordinatorLost)
+        m_reach.checkIfUnknown();
     if (update.newCoordinator) {
         m_crashes.repeatToNewCoordinator();
         for (const auto& [id, server] : m_servers.inUse())
@@ -889,6 +891,7 @@
     report.lastSharesNumber = m_lastSharesNumber;
     report.urgent = std::exchange(m_reportIsUrgent, false);
     report.exchangesSlots = m_slots.isOpen();
+    report.cutOff = m_reach.cutOff();
     m_crashes.addTo(report, now);
     for (auto& [service, uses] : m_keyUse) {
         auto& keys = report.keys[service];
@@ -902,8 +905,12 @@
             report.leaving.push_back(id);
         if (const auto observation = server->limitToReport(now))
             report.rates.push_back({ id, observation->limit, observation->at });
-        if (const auto use = server->takeUse(now, report.period))
+        if (auto use = server->takeUse(now, report.period)) {
+            // These wait for the network, not for the server.
+            if (report.cutOff)
+                use->present -= std::exchange(use->overdue, 0);
             report.servers.emplace(id, *use);
+        }
         server->dropPermits(now);
         server->applyLimit(now);
     }
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -45,8 +45,8 @@
         return options;
     }
 
-    ElectionOptions electionOptions(
-        const Settings& settings, std::function<void()> whenChanged, std::function<Millis()> campaignDelay)
+    ElectionOptions electionOptions(const Settings& settings, std::function<void()> whenChanged,
+        std::function<Millis()> campaignDelay, std::function<bool()> defersToOthers)
     {
         ElectionOptions options;
         options.host = settings.host.name;
@@ -55,6 +55,7 @@
         options.callTimeout = Millis(800); // allows for a slow store; a request without an answer is repeated
         options.onLeadershipChange = std::move(whenChanged);
         options.campaignDelay = std::move(campaignDelay);
+        options.defersToOthers = std::move(defersToOthers);
         return options;
     }
 
@@ -103,7 +104,8 @@
           })
     , m_election(executor, clock,
           electionOptions(
-              settings, [this] { m_coordinator.wake(); }, [this] { return campaignDelay(); }),
+              settings, [this] { m_coordinator.wake(); }, [this] { return campaignDelay(); },
+              [this] { return wouldCoordinateBadly(); }),
           store, m_view, metrics)
     , m_coordinator(executor, clock, adapter, coordinatorOptions(settings), store, m_view, m_election, metrics,
           [this](GrantTable table) { onViewChange(m_view.applyTable(std::move(table))); })
@@ -174,7 +176,9 @@
     }
     for (const auto& service : change.tables)
         update.tables.push_back(m_view.table(service));
-    if (update.newCoordinator || change.rules || !change.servers.empty() || !change.tables.empty())
+    update.coordinatorLost = change.leader && m_view.leader().host.empty();
+    if (update.newCoordinator || update.coordinatorLost || change.rules || !change.servers.empty()
+        || !change.tables.empty())
         pushUpdate(std::move(update));
     if (change.quarantine)
         publishCrashes();
@@ -267,6 +271,8 @@
     return weaknessDelay + (m_isStandby ? Millis(0) : nonStandbyDelay) + randomUpTo(maxJitter);
 }
 
+bool GatewayControl::wouldCoordinateBadly() const { return m_cutOff || m_coordinator.hasSteppedDownRecently(); }
+
 void GatewayControl::onRoutingReport(GatewayReport report)
 {
     // Load figures are means over the period of the last report and replace earlier ones. Key usage, crashes and
@@ -276,6 +282,8 @@
     m_pendingReport.leaving = std::move(report.leaving);
     m_pendingReport.rates = std::move(report.rates);
     m_exchangesSlots = report.exchangesSlots;
+    m_cutOff = report.cutOff;
+    m_coordinator.setCutOff(m_cutOff);
     m_awaitsPermit |= report.urgent;
     if (report.urgent)
         m_permitNeeded.notifyAll();
@@ -331,6 +339,7 @@
     report.readsPacked = true;
     report.brokersKnown = m_brokers ? m_brokers->edition : 0;
     report.brokersSlots = m_exchangesSlots && m_settings.gateway->slotBrokers != SlotBrokerMode::Off;
+    report.cutOff = m_cutOff;
     for (const auto& knownRate : m_pendingReport.rates) {
         wire::ServerRate& rate = report.rates.emplace_back();
         rate.server = knownRate.server;
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -54,6 +54,7 @@
     void updateCrashes(int64_t edition, std::span<const int64_t> suspects, std::span<const int64_t> quarantined);
     void publishCrashes(); // to the routing thread, if they differ from what it was sent last
     Millis campaignDelay() const;
+    bool wouldCoordinateBadly() const; // this host reaches no servers, or too few
 
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
@@ -82,6 +83,7 @@
     std::shared_ptr<const RateLimits> m_limits; // as last sent by the coordinator; null: none yet
     int64_t m_ratesEdition = 0; // of m_limits
     std::shared_ptr<const BrokerList> m_brokers; // as last sent by a coordinator; null: none yet
+    bool m_cutOff = false; // as the routing thread reported last
     bool m_exchangesSlots = false; // as the routing thread reported last
     bool m_awaitsPermit = false; // a request has waited for a permit since the last report
     int64_t m_crashesEdition = 0; // of m_suspects and m_quarantined
--- a/packages/gateway/Messages.h
+++ b/packages/gateway/Messages.h
@@ -62,6 +62,7 @@
     std::vector<std::shared_ptr<const GrantTable>> tables;
     std::shared_ptr<const HostShares> shares;
     std::shared_ptr<const CrashUpdate> crashes;
+    bool coordinatorLost = false; // this host may become the coordinator
     bool newCoordinator = false; // it has none of the reports that its predecessor received
     std::vector<std::string> crowded; // servers that need permits from now on
 };
@@ -99,6 +100,7 @@
     std::vector<Fingerprint> answered; // suspects that a server has answered
     std::vector<std::string> leaving; // servers that announce it in responses while their entries don't
     std::vector<AnnouncedLimit> rates; // announced recently
+    bool cutOff = false; // the host reaches no server, so what it has seen of servers says nothing about them
     bool exchangesSlots = false; // the socket for slot messages is open, so this host may become a broker
 };
 
--- a/packages/gateway/ReportingHosts.cpp
+++ b/packages/gateway/ReportingHosts.cpp
@@ -1,5 +1,7 @@
 #include "gateway/ReportingHosts.h"
 
+#include <algorithm>
+
 namespace cumindale {
 
 void ReportingHosts::onReport(const wire::HostReport& report, Instant now)
@@ -10,12 +12,13 @@
     host.lastReport = now;
     const double strength = report.strengthCenti / centi;
     if (!added && host.strength == strength && host.dataCentre == report.dataCentre && host.address == report.address
-        && host.brokersSlots == report.brokersSlots)
+        && host.brokersSlots == report.brokersSlots && host.cutOff == report.cutOff)
         return;
     host.strength = strength;
     host.dataCentre = report.dataCentre;
     host.address = report.address;
     host.brokersSlots = report.brokersSlots;
+    host.cutOff = report.cutOff;
     ++m_edition;
 }
 
@@ -46,6 +49,12 @@
     return names;
 }
 
+bool ReportingHosts::anyOtherReachesServers(std::string_view host) const
+{
+    return std::any_of(
+        m_hosts.begin(), m_hosts.end(), [&](const auto& other) { return other.first != host && !other.second.cutOff; });
+}
+
 bool ReportingHosts::isStandby(std::string_view host, std::string_view coordinator, size_t standbys) const
 {
     // Ties are broken by name, so that the choice is stable.
--- a/packages/gateway/ReportingHosts.h
+++ b/packages/gateway/ReportingHosts.h
@@ -19,6 +19,7 @@
     std::string dataCentre;
     std::string address; // "IP:port" of its peer port
     bool brokersSlots = false; // it may become a broker
+    bool cutOff = false; // it reaches no server
 };
 
 class ReportingHosts {
@@ -33,6 +34,7 @@
     size_t size() const { return m_hosts.size(); }
     std::set<std::string, std::less<>> names() const;
     uint64_t edition() const { return m_edition; } // rises when a host joins, leaves or changes
+    bool anyOtherReachesServers(std::string_view host) const;
     // Whether the host is one of the `standbys` strongest hosts beside the coordinator.
     bool isStandby(std::string_view host, std::string_view coordinator, size_t standbys) const;
 
--- a/packages/gateway/ServerReachMonitor.cpp
+++ b/packages/gateway/ServerReachMonitor.cpp
@@ -61,6 +61,14 @@
 
 void ServerReachMonitor::recordAnswer(const Upstream& server) { m_reach.answered(server.entry.id, m_clock.now()); }
 
+void ServerReachMonitor::checkIfUnknown()
+{
+    constexpr Millis recent { 300 };
+    const Instant now = m_clock.now();
+    if (now - m_reach.lastAnswer() > recent && m_reach.mayCheck(now) && !m_checking)
+        asio::co_spawn(m_executor, check(), asio::detached);
+}
+
 void ServerReachMonitor::onEvidence(bool wasCutOff)
 {
     if (cutOff() == wasCutOff)
--- a/packages/gateway/ServerReachMonitor.h
+++ b/packages/gateway/ServerReachMonitor.h
@@ -29,6 +29,8 @@
     void recordConnect(const Upstream&, bool connected); // the outcome of a new connection
     void recordAnswer(const Upstream&);
 
+    void checkIfUnknown(); // for a host that has had no answer from servers for a while
+
     // --- State
     bool cutOff() const { return m_reach.cutOff(); }
     Instant lastAnswer() const { return m_reach.lastAnswer(); } // from any server
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -55,6 +55,7 @@
     16: bool readsPacked // the host reads packed tables and items
     17: i64 brokersKnown // edition of the coordinator's list of brokers; 0: none
     18: bool brokersSlots // the host exchanges slot messages, and may become a broker
+    19: bool cutOff // the host reaches no server
 }
 
 struct ServerShare {
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -861,6 +861,10 @@
 void HostReport::__set_brokersSlots(const bool val) {
   this->brokersSlots = val;
 }
+
+void HostReport::__set_cutOff(const bool val) {
+  this->cutOff = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -1101,6 +1105,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cutOff);
+          this->__isset.cutOff = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1238,6 +1250,10 @@
   xfer += oprot->writeBool(this->brokersSlots);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cutOff", ::apache::thrift::protocol::T_BOOL, 19);
+  xfer += oprot->writeBool(this->cutOff);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1261,6 +1277,7 @@
   swap(a.readsPacked, b.readsPacked);
   swap(a.brokersKnown, b.brokersKnown);
   swap(a.brokersSlots, b.brokersSlots);
+  swap(a.cutOff, b.cutOff);
   swap(a.__isset, b.__isset);
 }
 
@@ -1281,6 +1298,7 @@
   readsPacked = other64.readsPacked;
   brokersKnown = other64.brokersKnown;
   brokersSlots = other64.brokersSlots;
+  cutOff = other64.cutOff;
   __isset = other64.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other65) {
@@ -1300,6 +1318,7 @@
   readsPacked = other65.readsPacked;
   brokersKnown = other65.brokersKnown;
   brokersSlots = other65.brokersSlots;
+  cutOff = other65.cutOff;
   __isset = other65.__isset;
   return *this;
 }
@@ -1322,6 +1341,7 @@
   out << ", " << "readsPacked=" << to_string(readsPacked);
   out << ", " << "brokersKnown=" << to_string(brokersKnown);
   out << ", " << "brokersSlots=" << to_string(brokersSlots);
+  out << ", " << "cutOff=" << to_string(cutOff);
   out << ")";
 }
 
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -361,7 +361,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerRate& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -378,6 +378,7 @@
   bool readsPacked :1;
   bool brokersKnown :1;
   bool brokersSlots :1;
+  bool cutOff :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -394,7 +395,8 @@
                ratesKnown(0),
                readsPacked(0),
                brokersKnown(0),
-               brokersSlots(0) {
+               brokersSlots(0),
+               cutOff(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -414,6 +416,7 @@
   bool readsPacked;
   int64_t brokersKnown;
   bool brokersSlots;
+  bool cutOff;
 
   _HostReport__isset __isset;
 
@@ -449,6 +452,8 @@
 
   void __set_brokersSlots(const bool val);
 
+  void __set_cutOff(const bool val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -483,6 +488,8 @@
       return false;
     if (!(brokersSlots == rhs.brokersSlots))
       return false;
+    if (!(cutOff == rhs.cutOff))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
