--- a/apps/cumindaled/Duties.h
+++ b/apps/cumindaled/Duties.h
@@ -15,6 +15,7 @@
 
 void runEventLoop(boost::asio::io_context&); // returns when the context is stopped
 CallerLimits callerLimits(const Settings&);
+CallerLimits forwardLimits(const CallerLimits&); // for requests that other hosts forward
 
 struct DrainTiming {
     Millis balancerDelay { 2'000 }; // how long new connections may arrive after the health check fails
@@ -24,5 +25,7 @@
 // Fails the health check so that the load balancer removes the host, then waits for every accepted request. There is no
 // timeout, so that slow uploads can finish.
 boost::asio::awaitable<void> drainCallers(CallerServer&, DrainTiming);
+// Waits for every forwarded request that was accepted.
+boost::asio::awaitable<void> drainForwarded(CallerServer&);
 
 }
--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -3,6 +3,7 @@
 #include "Duties.h"
 #include "base/Log.h"
 #include "base/Ring.h"
+#include "gateway/ForwardedRequestHandler.h"
 #include "gateway/Gateway.h"
 #include "gateway/GatewayControl.h"
 #include "platform/Dialect.h"
@@ -53,6 +54,8 @@
                   [this](const CallerBounds& bounds) { applyBounds(bounds); })
             , m_callers(m_routingContext.get_executor(), m_clock, settings.host.callers.address,
                   settings.host.callers.port, callerLimits(settings), m_gateway, m_metrics)
+            , m_forwardedHandler(m_gateway)
+            , m_forwarded(makeForwardedServer())
             , m_controller(m_controlContext.get_executor(), m_clock, settings, adapter, *m_store, m_metrics,
                   [this](GatewayUpdate update) { return m_toRouting.push(std::move(update)); })
             , m_readiness(m_operatorsContext.get_executor(), settings.gateway->readiness.address,
@@ -84,6 +87,17 @@
         }
 
     private:
+        std::unique_ptr<CallerServer> makeForwardedServer()
+        {
+            const unsigned portOffset = m_settings.gateway->forwardPortOffset;
+            if (!portOffset)
+                return nullptr;
+            const Endpoint& peers = m_settings.host.peers;
+            return std::make_unique<CallerServer>(m_routingContext.get_executor(), m_clock, peers.address,
+                static_cast<uint16_t>(peers.port + portOffset), forwardLimits(callerLimits(m_settings)),
+                m_forwardedHandler, m_metrics);
+        }
+
         asio::awaitable<std::optional<ServedResponse>> handleReadiness(std::string target)
         {
             if (target != m_adapter.readinessPath())
@@ -150,6 +164,8 @@
             constexpr Millis idleTimeoutMargin { 1'000 };
             limits.idleTimeout = bounds.idleTimeout + idleTimeoutMargin;
             m_callers.setLimits(limits);
+            if (m_forwarded)
+                m_forwarded->setLimits(forwardLimits(limits));
         }
 
         void waitForSignal()
@@ -179,7 +195,11 @@
             const Instant until = m_clock.now() + m_settings.gateway->shutdownGrace - killMargin;
             asio::co_spawn(
                 m_controlContext, m_controller.leave(until), [this](std::exception_ptr) { m_leaveFinished = true; });
+            if (m_forwarded)
+                m_forwarded->startDraining(); // other hosts forward elsewhere after the next response
             co_await drainCallers(m_callers, gatewayDrainTiming);
+            if (m_forwarded)
+                co_await drainForwarded(*m_forwarded);
             constexpr Millis pollInterval { 20 };
             while (!m_leaveFinished && m_clock.now() < until)
                 co_await sleepFor(pollInterval);
@@ -200,6 +220,8 @@
         std::unique_ptr<Store> m_store;
         Gateway m_gateway;
         CallerServer m_callers;
+        ForwardedRequestHandler m_forwardedHandler;
+        std::unique_ptr<CallerServer> m_forwarded; // null: this host takes no forwarded requests
         GatewayControl m_controller;
         HttpServer m_readiness;
         HttpServer m_admin;
--- a/packages/base/ErrorKind.cpp
+++ b/packages/base/ErrorKind.cpp
@@ -52,6 +52,15 @@
 
 const ErrorInfo& errorInfo(ErrorKind kind) { return errorInfos[static_cast<size_t>(kind)]; }
 
+std::optional<ErrorKind> errorNamed(std::string_view name)
+{
+    for (const auto& info : errorInfos) {
+        if (info.name == name)
+            return info.kind;
+    }
+    return std::nullopt;
+}
+
 std::string_view toString(Ran ran)
 {
     switch (ran) {
--- a/packages/base/ErrorKind.h
+++ b/packages/base/ErrorKind.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace cumindale {
@@ -60,6 +61,7 @@
 };
 
 const ErrorInfo& errorInfo(ErrorKind);
+std::optional<ErrorKind> errorNamed(std::string_view); // by ErrorInfo::name
 std::string_view toString(Ran);
 
 }
--- a/packages/decisions/RouteRules.cpp
+++ b/packages/decisions/RouteRules.cpp
@@ -1,5 +1,7 @@
 #include "decisions/RouteRules.h"
 
+#include <algorithm>
+
 namespace cumindale {
 
 namespace {
@@ -13,6 +15,12 @@
 
 }
 
+bool HostRoute::hasService(std::string_view serviceName) const
+{
+    return std::any_of(services.begin(), services.end(),
+        [&](const WeightedService& service) { return service.service == serviceName; });
+}
+
 void RouteRules::add(HostRoute route)
 {
     std::string key = routeKey(route.host, route.pathPrefix);
--- a/packages/decisions/RouteRules.h
+++ b/packages/decisions/RouteRules.h
@@ -40,6 +40,7 @@
     unsigned maxAttempts = 1; // maximum number of servers to which one request is sent
     std::vector<WeightedService> services; // at least one
 
+    bool hasService(std::string_view) const;
     bool idempotent() const { return retryPolicy == RetryPolicy::Idempotent || retryPolicy == RetryPolicy::Download; }
 };
 
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -94,6 +94,7 @@
     m_leadership = LeadershipRules(m_options.leadership);
     m_leadership.setListedHosts(m_view.listedHosts());
     m_brokers.beginTerm(m_term, m_leadership.listedHosts(), m_clock.now());
+    m_forwardTargets.beginTerm(m_clock.now());
     for (const auto& request : m_view.quarantine())
         m_crashes.restore(request);
     m_writtenQuarantineEdition = m_crashes.edition();
@@ -673,6 +674,7 @@
     applyServerUse(report, now, advice);
     applyCrashReports(report, now, advice);
     m_brokers.addBrokers(report, m_hosts, now, mayBeLarge, advice);
+    m_forwardTargets.addTargets(report, m_hosts, now, advice);
     return advice;
 }
 
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -13,6 +13,7 @@
 #include "gateway/Announcer.h"
 #include "gateway/BrokerAnnouncer.h"
 #include "gateway/CoordinatorWrites.h"
+#include "gateway/ForwardAnnouncer.h"
 #include "gateway/PlatformAdapter.h"
 #include "gateway/PlatformView.h"
 #include "gateway/ReportingHosts.h"
@@ -161,6 +162,7 @@
     Instant m_crashesPublishedAt {};
     ReportingHosts m_hosts;
     BrokerAnnouncer m_brokers;
+    ForwardAnnouncer m_forwardTargets;
     bool m_cutOff = false;
     Instant m_cutOffSince {};
     ServerReach m_orderReach; // from orders in this term
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "decisions/ServerChoice.h"
 #include "decisions/ServerIdentity.h"
 #include "decisions/ServerNotice.h"
+#include "gateway/ForwardHeaders.h"
 #include "gateway/GatewayJob.h"
 #include "routing/ErrorResponses.h"
 #include "routing/RequestHeaders.h"
@@ -77,6 +78,11 @@
         return request.body().size() > largeBody;
     }
 
+    std::string_view lastServer(const GatewayJob& job) // empty: this host has sent the request to none
+    {
+        return job.tried.empty() ? std::string_view() : job.tried.back();
+    }
+
     std::string joinedValues(const BackendResponse& answer, std::string_view name)
     {
         std::string joined;
@@ -111,6 +117,7 @@
     , m_added(metrics.distribution("request_added"))
     , m_answered(metrics.counter("requests_answered"))
     , m_retries(metrics.counter("requests_sent_again"))
+    , m_forwardedServed(metrics.counter("requests_forwarded_here"))
     , m_crashes(
           executor, clock, metrics, { m_options.settings.fingerprintKey, m_options.connectTimeout },
           [this] { reportEarly(); }, [this] { return m_reach.checkCutOff(); })
@@ -121,6 +128,7 @@
           { m_options.host, m_options.dataCentre, m_options.peers, m_options.settings.slotBrokers }, m_servers, metrics)
     , m_reach(m_executor, clock, m_servers, metrics, m_options.connectTimeout,
           [this](bool cutOff) { onReachChange(cutOff); })
+    , m_forwarder(m_executor, clock, m_options.dataCentre, m_options.connectTimeout, metrics)
     , m_changed(executor)
     , m_urgentReport(executor)
 {
@@ -144,9 +152,15 @@
     for (const auto& [id, server] : m_servers.inUse()) {
         server->forgetFailures();
         if (cutOff)
-            server->pool.evictQueue();
+            server->pool.evictQueue(); // waiting requests are forwarded
     }
     m_crashes.setCutOff(cutOff);
+    // With connections that hang no response comes before the path is back. Other hosts can repeat idempotent requests.
+    constexpr Millis silence { 500 };
+    if (cutOff && m_clock.now() - m_reach.lastAnswer() >= silence) {
+        for (BackendConnection* connection : m_idempotentExchanges)
+            connection->cancelExchange();
+    }
     reportEarly();
 }
 
@@ -201,6 +215,8 @@
         m_servers.setHosts(m_hosts);
     }
     m_slots.setBrokers(shares.brokers);
+    if (shares.forwardTargets)
+        m_forwarder.setTargets(*shares.forwardTargets);
     m_servers.applyShares(shares, m_hostCount.settled(now).value_or(0));
 }
 
@@ -263,7 +279,7 @@
     job.route = m_rules->match(hostOf(request[http::field::host]), pathOf(request.target()));
     job.id = request[m_names.requestId];
     job.identity
-        = hashOf(0, { job.presence.address, request.method_string(), request[http::field::host], request.target() });
+        = hashOf(0, { job.callerAddress, request.method_string(), request[http::field::host], request.target() });
     if (!job.route)
         return ErrorKind::UnknownService;
     job.priority = classOf(*job.route);
@@ -276,12 +292,15 @@
     Millis& longest = m_longestCallerTimeout[job.route->name];
     longest = std::max(longest, callerTimeout);
     job.target = job.arrived + job.route->target - (longest - callerTimeout) - callerRoundTrip;
-    job.service = m_splits.next(*job.route);
+    job.service = job.route->hasService(job.forwardedService) ? job.forwardedService : m_splits.next(*job.route);
     const RoutedService* service = m_rules->service(job.service);
     job.keyed = service && service->keyed;
     // A request without a key may run on any server, so it gets a random key.
     job.key = static_cast<uint32_t>(numberIn(request[m_names.key], randomNumber()) % keySpaceSize);
     stripForServer(request);
+    // The host that the caller asked has counted a forwarded request.
+    if (!job.forwardedBy.empty())
+        return ErrorKind::None;
     budgetOf(job.service).deposit();
     if (job.keyed)
         m_keyUse[job.service][job.key] += static_cast<uint64_t>(defaultWork.count()) * 1000;
@@ -291,6 +310,12 @@
 asio::awaitable<CallerResponse> Gateway::handle(CallerRequest& request, CallerConnection& presence)
 {
     Job job { request, presence, m_crashes.fingerprintsOf(request) };
+    job.callerAddress = presence.address;
+    co_return co_await serve(job);
+}
+
+asio::awaitable<CallerResponse> Gateway::serve(Job& job)
+{
     job.arrived = m_clock.now();
     job.arrivedMicros = m_clock.monotonicMicros();
     const ErrorKind fault = prepare(job);
@@ -313,7 +338,7 @@
         if (error == ErrorKind::None) {
             m_answered.add();
             if (m_clock.now() > job.target)
-                logRequest(job, "answered-late", error, job.tried.back());
+                logRequest(job, "answered-late", error, lastServer(job));
             co_return response;
         }
         if (job.presence.disconnected || !mayRetry(job, error))
@@ -325,6 +350,8 @@
 
 bool Gateway::mayRetry(Job& job, ErrorKind error)
 {
+    if (job.forwardedRefusal)
+        return false;
     const ErrorInfo& answer = errorInfo(error);
     const Instant now = m_clock.now();
     if (!answer.retryable || now >= job.deadline)
@@ -340,11 +367,11 @@
     if (error == ErrorKind::Moving || error == ErrorKind::NoOwner || error == ErrorKind::WarmingUp)
         return !job.waited;
     if (error == ErrorKind::ServerUnreachable)
-        return !job.keyed && job.tried.size() < m_servers.countOf(job.service);
+        return !m_reach.cutOff() && !job.keyed && job.tried.size() < m_servers.countOf(job.service);
     if (job.sends >= job.route->maxAttempts || !budgetOf(job.service).tryWithdraw())
         return false;
     m_retries.add();
-    logRequest(job, "request-retried", error, job.tried.empty() ? std::string_view() : job.tried.back());
+    logRequest(job, "request-retried", error, lastServer(job));
     return true;
 }
 
@@ -467,6 +494,15 @@
 
 // --- One attempt
 
+// A request that another host has forwarded isn't forwarded again, so that no request goes round.
+bool Gateway::mustForward(const Job& job, const Upstream& server) const
+{
+    if (!m_reach.cutOff())
+        return false;
+    const bool mayForward = job.forwardedBy.empty() && m_forwarder.hasTargets();
+    return !m_reach.sendsDirectly(server, !mayForward);
+}
+
 // Waits in this host's own queue for the server.
 asio::awaitable<ErrorKind> Gateway::takeOwnSlot(Job& job, Upstream& server)
 {
@@ -598,6 +634,8 @@
         job.waited = true;
         co_return ErrorKind::Moving;
     }
+    if (mustForward(job, *server))
+        co_return co_await forward(job, response);
     const Instant asked = m_clock.now();
     ErrorKind refused = ErrorKind::None;
     if (m_slots.appliesTo(*server, *job.rules, m_hosts, asked))
@@ -614,6 +652,8 @@
     if (!connection) {
         giveUp();
         const bool cutOff = m_reach.cutOff() || co_await m_reach.confirmCutOff();
+        if (cutOff && mustForward(job, *server))
+            co_return co_await forward(job, response);
         if (!cutOff) {
             server->recordFailure(m_clock.now());
             server->connectFailed();
@@ -660,6 +700,8 @@
     const Instant sentAt = m_clock.now();
     const Millis timeout = job.deadline - sentAt;
     CallerRequest& request = job.request;
+    if (!job.forwardedTo.empty())
+        takeForwardHeaders(request);
     request.set(m_names.targetServer, serverNameOf(id));
     request.set(m_names.timeLeft, std::to_string(timeout.count()));
     request.keep_alive(true);
@@ -671,7 +713,10 @@
         job.presence.onDisconnect = [&connection] { connection->cancelExchange(); };
     const Millis usual = held->pool.admission().meanWork(job.priority);
     const auto overdue = held->overdueTimes.insert(sentAt + usual * overdueFactor);
+    if (job.route->idempotent())
+        m_idempotentExchanges.insert(connection.get());
     ExchangeResult result = co_await connection->exchange(request, timeout, m_names.requestId);
+    m_idempotentExchanges.erase(connection.get());
     held->overdueTimes.erase(overdue);
     job.presence.onDisconnect = nullptr;
     const Instant endedAt = m_clock.now();
@@ -826,14 +871,17 @@
 
 // --- Responses
 
-CallerResponse Gateway::refuse(const Job& job, ErrorKind error)
+CallerResponse Gateway::refuse(Job& job, ErrorKind error)
 {
     if (job.failure)
         return *job.failure;
     // The response must hold for all attempts. If the last one certainly did not run but an earlier one may have, 503
     // would wrongly promise that the request did not run.
     const ErrorKind answered = job.maybeRan && errorInfo(error).ran == Ran::No ? job.uncertainError : error;
-    logRequest(job, "request-refused", answered, job.tried.empty() ? std::string_view() : job.tried.back());
+    job.refused = answered;
+    logRequest(job, "request-refused", answered, lastServer(job));
+    if (job.forwardedRefusal && answered == error)
+        return *job.forwardedRefusal;
     return ErrorResponses(m_metrics, RetryAfterFormat::FractionalSeconds)
         .make(answered, retryAfter(job, error), job.maybeRan);
 }
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "decisions/RouteRules.h"
 #include "decisions/WarmUp.h"
 #include "gateway/Messages.h"
+#include "gateway/PeerForwarder.h"
 #include "gateway/PlatformAdapter.h"
 #include "gateway/RequestCrashes.h"
 #include "gateway/RequestLog.h"
@@ -26,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <utility>
 
@@ -61,6 +63,10 @@
     CallerResponse errorResponse(ErrorKind) override;
     bool ready() const override;
 
+    // --- From other hosts, which have no path to the servers
+    boost::asio::awaitable<CallerResponse> handleForwarded(CallerRequest&, CallerConnection&);
+    CallerResponse forwardedErrorResponse(ErrorKind);
+
     std::string slotsText() const { return m_slots.statusText(); } // JSON, for operators
 
 private:
@@ -82,10 +88,10 @@
     // When all candidates are warming up, backing off or at their limits.
     Located chooseFallback(const Job&, std::span<const std::shared_ptr<Upstream>>);
     void recordLostResponse(const Job&, const std::shared_ptr<Upstream>&, ErrorKind);
-    void onReachChange(bool cutOff);
     std::pair<ErrorKind, Instant> unreadyReason(const Upstream&, Instant now) const; // and until when; None: ready
     // False while this host must wait because the server is warming up or has announced a rate limit.
     bool maySendTo(const Upstream&, Instant now) const;
+    boost::asio::awaitable<CallerResponse> serve(Job&);
     boost::asio::awaitable<CallerResponse> run(Job&);
     boost::asio::awaitable<ErrorKind> tryOnce(Job&, CallerResponse&);
     boost::asio::awaitable<ErrorKind> takeOwnSlot(Job&, Upstream&);
@@ -94,13 +100,17 @@
     bool mayUseGranted(const Job&, const Upstream& chosen, const Upstream& named, Instant now) const;
     void releaseSlot(Job&, Upstream&, Millis took, bool refused);
     SlotRequest slotRequestOf(const Job&) const;
+    bool mustForward(const Job&, const Upstream&) const; // this host has no path to the server
+    boost::asio::awaitable<ErrorKind> forward(Job&, CallerResponse&);
+    ErrorKind recordForwarded(Job&, const ForwardTarget&, ExchangeResult&);
+    void onReachChange(bool cutOff);
     boost::asio::awaitable<ErrorKind> exchange(Job&, Upstream&, ConnectionPointer, CallerResponse&);
     void applyNotice(const Job&, Upstream&, const BackendResponse&); // from the response's headers
     void applyAnnouncedLimit(const Job&, Upstream&, std::optional<PerSecond>); // no value: no limit announced
     bool answeredByAnother(const ExchangeResult&, std::string_view server) const;
     ErrorKind classify(const Job&, const ExchangeResult&) const; // None: the response goes to the caller
     bool mayRetry(Job&, ErrorKind);
-    CallerResponse refuse(const Job&, ErrorKind);
+    CallerResponse refuse(Job&, ErrorKind);
     Millis retryAfter(const Job&, ErrorKind);
     double retryBurst() const; // maximum of unused retries that this host may accumulate
     RetryBudget& budgetOf(const std::string& service);
@@ -122,6 +132,7 @@
     Distribution& m_added;
     Counter& m_answered;
     Counter& m_retries;
+    Counter& m_forwardedServed;
 
     RequestCrashes m_crashes;
     RequestLog m_log;
@@ -129,6 +140,8 @@
     UpstreamRegistry m_servers;
     SlotExchange m_slots;
     ServerReachMonitor m_reach;
+    PeerForwarder m_forwarder;
+    std::set<BackendConnection*> m_idempotentExchanges; // with servers, in progress
     int64_t m_registeredRevision = 0; // GatewayUpdate::serversAsOf
     size_t m_hosts = 0; // number of hosts that share the servers; 0: not known yet
     HostCount m_hostCount;
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -127,6 +127,7 @@
 
 asio::awaitable<void> GatewayControl::leave(Instant until)
 {
+    m_leaving = true;
     constexpr Millis retryInterval { 200 }; // between attempts while the store is unavailable
     for (;;) {
         const bool resigned = co_await m_election.resign();
@@ -340,6 +341,10 @@
     report.brokersKnown = m_brokers ? m_brokers->edition : 0;
     report.brokersSlots = m_exchangesSlots && m_settings.gateway->slotBrokers != SlotBrokerMode::Off;
     report.cutOff = m_cutOff;
+    const unsigned forwardPortOffset = m_settings.gateway->forwardPortOffset;
+    if (forwardPortOffset && !m_leaving)
+        report.forwardPort = static_cast<int32_t>(m_settings.host.peers.port + forwardPortOffset);
+    report.forwardTargetsKnown = m_forwardTargetsChecksum;
     for (const auto& knownRate : m_pendingReport.rates) {
         wire::ServerRate& rate = report.rates.emplace_back();
         rate.server = knownRate.server;
@@ -402,6 +407,8 @@
     shares->limits = m_limits;
     updateBrokers(advice);
     shares->brokers = m_brokers;
+    updateForwardTargets(advice);
+    shares->forwardTargets = m_forwardTargets;
     m_shares = shares;
     m_unreportedReleases.clear();
     GatewayUpdate update;
@@ -422,6 +429,17 @@
     m_brokers = std::make_shared<const BrokerList>(std::move(list));
 }
 
+void GatewayControl::updateForwardTargets(const wire::HostAdvice& advice)
+{
+    if (!advice.forwardTargetsChecksum || advice.forwardTargetsChecksum == m_forwardTargetsChecksum)
+        return;
+    m_forwardTargetsChecksum = advice.forwardTargetsChecksum;
+    std::vector<ForwardTarget> targets;
+    for (const auto& target : advice.forwardTargets)
+        targets.push_back({ target.host, target.dataCentre, target.address });
+    m_forwardTargets = std::make_shared<const std::vector<ForwardTarget>>(std::move(targets));
+}
+
 // News messages and answers to reports may arrive out of order, so older editions are ignored.
 void GatewayControl::updateCrashes(
     int64_t edition, std::span<const int64_t> suspects, std::span<const int64_t> quarantined)
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -49,6 +49,7 @@
     // Permits for the server that the routing thread's last report doesn't take into account yet.
     unsigned unseenPermits(const std::string& server) const;
     void updateBrokers(const wire::HostAdvice&);
+    void updateForwardTargets(const wire::HostAdvice&);
     void handleTable(const std::string& text);
     void handleTable(const wire::PackedTable&);
     void updateCrashes(int64_t edition, std::span<const int64_t> suspects, std::span<const int64_t> quarantined);
@@ -83,7 +84,10 @@
     std::shared_ptr<const RateLimits> m_limits; // as last sent by the coordinator; null: none yet
     int64_t m_ratesEdition = 0; // of m_limits
     std::shared_ptr<const BrokerList> m_brokers; // as last sent by a coordinator; null: none yet
+    std::shared_ptr<const std::vector<ForwardTarget>> m_forwardTargets; // as last sent by a coordinator; null: none yet
+    int64_t m_forwardTargetsChecksum = 0;
     bool m_cutOff = false; // as the routing thread reported last
+    bool m_leaving = false;
     bool m_exchangesSlots = false; // as the routing thread reported last
     bool m_awaitsPermit = false; // a request has waited for a permit since the last report
     int64_t m_crashesEdition = 0; // of m_suspects and m_quarantined
--- a/packages/gateway/GatewayJob.h
+++ b/packages/gateway/GatewayJob.h
@@ -27,6 +27,10 @@
     uint32_t key = 0;
     PriorityClass priority = PriorityClass::Background;
     std::string id; // from the caller
+    std::string callerAddress; // IP address
+    std::string forwardedBy; // host from which the request came; empty: from its caller
+    std::string forwardedService; // that this host has chosen
+    std::string forwardedTo; // host that the request was last forwarded to; empty: none
     uint64_t identity = 0; // see SlotRequest
     Instant arrived {};
     Instant target {}; // target latency, counted from the caller's first attempt
@@ -47,6 +51,8 @@
     TicketId slot = 0; // granted by a broker; 0: none
     bool slotGranted = false; // by a broker, for the last send: the server was not full.
     std::optional<Millis> slotWait; // until a broker expects a slot, of a request that it refused
+    ErrorKind refused = ErrorKind::None; // what the caller was told, of a response that this host made
+    std::optional<CallerResponse> forwardedRefusal; // another host's own response to the forwarded request
     std::optional<CallerResponse> failure; // a server's 5xx response, returned if no other attempt succeeds
 };
 
--- a/packages/gateway/Messages.h
+++ b/packages/gateway/Messages.h
@@ -4,6 +4,7 @@
 #include "base/Time.h"
 #include "decisions/BrokerPlan.h"
 #include "decisions/CrashEvidence.h"
+#include "decisions/ForwardTargets.h"
 #include "decisions/GrantPlan.h"
 #include "decisions/GrantTable.h"
 #include "decisions/RateLimit.h"
@@ -38,6 +39,7 @@
     std::map<std::string, ServerAdvice, std::less<>> servers; // by id
     std::shared_ptr<const RateLimits> limits; // rate limits in force; null: none
     std::shared_ptr<const BrokerList> brokers; // of slots; null: none known
+    std::shared_ptr<const std::vector<ForwardTarget>> forwardTargets; // null: none known
 };
 
 // Requests that crash servers, as known from all hosts together.
--- a/packages/gateway/ReportingHosts.cpp
+++ b/packages/gateway/ReportingHosts.cpp
@@ -12,13 +12,15 @@
     host.lastReport = now;
     const double strength = report.strengthCenti / centi;
     if (!added && host.strength == strength && host.dataCentre == report.dataCentre && host.address == report.address
-        && host.brokersSlots == report.brokersSlots && host.cutOff == report.cutOff)
+        && host.brokersSlots == report.brokersSlots && host.cutOff == report.cutOff
+        && host.forwardPort == report.forwardPort)
         return;
     host.strength = strength;
     host.dataCentre = report.dataCentre;
     host.address = report.address;
     host.brokersSlots = report.brokersSlots;
     host.cutOff = report.cutOff;
+    host.forwardPort = report.forwardPort;
     ++m_edition;
 }
 
--- a/packages/gateway/ReportingHosts.h
+++ b/packages/gateway/ReportingHosts.h
@@ -20,6 +20,7 @@
     std::string address; // "IP:port" of its peer port
     bool brokersSlots = false; // it may become a broker
     bool cutOff = false; // it reaches no server
+    int forwardPort = 0; // 0: it takes no forwarded requests
 };
 
 class ReportingHosts {
--- a/packages/gateway/RequestLog.cpp
+++ b/packages/gateway/RequestLog.cpp
@@ -39,7 +39,7 @@
 {
     boost::json::object line;
     line["request"] = job.id;
-    line["caller"] = job.presence.address;
+    line["caller"] = job.callerAddress;
     line["error"] = errorInfo(error).name;
     line["ran"] = toString(errorInfo(error).ran);
     line["route"] = job.route ? job.route->name : std::string();
@@ -58,6 +58,10 @@
     line["edition"] = known.table;
     if (error == ErrorKind::Quarantined || mayHaveCrashedServer(error))
         line["fingerprint"] = formatFingerprint(m_crashes.relevantFingerprint(job.fingerprints));
+    if (!job.forwardedBy.empty())
+        line["forwardedBy"] = job.forwardedBy;
+    if (!job.forwardedTo.empty())
+        line["forwardedTo"] = job.forwardedTo;
     line["leftOut"] = std::exchange(m_droppedLines, 0);
     logChange(LogLevel::Info, event, std::move(line));
 }
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -56,6 +56,8 @@
     17: i64 brokersKnown // edition of the coordinator's list of brokers; 0: none
     18: bool brokersSlots // the host exchanges slot messages, and may become a broker
     19: bool cutOff // the host reaches no server
+    20: i32 forwardPort // where the host takes requests that other hosts forward, at the IP of `address`; 0: it takes none
+    21: i64 forwardTargetsKnown // checksum of the list of forward targets that the host has; 0: none
 }
 
 struct ServerShare {
@@ -115,6 +117,13 @@
     3: string address // "IP:port"
 }
 
+// A host that serves requests of hosts that reach no server.
+struct ForwardTarget {
+    1: string host
+    2: string dataCentre
+    3: string address // "IP:port"
+}
+
 struct HostAdvice {
     1: bool coordinates // false: the host that was asked isn't the leader
     2: i64 term
@@ -135,6 +144,8 @@
     18: bool missedLater // what the host missed is left out, and follows with a later answer
     19: i64 brokersEdition // of the list of brokers; 0: none is planned yet, and the host keeps what it has
     20: list<Broker> brokers // all of them, unless the host knows this edition
+    21: i64 forwardTargetsChecksum // of the list that follows; 0: the host keeps what it has
+    22: list<ForwardTarget> forwardTargets // for this host; all of them, unless it knows this checksum
     10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
 }
 
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -865,6 +865,14 @@
 void HostReport::__set_cutOff(const bool val) {
   this->cutOff = val;
 }
+
+void HostReport::__set_forwardPort(const int32_t val) {
+  this->forwardPort = val;
+}
+
+void HostReport::__set_forwardTargetsKnown(const int64_t val) {
+  this->forwardTargetsKnown = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -1113,6 +1121,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->forwardPort);
+          this->__isset.forwardPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->forwardTargetsKnown);
+          this->__isset.forwardTargetsKnown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1254,6 +1278,14 @@
   xfer += oprot->writeBool(this->cutOff);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("forwardPort", ::apache::thrift::protocol::T_I32, 20);
+  xfer += oprot->writeI32(this->forwardPort);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("forwardTargetsKnown", ::apache::thrift::protocol::T_I64, 21);
+  xfer += oprot->writeI64(this->forwardTargetsKnown);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1278,6 +1310,8 @@
   swap(a.brokersKnown, b.brokersKnown);
   swap(a.brokersSlots, b.brokersSlots);
   swap(a.cutOff, b.cutOff);
+  swap(a.forwardPort, b.forwardPort);
+  swap(a.forwardTargetsKnown, b.forwardTargetsKnown);
   swap(a.__isset, b.__isset);
 }
 
@@ -1299,6 +1333,8 @@
   brokersKnown = other64.brokersKnown;
   brokersSlots = other64.brokersSlots;
   cutOff = other64.cutOff;
+  forwardPort = other64.forwardPort;
+  forwardTargetsKnown = other64.forwardTargetsKnown;
   __isset = other64.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other65) {
@@ -1319,6 +1355,8 @@
   brokersKnown = other65.brokersKnown;
   brokersSlots = other65.brokersSlots;
   cutOff = other65.cutOff;
+  forwardPort = other65.forwardPort;
+  forwardTargetsKnown = other65.forwardTargetsKnown;
   __isset = other65.__isset;
   return *this;
 }
@@ -1342,6 +1380,8 @@
   out << ", " << "brokersKnown=" << to_string(brokersKnown);
   out << ", " << "brokersSlots=" << to_string(brokersSlots);
   out << ", " << "cutOff=" << to_string(cutOff);
+  out << ", " << "forwardPort=" << to_string(forwardPort);
+  out << ", " << "forwardTargetsKnown=" << to_string(forwardTargetsKnown);
   out << ")";
 }
 
@@ -2650,6 +2690,138 @@
 }
 
 
+ForwardTarget::~ForwardTarget() noexcept {
+}
+
+
+void ForwardTarget::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void ForwardTarget::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void ForwardTarget::__set_address(const std::string& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const ForwardTarget& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ForwardTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ForwardTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ForwardTarget");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ForwardTarget &a, ForwardTarget &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+ForwardTarget::ForwardTarget(const ForwardTarget& other134) {
+  host = other134.host;
+  dataCentre = other134.dataCentre;
+  address = other134.address;
+  __isset = other134.__isset;
+}
+ForwardTarget& ForwardTarget::operator=(const ForwardTarget& other135) {
+  host = other135.host;
+  dataCentre = other135.dataCentre;
+  address = other135.address;
+  __isset = other135.__isset;
+  return *this;
+}
+void ForwardTarget::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ForwardTarget(";
+  out << "host=" << to_string(host);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
 HostAdvice::~HostAdvice() noexcept {
 }
 
@@ -2730,6 +2902,14 @@
   this->brokers = val;
 }
 
+void HostAdvice::__set_forwardTargetsChecksum(const int64_t val) {
+  this->forwardTargetsChecksum = val;
+}
+
+void HostAdvice::__set_forwardTargets(const std::vector<ForwardTarget> & val) {
+  this->forwardTargets = val;
+}
+
 void HostAdvice::__set_missed(const News& val) {
   this->missed = val;
 }
@@ -2789,14 +2969,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->shares.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->shares.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->shares[_i138].read(iprot);
+              xfer += this->shares[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2809,14 +2989,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->tables.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->tables.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += iprot->readString(this->tables[_i143]);
+              xfer += iprot->readString(this->tables[_i145]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2877,14 +3057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->suspects.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->suspects.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += iprot->readI64(this->suspects[_i148]);
+              xfer += iprot->readI64(this->suspects[_i150]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2897,14 +3077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->quarantined.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->quarantined.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += iprot->readI64(this->quarantined[_i153]);
+              xfer += iprot->readI64(this->quarantined[_i155]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2925,14 +3105,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rates.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->rates.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->rates.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->rates[_i158].read(iprot);
+              xfer += this->rates[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2945,14 +3125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->packedTables.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _etype162;
-            xfer += iprot->readListBegin(_etype162, _size159);
-            this->packedTables.resize(_size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->packedTables.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += this->packedTables[_i163].read(iprot);
+              xfer += this->packedTables[_i165].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2981,14 +3161,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->brokers.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->brokers.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->brokers.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->brokers[_i168].read(iprot);
+              xfer += this->brokers[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2997,6 +3177,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->forwardTargetsChecksum);
+          this->__isset.forwardTargetsChecksum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->forwardTargets.clear();
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->forwardTargets.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
+            {
+              xfer += this->forwardTargets[_i175].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.forwardTargets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->missed.read(iprot);
@@ -3037,10 +3245,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ServerShare> ::const_iterator _iter169;
-    for (_iter169 = this->shares.begin(); _iter169 != this->shares.end(); ++_iter169)
+    std::vector<ServerShare> ::const_iterator _iter176;
+    for (_iter176 = this->shares.begin(); _iter176 != this->shares.end(); ++_iter176)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter176).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3049,10 +3257,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter170;
-    for (_iter170 = this->tables.begin(); _iter170 != this->tables.end(); ++_iter170)
+    std::vector<std::string> ::const_iterator _iter177;
+    for (_iter177 = this->tables.begin(); _iter177 != this->tables.end(); ++_iter177)
     {
-      xfer += oprot->writeString((*_iter170));
+      xfer += oprot->writeString((*_iter177));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3085,10 +3293,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter171;
-    for (_iter171 = this->suspects.begin(); _iter171 != this->suspects.end(); ++_iter171)
+    std::vector<int64_t> ::const_iterator _iter178;
+    for (_iter178 = this->suspects.begin(); _iter178 != this->suspects.end(); ++_iter178)
     {
-      xfer += oprot->writeI64((*_iter171));
+      xfer += oprot->writeI64((*_iter178));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3097,10 +3305,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter172;
-    for (_iter172 = this->quarantined.begin(); _iter172 != this->quarantined.end(); ++_iter172)
+    std::vector<int64_t> ::const_iterator _iter179;
+    for (_iter179 = this->quarantined.begin(); _iter179 != this->quarantined.end(); ++_iter179)
     {
-      xfer += oprot->writeI64((*_iter172));
+      xfer += oprot->writeI64((*_iter179));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3113,10 +3321,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<ServerRate> ::const_iterator _iter173;
-    for (_iter173 = this->rates.begin(); _iter173 != this->rates.end(); ++_iter173)
+    std::vector<ServerRate> ::const_iterator _iter180;
+    for (_iter180 = this->rates.begin(); _iter180 != this->rates.end(); ++_iter180)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter180).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3129,10 +3337,10 @@
   xfer += oprot->writeFieldBegin("packedTables", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packedTables.size()));
-    std::vector<PackedTable> ::const_iterator _iter174;
-    for (_iter174 = this->packedTables.begin(); _iter174 != this->packedTables.end(); ++_iter174)
+    std::vector<PackedTable> ::const_iterator _iter181;
+    for (_iter181 = this->packedTables.begin(); _iter181 != this->packedTables.end(); ++_iter181)
     {
-      xfer += (*_iter174).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3149,10 +3357,26 @@
   xfer += oprot->writeFieldBegin("brokers", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->brokers.size()));
-    std::vector<Broker> ::const_iterator _iter175;
-    for (_iter175 = this->brokers.begin(); _iter175 != this->brokers.end(); ++_iter175)
+    std::vector<Broker> ::const_iterator _iter182;
+    for (_iter182 = this->brokers.begin(); _iter182 != this->brokers.end(); ++_iter182)
+    {
+      xfer += (*_iter182).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("forwardTargetsChecksum", ::apache::thrift::protocol::T_I64, 21);
+  xfer += oprot->writeI64(this->forwardTargetsChecksum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("forwardTargets", ::apache::thrift::protocol::T_LIST, 22);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->forwardTargets.size()));
+    std::vector<ForwardTarget> ::const_iterator _iter183;
+    for (_iter183 = this->forwardTargets.begin(); _iter183 != this->forwardTargets.end(); ++_iter183)
     {
-      xfer += (*_iter175).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3184,55 +3408,61 @@
   swap(a.missedLater, b.missedLater);
   swap(a.brokersEdition, b.brokersEdition);
   swap(a.brokers, b.brokers);
+  swap(a.forwardTargetsChecksum, b.forwardTargetsChecksum);
+  swap(a.forwardTargets, b.forwardTargets);
   swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
 }
 
-HostAdvice::HostAdvice(const HostAdvice& other176) {
-  coordinates = other176.coordinates;
-  term = other176.term;
-  hosts = other176.hosts;
-  shares = other176.shares;
-  tables = other176.tables;
-  storeSilentMillis = other176.storeSilentMillis;
-  lastChange = other176.lastChange;
-  standsBy = other176.standsBy;
-  reportMillis = other176.reportMillis;
-  storeRevision = other176.storeRevision;
-  crashesEdition = other176.crashesEdition;
-  suspects = other176.suspects;
-  quarantined = other176.quarantined;
-  ratesEdition = other176.ratesEdition;
-  rates = other176.rates;
-  packedTables = other176.packedTables;
-  missedLater = other176.missedLater;
-  brokersEdition = other176.brokersEdition;
-  brokers = other176.brokers;
-  missed = other176.missed;
-  __isset = other176.__isset;
-}
-HostAdvice& HostAdvice::operator=(const HostAdvice& other177) {
-  coordinates = other177.coordinates;
-  term = other177.term;
-  hosts = other177.hosts;
-  shares = other177.shares;
-  tables = other177.tables;
-  storeSilentMillis = other177.storeSilentMillis;
-  lastChange = other177.lastChange;
-  standsBy = other177.standsBy;
-  reportMillis = other177.reportMillis;
-  storeRevision = other177.storeRevision;
-  crashesEdition = other177.crashesEdition;
-  suspects = other177.suspects;
-  quarantined = other177.quarantined;
-  ratesEdition = other177.ratesEdition;
-  rates = other177.rates;
-  packedTables = other177.packedTables;
-  missedLater = other177.missedLater;
-  brokersEdition = other177.brokersEdition;
-  brokers = other177.brokers;
-  missed = other177.missed;
-  __isset = other177.__isset;
+HostAdvice::HostAdvice(const HostAdvice& other184) {
+  coordinates = other184.coordinates;
+  term = other184.term;
+  hosts = other184.hosts;
+  shares = other184.shares;
+  tables = other184.tables;
+  storeSilentMillis = other184.storeSilentMillis;
+  lastChange = other184.lastChange;
+  standsBy = other184.standsBy;
+  reportMillis = other184.reportMillis;
+  storeRevision = other184.storeRevision;
+  crashesEdition = other184.crashesEdition;
+  suspects = other184.suspects;
+  quarantined = other184.quarantined;
+  ratesEdition = other184.ratesEdition;
+  rates = other184.rates;
+  packedTables = other184.packedTables;
+  missedLater = other184.missedLater;
+  brokersEdition = other184.brokersEdition;
+  brokers = other184.brokers;
+  forwardTargetsChecksum = other184.forwardTargetsChecksum;
+  forwardTargets = other184.forwardTargets;
+  missed = other184.missed;
+  __isset = other184.__isset;
+}
+HostAdvice& HostAdvice::operator=(const HostAdvice& other185) {
+  coordinates = other185.coordinates;
+  term = other185.term;
+  hosts = other185.hosts;
+  shares = other185.shares;
+  tables = other185.tables;
+  storeSilentMillis = other185.storeSilentMillis;
+  lastChange = other185.lastChange;
+  standsBy = other185.standsBy;
+  reportMillis = other185.reportMillis;
+  storeRevision = other185.storeRevision;
+  crashesEdition = other185.crashesEdition;
+  suspects = other185.suspects;
+  quarantined = other185.quarantined;
+  ratesEdition = other185.ratesEdition;
+  rates = other185.rates;
+  packedTables = other185.packedTables;
+  missedLater = other185.missedLater;
+  brokersEdition = other185.brokersEdition;
+  brokers = other185.brokers;
+  forwardTargetsChecksum = other185.forwardTargetsChecksum;
+  forwardTargets = other185.forwardTargets;
+  missed = other185.missed;
+  __isset = other185.__isset;
   return *this;
 }
 void HostAdvice::printTo(std::ostream& out) const {
@@ -3257,6 +3487,8 @@
   out << ", " << "missedLater=" << to_string(missedLater);
   out << ", " << "brokersEdition=" << to_string(brokersEdition);
   out << ", " << "brokers=" << to_string(brokers);
+  out << ", " << "forwardTargetsChecksum=" << to_string(forwardTargetsChecksum);
+  out << ", " << "forwardTargets=" << to_string(forwardTargets);
   out << ", " << "missed=" << to_string(missed);
   out << ")";
 }
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -47,6 +47,8 @@
 
 class Broker;
 
+class ForwardTarget;
+
 class HostAdvice;
 
 typedef struct _KeyUse__isset {
@@ -361,7 +363,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerRate& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false), forwardPort(false), forwardTargetsKnown(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -379,6 +381,8 @@
   bool brokersKnown :1;
   bool brokersSlots :1;
   bool cutOff :1;
+  bool forwardPort :1;
+  bool forwardTargetsKnown :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -396,7 +400,9 @@
                readsPacked(0),
                brokersKnown(0),
                brokersSlots(0),
-               cutOff(0) {
+               cutOff(0),
+               forwardPort(0),
+               forwardTargetsKnown(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -417,6 +423,8 @@
   int64_t brokersKnown;
   bool brokersSlots;
   bool cutOff;
+  int32_t forwardPort;
+  int64_t forwardTargetsKnown;
 
   _HostReport__isset __isset;
 
@@ -454,6 +462,10 @@
 
   void __set_cutOff(const bool val);
 
+  void __set_forwardPort(const int32_t val);
+
+  void __set_forwardTargetsKnown(const int64_t val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -490,6 +502,10 @@
       return false;
     if (!(cutOff == rhs.cutOff))
       return false;
+    if (!(forwardPort == rhs.forwardPort))
+      return false;
+    if (!(forwardTargetsKnown == rhs.forwardTargetsKnown))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -968,8 +984,65 @@
 
 std::ostream& operator<<(std::ostream& out, const Broker& obj);
 
+typedef struct _ForwardTarget__isset {
+  _ForwardTarget__isset() : host(false), dataCentre(false), address(false) {}
+  bool host :1;
+  bool dataCentre :1;
+  bool address :1;
+} _ForwardTarget__isset;
+
+class ForwardTarget : public virtual ::apache::thrift::TBase {
+ public:
+
+  ForwardTarget(const ForwardTarget&);
+  ForwardTarget& operator=(const ForwardTarget&);
+  ForwardTarget() noexcept
+                : host(),
+                  dataCentre(),
+                  address() {
+  }
+
+  virtual ~ForwardTarget() noexcept;
+  std::string host;
+  std::string dataCentre;
+  std::string address;
+
+  _ForwardTarget__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  bool operator == (const ForwardTarget & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    return true;
+  }
+  bool operator != (const ForwardTarget &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ForwardTarget & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ForwardTarget &a, ForwardTarget &b);
+
+std::ostream& operator<<(std::ostream& out, const ForwardTarget& obj);
+
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), brokersEdition(false), brokers(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), brokersEdition(false), brokers(false), forwardTargetsChecksum(false), forwardTargets(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -989,6 +1062,8 @@
   bool missedLater :1;
   bool brokersEdition :1;
   bool brokers :1;
+  bool forwardTargetsChecksum :1;
+  bool forwardTargets :1;
   bool missed :1;
 } _HostAdvice__isset;
 
@@ -1009,7 +1084,8 @@
                crashesEdition(0),
                ratesEdition(0),
                missedLater(0),
-               brokersEdition(0) {
+               brokersEdition(0),
+               forwardTargetsChecksum(0) {
   }
 
   virtual ~HostAdvice() noexcept;
@@ -1032,6 +1108,8 @@
   bool missedLater;
   int64_t brokersEdition;
   std::vector<Broker>  brokers;
+  int64_t forwardTargetsChecksum;
+  std::vector<ForwardTarget>  forwardTargets;
   News missed;
 
   _HostAdvice__isset __isset;
@@ -1074,6 +1152,10 @@
 
   void __set_brokers(const std::vector<Broker> & val);
 
+  void __set_forwardTargetsChecksum(const int64_t val);
+
+  void __set_forwardTargets(const std::vector<ForwardTarget> & val);
+
   void __set_missed(const News& val);
 
   bool operator == (const HostAdvice & rhs) const
@@ -1116,6 +1198,10 @@
       return false;
     if (!(brokers == rhs.brokers))
       return false;
+    if (!(forwardTargetsChecksum == rhs.forwardTargetsChecksum))
+      return false;
+    if (!(forwardTargets == rhs.forwardTargets))
+      return false;
     if (!(missed == rhs.missed))
       return false;
     return true;
--- a/packages/resources/Settings.cpp
+++ b/packages/resources/Settings.cpp
@@ -119,6 +119,8 @@
         constexpr double maxRetrySlack = 1'000'000;
         gateway.retrySlack = reader.real("retrySlack", 0, maxRetrySlack, gateway.retrySlack);
         gateway.slotBrokers = readSlotBrokers(reader);
+        constexpr int64_t maxPortOffset = 1'000;
+        gateway.forwardPortOffset = static_cast<unsigned>(reader.integer("forwardPortOffset", 0, maxPortOffset, 0));
         reader.finish();
         return gateway;
     }
@@ -163,6 +165,9 @@
         settings.timing = readTiming(*timing, fieldError);
     if (const auto* limits = reader.object("limits", false))
         settings.limits = readLimits(*limits, fieldError);
+    const unsigned forwardPortOffset = settings.gateway ? settings.gateway->forwardPortOffset : 0;
+    if (settings.host.peers.port + forwardPortOffset > maxPort)
+        reader.fail("gateway.forwardPortOffset", "at most 65535 together with the port of host.peers");
     reader.finish();
     if (fieldError.any())
         return leaf::new_error(fieldError);
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -58,6 +58,9 @@
     double retryRatio = 0.2; // retries per request that all hosts together may send ...
     double retrySlack = 60; // ... plus this many retries per window
     SlotBrokerMode slotBrokers = SlotBrokerMode::Auto;
+    // Hosts that lose their network path to the servers forward requests to others, which take them at the port of
+    // HostSettings::peers plus this; 0: requests are neither forwarded nor taken.
+    unsigned forwardPortOffset = 0;
 };
 
 struct TimingSettings {
--- a/packages/routing/RequestHeaders.cpp
+++ b/packages/routing/RequestHeaders.cpp
@@ -7,8 +7,9 @@
 namespace {
 
     constexpr std::array<std::string_view, 3> connectionHeaders { "Connection", "Keep-Alive", "Proxy-Connection" };
-    constexpr std::array<std::string_view, 12> requestOnlyHeaders { "TE", "Trailer", "Upgrade", "Expect", ranHeader,
-        errorHeader, requestIdHeader, fenceHeader, rangeHeader, deadlineHeader, timeoutHeader, hostHeader };
+    constexpr std::array<std::string_view, 16> requestOnlyHeaders { "TE", "Trailer", "Upgrade", "Expect", ranHeader,
+        errorHeader, requestIdHeader, fenceHeader, rangeHeader, deadlineHeader, timeoutHeader, hostHeader,
+        forwardedByHeader, forwardedCallerHeader, forwardedServiceHeader, forwardedSendsHeader };
 
     std::string_view segmentOf(std::string_view path, unsigned index)
     {
--- a/packages/routing/RequestHeaders.h
+++ b/packages/routing/RequestHeaders.h
@@ -18,6 +18,11 @@
 constexpr std::string_view timeoutHeader = "Cumindale-Timeout-Ms"; // time left; callers may set less than the rule
 constexpr std::string_view traceHeader = "traceparent"; // W3C Trace Context
 constexpr std::string_view hostHeader = "Cumindale-Host"; // host that dispatched the request
+constexpr std::string_view forwardedByHeader = "Cumindale-Forwarded-By"; // host that forwards the request to another
+constexpr std::string_view forwardedCallerHeader = "Cumindale-Forwarded-Caller"; // the caller's IP address
+constexpr std::string_view forwardedServiceHeader = "Cumindale-Forwarded-Service"; // that the first host has chosen
+constexpr std::string_view forwardedSendsHeader = "Cumindale-Forwarded-Sends"; // attempts so far
+constexpr std::string_view forwardResultHeader = "Cumindale-Forward-Result"; // on responses; see ForwardHeaders.h
 constexpr std::string_view relayedHeader = "Cumindale-Relayed"; // relaying host, which can't reach the owner
 
 std::string_view pathOf(std::string_view target); // target without its query string
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -95,3 +95,17 @@
 {
     CHECK(rc::check([](const std::string& text) { RC_ASSERT(settingsError(text).has_value()); }));
 }
+
+// Guards against a port for forwarded requests that is off or beyond the valid ports without being noticed.
+TEST_CASE("the port offset for forwarded requests is off by default and bounded")
+{
+    const auto offsetOf = [](std::string_view field) {
+        Settings settings;
+        CHECK_FALSE(settingsError(gatewaySettingsWith(field), &settings).has_value());
+        return settings.gateway.value().forwardPortOffset;
+    };
+    CHECK(offsetOf("") == 0);
+    CHECK(offsetOf(R"(,"forwardPortOffset":1)") == 1);
+    CHECK(settingsError(gatewaySettingsWith(R"(,"forwardPortOffset":1001)"))->field == "gateway.forwardPortOffset");
+    CHECK(settingsError(gatewaySettingsWith(R"(,"forwardPortOffset":-1)"))->field == "gateway.forwardPortOffset");
+}
