--- a/packages/decisions/ServerReach.cpp
+++ b/packages/decisions/ServerReach.cpp
@@ -4,7 +4,7 @@
 
 namespace cumindale {
 
-void ServerReach::connected(std::string_view server)
+void ServerReach::connected(std::string_view server, size_t servers)
 {
     m_failures.clear();
     if (!m_cutOff)
@@ -13,7 +13,7 @@
     evidence.tried = true;
     evidence.connected = true;
     m_successes.emplace(server);
-    if (m_successes.size() >= std::min(m_options.successesUntilReconnected, m_servers))
+    if (m_successes.size() >= std::min(m_options.successesUntilReconnected, servers))
         setCutOff(false);
 }
 
@@ -38,10 +38,9 @@
         m_evidence[std::string(server)].answered = true;
 }
 
-void ServerReach::checked(size_t probes, size_t failures, size_t servers, Instant now)
+void ServerReach::checked(size_t probes, size_t failures, Instant now)
 {
     m_checkedAt = now;
-    m_servers = servers;
     if (!m_cutOff && failures * 2 > probes)
         setCutOff(true);
 }
--- a/packages/decisions/ServerReach.h
+++ b/packages/decisions/ServerReach.h
@@ -41,11 +41,11 @@
     }
 
     // --- Events
-    void connected(std::string_view server); // by a new connection
+    // A new connection was opened. `servers`: number that this host could probe in all.
+    void connected(std::string_view server, size_t servers);
     void connectFailed(std::string_view server, Instant now);
     void answered(std::string_view server, Instant now); // a response arrived, over whichever connection
-    // A check has ended. `servers`: number that this host could probe in all.
-    void checked(size_t probes, size_t failures, size_t servers, Instant now);
+    void checked(size_t probes, size_t failures, Instant now); // a check has ended
 
     // --- State
     bool cutOff() const { return m_cutOff; }
@@ -76,7 +76,6 @@
     bool m_cutOff = false;
     Instant m_checkedAt {};
     Instant m_lastAnswer {};
-    size_t m_servers = 0; // that can be probed
     std::map<std::string, Instant, std::less<>> m_failures; // since the last connection that was opened, by server
     std::set<std::string, std::less<>> m_successes; // in a row while cut off, by server
     std::map<std::string, Evidence, std::less<>> m_evidence; // while cut off, by server
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -411,7 +411,7 @@
     if (answer.result == OrderResult::Unanswered || answer.result == OrderResult::NotSent)
         m_orderReach.connectFailed(order.server, answer.endedAt);
     else
-        m_orderReach.connected(order.server);
+        m_orderReach.connected(order.server, m_servers.size());
     if (answer.result != OrderResult::Done) {
         m_ordersFailed.add();
         logChange(LogLevel::Warning, "grant-order-failed",
--- a/packages/gateway/ServerReachMonitor.cpp
+++ b/packages/gateway/ServerReachMonitor.cpp
@@ -3,6 +3,7 @@
 #include "base/Log.h"
 #include "base/Random.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -51,7 +52,7 @@
 {
     const bool wasCutOff = cutOff();
     if (connected) {
-        m_reach.connected(server.entry.id);
+        m_reach.connected(server.entry.id, cutOff() ? probeableServers() : 0);
     } else {
         m_connectsFailed.add();
         m_reach.connectFailed(server.entry.id, m_clock.now());
@@ -133,6 +134,13 @@
     return targets;
 }
 
+size_t ServerReachMonitor::probeableServers() const
+{
+    const auto& servers = m_servers.inUse();
+    return static_cast<size_t>(
+        std::count_if(servers.begin(), servers.end(), [](const auto& server) { return !server.second->outOfUse(); }));
+}
+
 // The connection is kept for the next request.
 asio::awaitable<bool> ServerReachMonitor::tryConnect(UpstreamPointer server)
 {
@@ -162,7 +170,7 @@
     while (progress->ended < targets.size())
         co_await m_checked.wait(m_connectTimeout);
     const bool wasCutOff = cutOff();
-    m_reach.checked(targets.size(), progress->failures, m_servers.inUse().size(), m_clock.now());
+    m_reach.checked(targets.size(), progress->failures, m_clock.now());
     m_checking = false;
     onEvidence(wasCutOff);
     m_checked.notifyAll();
--- a/packages/gateway/ServerReachMonitor.h
+++ b/packages/gateway/ServerReachMonitor.h
@@ -48,6 +48,7 @@
     struct Check;
 
     std::vector<UpstreamPointer> probeTargets(size_t count) const;
+    size_t probeableServers() const;
     boost::asio::awaitable<void> check();
     boost::asio::awaitable<void> probe(UpstreamPointer, std::shared_ptr<Check>);
     boost::asio::awaitable<bool> tryConnect(UpstreamPointer);
