The path may be lost while a request waits for a slot; forwarding in a file of its own

A request that waited for a slot while its host lost the path would have gone to a connection that hangs, and an unsafe one would have ended as unknown. It is forwarded now, and one whose deadline has passed isn't forwarded at all.

What deals with the lost path moves to GatewayForwarding.cpp.

--- a/packages/decisions/ForwardTargets.cpp
+++ b/packages/decisions/ForwardTargets.cpp
@@ -49,6 +49,7 @@
         append(near->second, host, m_options.nearTargets, chosen);
     append(m_ring, host, m_options.targets - chosen.size(), chosen);
     std::vector<ForwardTarget> targets;
+    targets.reserve(chosen.size());
     for (const size_t index : chosen)
         targets.push_back(m_hosts[index]);
     return targets;
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -146,24 +146,6 @@
 
 bool Gateway::ready() const { return m_rules != nullptr; }
 
-// Failures that were counted while this host lost or regained its path say nothing about the servers.
-void Gateway::onReachChange(bool cutOff)
-{
-    for (const auto& [id, server] : m_servers.inUse()) {
-        server->forgetFailures();
-        if (cutOff)
-            server->pool.evictQueue(); // waiting requests are forwarded
-    }
-    m_crashes.setCutOff(cutOff);
-    // With connections that hang no response comes before the path is back. Other hosts can repeat idempotent requests.
-    constexpr Millis silence { 500 };
-    if (cutOff && m_clock.now() - m_reach.lastAnswer() >= silence) {
-        for (BackendConnection* connection : m_idempotentExchanges)
-            connection->cancelExchange();
-    }
-    reportEarly();
-}
-
 // --- From control
 
 void Gateway::apply(GatewayUpdate update)
@@ -494,15 +476,6 @@
 
 // --- One attempt
 
-// A request that another host has forwarded isn't forwarded again, so that no request goes round.
-bool Gateway::mustForward(const Job& job, const Upstream& server) const
-{
-    if (!m_reach.cutOff())
-        return false;
-    const bool mayForward = job.forwardedBy.empty() && m_forwarder.hasTargets();
-    return !m_reach.sendsDirectly(server, !mayForward);
-}
-
 // Waits in this host's own queue for the server.
 asio::awaitable<ErrorKind> Gateway::takeOwnSlot(Job& job, Upstream& server)
 {
@@ -645,6 +618,10 @@
     if (refused != ErrorKind::None)
         co_return refused;
     const auto giveUp = [&] { releaseSlot(job, *server, Millis(0), false); };
+    if (mustForward(job, *server)) { // the path was lost during the wait
+        giveUp();
+        co_return co_await forward(job, response);
+    }
     auto connection = co_await server->pool.acquireConnection(job.route->idempotent(), m_options.connectTimeout);
     const bool newConnection = !connection || connection->lastResponseAt == Instant {};
     if (newConnection)
--- a/packages/gateway/GatewayForwarding.cpp
+++ b/packages/gateway/GatewayForwarding.cpp
@@ -1,4 +1,5 @@
-// The part of the Gateway that serves a request through another host, and serves those that other hosts forward.
+// The part of the Gateway that deals with the loss of the path to the servers: requests are served through another
+// host, and those that other hosts forward are served here.
 #include "gateway/Gateway.h"
 
 #include "base/Log.h"
@@ -12,12 +13,41 @@
 
 // --- On the host that has no path to the servers
 
+// Failures that were counted while this host lost or regained its path say nothing about the servers.
+void Gateway::onReachChange(bool cutOff)
+{
+    for (const auto& [id, server] : m_servers.inUse()) {
+        server->forgetFailures();
+        if (cutOff)
+            server->pool.evictQueue(); // waiting requests are forwarded
+    }
+    m_crashes.setCutOff(cutOff);
+    // With connections that hang no response comes before the path is back. Other hosts can repeat idempotent requests.
+    constexpr Millis silence { 500 };
+    if (cutOff && m_clock.now() - m_reach.lastAnswer() >= silence) {
+        for (BackendConnection* connection : m_idempotentExchanges)
+            connection->cancelExchange();
+    }
+    reportEarly();
+}
+
+// A request that another host has forwarded isn't forwarded again, so that no request goes round.
+bool Gateway::mustForward(const Job& job, const Upstream& server) const
+{
+    if (!m_reach.cutOff())
+        return false;
+    const bool mayForward = job.forwardedBy.empty() && m_forwarder.hasTargets();
+    return !m_reach.sendsDirectly(server, !mayForward);
+}
+
 // The other host waits for a slot, sends the request and retries it. An answer of its own is this host's answer, too.
 asio::awaitable<ErrorKind> Gateway::forward(Job& job, CallerResponse& response)
 {
     constexpr size_t maxTargets = 3; // that say that they are cut off as well, or can't be reached
     std::vector<std::string> tried;
     while (tried.size() < maxTargets && !job.presence.disconnected) {
+        if (m_clock.now() >= job.deadline)
+            co_return ErrorKind::DeadlineBeforeSend;
         const auto target = m_forwarder.choose(tried);
         if (!target)
             break;
--- a/packages/gateway/PeerForwarder.cpp
+++ b/packages/gateway/PeerForwarder.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Random.h"
 
+#include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace cumindale {
--- a/tests/server_reach_test.cpp
+++ b/tests/server_reach_test.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("a single server that accepts no connections raises no suspicion")
 {
     ServerReach reach;
-    for (int i = 0; i < 50; ++i)
+    for (int64_t i = 0; i < 50; ++i)
         reach.connectFailed("server-1", at(i * 10));
     CHECK_FALSE(reach.suspicious(at(500)));
     reach.connectFailed("server-2", at(510));
@@ -204,6 +204,7 @@
     auto all = hostsIn(hosts, 10);
     plan.setHosts(all);
     std::vector<std::vector<ForwardTarget>> before;
+    before.reserve(hosts);
     for (const auto& host : all)
         before.push_back(plan.targetsOf(host.host, host.dataCentre));
     auto rest = all;
