Servers that have crashed aren't probed for this host's path

Cause: after the third crash the check of the host's own path probed the servers that had crashed before, so most probes failed, the host counted itself as cut off and dropped the evidence.

Change: servers that accepted the last connection are probed, if there are any.

The test links keep their ports while they refuse connections: beside other tests one was taken meanwhile (bind: Address already in use, in one run of cut_off_hosts).

--- a/packages/decisions/ServerReach.h
+++ b/packages/decisions/ServerReach.h
@@ -52,7 +52,6 @@
     bool suspicious(Instant now) const; // connections fail to several servers in a row
     bool mayCheck(Instant now) const { return !m_cutOff && now - m_checkedAt >= m_options.checkInterval; }
     Instant lastAnswer() const { return m_lastAnswer; } // from any server
-    bool failedRecently(std::string_view server) const { return m_failures.count(server) > 0; }
 
     // What is known of one server since the host was cut off. While it isn't, all servers connect.
     enum class Path : uint8_t {
--- a/packages/gateway/RequestCrashes.cpp
+++ b/packages/gateway/RequestCrashes.cpp
@@ -145,6 +145,7 @@
         server->pool.returnConnection(std::move(connection));
         co_return;
     }
+    server->acceptsConnections = false;
     // Without a path to any server all of them seem to have crashed.
     const bool cutOff = co_await m_checkCutOff();
     if (cutOff)
--- a/packages/gateway/ServerReachMonitor.cpp
+++ b/packages/gateway/ServerReachMonitor.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <iterator>
 
 namespace cumindale {
 
@@ -48,8 +49,9 @@
 
 // --- Events
 
-void ServerReachMonitor::recordConnect(const Upstream& server, bool connected)
+void ServerReachMonitor::recordConnect(Upstream& server, bool connected)
 {
+    server.acceptsConnections = connected;
     const bool wasCutOff = cutOff();
     if (connected) {
         m_reach.connected(server.entry.id, cutOff() ? probeableServers() : 0);
@@ -118,16 +120,23 @@
 
 // --- Checks and probes
 
+// Servers that have crashed say nothing about the path, so those that accepted the last connection are probed if there
+// are any. A request that crashes one server after the other would make this host believe that it is cut off.
 std::vector<ServerReachMonitor::UpstreamPointer> ServerReachMonitor::probeTargets(size_t count) const
 {
-    std::vector<UpstreamPointer> servers;
-    std::vector<ProbeCandidate> candidates;
+    std::vector<UpstreamPointer> usable;
     for (const auto& [id, server] : m_servers.inUse()) {
-        if (server->outOfUse() || m_reach.failedRecently(id))
-            continue;
-        servers.push_back(server);
-        candidates.push_back({ id, server->entry.dataCentre });
+        if (!server->outOfUse())
+            usable.push_back(server);
     }
+    std::vector<UpstreamPointer> preferred;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(preferred),
+        [&](const UpstreamPointer& server) { return cutOff() || server->acceptsConnections; });
+    const auto& servers = preferred.empty() ? usable : preferred;
+    std::vector<ProbeCandidate> candidates;
+    candidates.reserve(servers.size());
+    for (const auto& server : servers)
+        candidates.push_back({ server->entry.id, server->entry.dataCentre });
     std::vector<UpstreamPointer> targets;
     for (const size_t index : chooseProbes(candidates, count, randomNumber()))
         targets.push_back(servers[index]);
--- a/packages/gateway/ServerReachMonitor.h
+++ b/packages/gateway/ServerReachMonitor.h
@@ -26,7 +26,7 @@
     void start();
 
     // --- Events
-    void recordConnect(const Upstream&, bool connected); // the outcome of a new connection
+    void recordConnect(Upstream&, bool connected); // the outcome of a new connection
     void recordAnswer(const Upstream&);
 
     void checkIfUnknown(); // for a host that has had no answer from servers for a while
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -187,6 +187,7 @@
 {
     failures = 0;
     failingUntil = {};
+    acceptsConnections = true;
     m_connectFailed = false;
 }
 
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -99,6 +99,7 @@
     Instant leavingSince {}; // when this host learned from the entry that the server is leaving
     Instant evacuatedSince {}; // when this host learned of its data centre's evacuation
     unsigned failures = 0; // consecutive
+    bool acceptsConnections = true; // the last new connection was opened, or none was tried
     Instant failingUntil {};
     Instant lastUsed {}; // when a request was last sent to the server
     // Set when the server refused a key that the table assigns to it, as its hold may have expired. Until then it would
