A forwarded request is not forwarded again by a host that is cut off as well

Cause: the rule stood in the decision whether to forward, where it only chose how to treat servers of which nothing is known; with a server that is known to refuse connections the request was forwarded again. Found by reading the diff.

Change: forward() itself ends for a forwarded request, and a host that is cut off sends it back at once rather than try a server first, since its first host can ask another one.

--- a/packages/gateway/GatewayForwarding.cpp
+++ b/packages/gateway/GatewayForwarding.cpp
@@ -31,18 +31,20 @@
     reportEarly();
 }
 
-// A request that another host has forwarded isn't forwarded again, so that no request goes round.
+// Without a target this host may as well try a server of which nothing is known. A forwarded request goes back at once
+// instead, since its first host can ask another one.
 bool Gateway::mustForward(const Job& job, const Upstream& server) const
 {
-    if (!m_reach.cutOff())
-        return false;
-    const bool mayForward = job.forwardedBy.empty() && m_forwarder.hasTargets();
-    return !m_reach.sendsDirectly(server, !mayForward);
+    const bool mayTry = job.forwardedBy.empty() && !m_forwarder.hasTargets();
+    return m_reach.cutOff() && !m_reach.sendsDirectly(server, mayTry);
 }
 
 // The other host waits for a slot, sends the request and retries it. An answer of its own is this host's answer, too.
 asio::awaitable<ErrorKind> Gateway::forward(Job& job, CallerResponse& response)
 {
+    // A request that another host has forwarded isn't forwarded again, so that none goes round.
+    if (!job.forwardedBy.empty())
+        co_return ErrorKind::ServerUnreachable;
     constexpr size_t maxTargets = 3; // that say that they are cut off as well, or can't be reached
     std::vector<std::string> tried;
     while (tried.size() < maxTargets && !job.presence.disconnected) {
