Decisions: hosts that are cut off from part of the servers

Callers saw 502 and 503 for requests to servers that other hosts reach, since a host forwarded nothing unless it was cut off from at least half of the servers, and changed state up to five times in ten seconds when it was cut off from most.

--- a/packages/decisions/ForwardTargets.cpp
+++ b/packages/decisions/ForwardTargets.cpp
@@ -1,5 +1,6 @@
 #include "decisions/ForwardTargets.h"
 
+#include "decisions/ListChecksum.h"
 #include "decisions/RendezvousHash.h"
 
 #include <algorithm>
@@ -10,6 +11,12 @@
 
     constexpr std::string_view ringSeed = "forward";
 
+    uint64_t entryChecksum(const ForwardTarget& target)
+    {
+        constexpr uint64_t odd = 0x9e3779b97f4a7c15; // tells the two apart
+        return rendezvousHash(target.host, target.address) * odd + rendezvousHash(target.dataCentre, target.address);
+    }
+
 }
 
 // --- At the coordinator
@@ -17,37 +24,53 @@
 void ForwardPlan::setHosts(std::vector<ForwardTarget> hosts)
 {
     m_hosts = std::move(hosts);
+    m_checksums.clear();
     m_ring.clear();
     m_rings.clear();
     for (size_t i = 0; i < m_hosts.size(); ++i) {
-        const uint64_t point = rendezvousHash(m_hosts[i].host, ringSeed);
-        m_ring.emplace(point, i);
-        m_rings[m_hosts[i].dataCentre].emplace(point, i);
+        m_checksums.push_back(entryChecksum(m_hosts[i]));
+        m_ring.push_back({ rendezvousHash(m_hosts[i].host, ringSeed), i });
     }
+    std::sort(m_ring.begin(), m_ring.end(), [&](const Point& a, const Point& b) {
+        return a.hash != b.hash ? a.hash < b.hash : m_hosts[a.index].host < m_hosts[b.index].host;
+    });
+    for (const Point& point : m_ring)
+        m_rings[m_hosts[point.index].dataCentre].push_back(point);
 }
 
 // Appends the `count` hosts that follow on the ring and aren't chosen yet.
-void ForwardPlan::append(const Ring& ring, std::string_view host, size_t count, std::vector<size_t>& chosen) const
+void ForwardPlan::append(
+    const Ring& ring, std::string_view host, uint64_t hash, size_t count, std::vector<size_t>& chosen) const
 {
-    auto next = ring.upper_bound(rendezvousHash(host, ringSeed));
+    auto next = std::upper_bound(
+        ring.begin(), ring.end(), hash, [](uint64_t value, const Point& point) { return value < point.hash; });
     for (size_t seen = 0; seen < ring.size() && count > 0; ++seen, ++next) {
         if (next == ring.end())
             next = ring.begin();
-        const size_t index = next->second;
-        if (m_hosts[index].host == host || std::find(chosen.begin(), chosen.end(), index) != chosen.end())
+        const size_t index = next->index;
+        const bool isHost = next->hash == hash && m_hosts[index].host == host;
+        if (isHost || std::find(chosen.begin(), chosen.end(), index) != chosen.end())
             continue;
         chosen.push_back(index);
         --count;
     }
 }
 
-std::vector<ForwardTarget> ForwardPlan::targetsOf(std::string_view host, std::string_view dataCentre) const
+std::vector<size_t> ForwardPlan::choose(std::string_view host, std::string_view dataCentre) const
 {
+    const uint64_t hash = rendezvousHash(host, ringSeed);
     std::vector<size_t> chosen;
+    chosen.reserve(m_options.targets);
     const auto near = m_rings.find(dataCentre);
     if (near != m_rings.end())
-        append(near->second, host, m_options.nearTargets, chosen);
-    append(m_ring, host, m_options.targets - chosen.size(), chosen);
+        append(near->second, host, hash, m_options.nearTargets, chosen);
+    append(m_ring, host, hash, m_options.targets - chosen.size(), chosen);
+    return chosen;
+}
+
+std::vector<ForwardTarget> ForwardPlan::targetsOf(std::string_view host, std::string_view dataCentre) const
+{
+    const auto chosen = choose(host, dataCentre);
     std::vector<ForwardTarget> targets;
     targets.reserve(chosen.size());
     for (const size_t index : chosen)
@@ -55,6 +78,14 @@
     return targets;
 }
 
+uint64_t ForwardPlan::checksumOf(std::string_view host, std::string_view dataCentre) const
+{
+    ListChecksum checksum;
+    for (const size_t index : choose(host, dataCentre))
+        checksum.add(m_checksums[index]);
+    return checksum.value();
+}
+
 // --- On a host
 
 void ForwardChoice::setTargets(std::vector<ForwardTarget> targets) { m_targets = std::move(targets); }
--- a/packages/decisions/ForwardTargets.h
+++ b/packages/decisions/ForwardTargets.h
@@ -47,14 +47,22 @@
     size_t size() const { return m_hosts.size(); }
     // For this host, which may be one of those given.
     std::vector<ForwardTarget> targetsOf(std::string_view host, std::string_view dataCentre) const;
+    // Of the host's list, the same at every coordinator; costs much less than the list itself. Never 0.
+    uint64_t checksumOf(std::string_view host, std::string_view dataCentre) const;
 
 private:
-    using Ring = std::map<uint64_t, size_t>; // indices of m_hosts, by hash of the name
+    struct Point {
+        uint64_t hash = 0; // of the name
+        size_t index = 0; // in m_hosts
+    };
+    using Ring = std::vector<Point>; // by hash
 
-    void append(const Ring&, std::string_view host, size_t count, std::vector<size_t>& chosen) const;
+    std::vector<size_t> choose(std::string_view host, std::string_view dataCentre) const;
+    void append(const Ring&, std::string_view host, uint64_t hash, size_t count, std::vector<size_t>& chosen) const;
 
     ForwardPlanOptions m_options;
     std::vector<ForwardTarget> m_hosts;
+    std::vector<uint64_t> m_checksums; // of each of m_hosts
     Ring m_ring;
     std::map<std::string, Ring, std::less<>> m_rings; // by data centre
 };
--- a/packages/decisions/ServerReach.cpp
+++ b/packages/decisions/ServerReach.cpp
@@ -10,10 +10,12 @@
     if (!m_cutOff)
         return;
     Evidence& evidence = m_evidence[std::string(server)];
+    m_anyRestored |= evidence.tried && !evidence.connected;
     evidence.tried = true;
     evidence.connected = true;
     m_successes.emplace(server);
-    if (m_successes.size() >= std::min(m_options.successesUntilReconnected, servers))
+    const bool enough = m_successes.size() >= std::min(m_options.successesUntilReconnected, servers);
+    if (enough && (m_anyRestored || mostServersConnect()))
         setCutOff(false);
 }
 
@@ -26,11 +28,25 @@
         return;
     }
     m_successes.clear();
+    m_anyRestored = false;
     Evidence& evidence = m_evidence[std::string(server)];
     evidence.tried = true;
     evidence.connected = false;
 }
 
+// Well below the half that cuts a host off, so that the state doesn't change while the servers in reach are the same.
+bool ServerReach::mostServersConnect() const
+{
+    constexpr double mostFailures = 0.4;
+    size_t tried = 0;
+    size_t failures = 0;
+    for (const auto& [server, evidence] : m_evidence) {
+        tried += evidence.tried;
+        failures += evidence.tried && !evidence.connected;
+    }
+    return static_cast<double>(failures) < mostFailures * static_cast<double>(tried);
+}
+
 void ServerReach::answered(std::string_view server, Instant now)
 {
     m_lastAnswer = now;
@@ -45,6 +61,22 @@
         setCutOff(true);
 }
 
+void ServerReach::checked(std::span<const ProbeOutcome> outcomes, Instant now)
+{
+    const auto failed = std::count_if(
+        outcomes.begin(), outcomes.end(), [](const ProbeOutcome& outcome) { return !outcome.connected; });
+    checked(outcomes.size(), static_cast<size_t>(failed), now);
+    if (!m_cutOff)
+        return;
+    for (const ProbeOutcome& outcome : outcomes)
+        m_evidence[outcome.server] = { true, outcome.connected, false };
+}
+
+void ServerReach::retain(const std::function<bool(std::string_view server)>& isKnown)
+{
+    std::erase_if(m_evidence, [&](const auto& server) { return !isKnown(server.first); });
+}
+
 bool ServerReach::suspicious(Instant now) const
 {
     const auto recent = std::count_if(m_failures.begin(), m_failures.end(),
@@ -72,6 +104,7 @@
     m_cutOff = cutOff;
     m_failures.clear();
     m_successes.clear();
+    m_anyRestored = false;
     m_evidence.clear();
 }
 
--- a/packages/decisions/ServerReach.h
+++ b/packages/decisions/ServerReach.h
@@ -8,13 +8,18 @@
 // they fail to several servers in a row, and a check of servers in different data centres decides.
 //
 // Answers over open connections neither confirm nor refute a partition, but a server that answers is used on. While the
-// host is cut off, one server at a time is probed; several that accept a connection in a row end the state.
+// host is cut off, one server at a time is probed; several that accept a connection in a row end the state. A partition
+// may leave some of the servers within reach, and these accept connections all the time. So either one of those that
+// accept must have refused before, or most servers must accept.
+//
+// decisions/ServerPaths.h deals with single servers that this host doesn't reach.
 #pragma once
 
 #include "base/Time.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -33,6 +38,11 @@
     size_t successesUntilReconnected = 3; // distinct servers in a row
 };
 
+struct ProbeOutcome {
+    std::string server;
+    bool connected = false;
+};
+
 class ServerReach {
 public:
     explicit ServerReach(ServerReachOptions options = {})
@@ -46,6 +56,8 @@
     void connectFailed(std::string_view server, Instant now);
     void answered(std::string_view server, Instant now); // a response arrived, over whichever connection
     void checked(size_t probes, size_t failures, Instant now); // a check has ended
+    void checked(std::span<const ProbeOutcome>, Instant now); // and has found this
+    void retain(const std::function<bool(std::string_view server)>& isKnown); // forgets all other servers
 
     // --- State
     bool cutOff() const { return m_cutOff; }
@@ -70,6 +82,7 @@
     };
 
     void setCutOff(bool);
+    bool mostServersConnect() const;
 
     ServerReachOptions m_options;
     bool m_cutOff = false;
@@ -77,6 +90,7 @@
     Instant m_lastAnswer {};
     std::map<std::string, Instant, std::less<>> m_failures; // since the last connection that was opened, by server
     std::set<std::string, std::less<>> m_successes; // in a row while cut off, by server
+    bool m_anyRestored = false; // one of m_successes had failed before
     std::map<std::string, Evidence, std::less<>> m_evidence; // while cut off, by server
 };
 
