Decisions: what a host knows of the newest document, and what it answers by it

FleetTiming: the silence of a coordinator by the interval between reports, confirmations by the deadline. RelayPlan: time limits by the copies that a link carries.

--- a/packages/decisions/FleetTiming.cpp
+++ b/packages/decisions/FleetTiming.cpp
@@ -10,10 +10,26 @@
     // With more hosts the interval grows, so that the coordinator handles 320 reports a second at the most, until the
     // interval has reached its maximum.
     constexpr double hostsAtMinReportInterval = 80;
+    // Of the coordinator's own last answer from the store, and of the first calls to the store.
+    constexpr Millis storeAnswerAge { 1'350 };
     constexpr Millis transferTime { 200 }; // of a report, and for the host's own scheduling
+    constexpr Millis heartbeatInterval { 5'000 }; // between two writes of a server's entry
 
 }
 
+bool historyIsCheaperThanRead(Millis since)
+{
+    constexpr int64_t maxCopies = 2; // of each entry: twice the bytes of a read, without its calls one after the other
+    return since <= maxCopies * heartbeatInterval;
+}
+
+bool storeCarriesAllWatches(size_t hosts, size_t servers)
+{
+    // A third of a link of 1 Gbit/s, with entries of 450 bytes and a heartbeat each 5 s.
+    constexpr size_t maxWatchedEntries = 500'000;
+    return hosts * servers <= maxWatchedEntries;
+}
+
 FleetTiming fleetTiming(size_t hosts)
 {
     const double factor = std::max(1.0, static_cast<double>(hosts) / hostsAtMinReportInterval);
@@ -23,6 +39,7 @@
     timing.reportInterval = Millis(std::llround(std::min(interval, longest)));
     timing.reportLifetime = std::max(timing.reportLifetime, 2 * timing.reportInterval + reportTimeout);
     timing.hostTimeout = std::max(timing.hostTimeout, 3 * timing.reportInterval + reportTimeout);
+    timing.maxShortOutage = std::max(timing.maxShortOutage, timing.reportInterval + reportTimeout + storeAnswerAge);
     timing.serverUseLifetime = std::max(timing.serverUseLifetime, 2 * timing.reportInterval + transferTime);
     return timing;
 }
--- a/packages/decisions/FleetTiming.h
+++ b/packages/decisions/FleetTiming.h
@@ -22,9 +22,22 @@
     // A coordinator without the store counts a host as its own for so long after a report. One report may be lost.
     Millis reportLifetime { 1'200 };
     Millis hostTimeout { 3'000 }; // a host is removed this long after its last report; two may be lost
+    // A host that asks the store itself for the first time after its coordinator has fallen silent has last heard of
+    // the store this long ago at the most. A longer silence is an outage of the store, in which entries may have
+    // expired.
+    Millis maxShortOutage { 2'000 };
     Millis serverUseLifetime { 700 }; // a host's report that a server has answered is valid for so long
 };
 
 FleetTiming fleetTiming(size_t hosts);
 
+// Whether each host may watch the entries of all servers at the store, while no coordinator relays them. Each entry is
+// written once per heartbeat and sent to each host that watches, so the load of the store's link grows with hosts times
+// servers. Once the link is full, all calls are late, and every host that falls behind reads everything again.
+bool storeCarriesAllWatches(size_t hosts, size_t servers);
+
+// Whether a host that knew all changes this long ago should ask for those since then, instead of reading everything.
+// The history has each entry once per heartbeat, and comes in one answer, whereas a read has one for each page.
+bool historyIsCheaperThanRead(Millis since);
+
 }
--- a/packages/decisions/KnownChanges.h
+++ b/packages/decisions/KnownChanges.h
@@ -15,6 +15,7 @@
 class KnownChanges {
 public:
     int64_t complete() const { return m_complete; } // all changes up to this revision are known
+    bool hasGap() const { return !m_spans.empty(); } // later changes are known
     void markCompleteUpTo(int64_t revision);
     void add(int64_t after, int64_t last); // all changes with revisions above `after`, up to `last`, are known
 
--- a/packages/decisions/RelayPlan.cpp
+++ b/packages/decisions/RelayPlan.cpp
@@ -38,9 +38,9 @@
 
 }
 
-Millis deliveryTimeout(size_t bytes)
+Millis deliveryTimeout(size_t bytes, size_t copies)
 {
-    return baseDeliveryTimeout + Millis(static_cast<int64_t>(bytes / bytesPerMillisecond));
+    return baseDeliveryTimeout + Millis(static_cast<int64_t>(bytes * copies / bytesPerMillisecond));
 }
 
 std::vector<RelayGroup> planRelays(std::span<const RelayCandidate> candidates, const RelayOptions& options)
--- a/packages/decisions/RelayPlan.h
+++ b/packages/decisions/RelayPlan.h
@@ -41,6 +41,12 @@
 
 // Timeout for delivering a message of this size to one receiver. With a shorter timeout, a large document would never
 // reach a host behind a small link: each attempt would be aborted midway, and the host would read the store as well.
-Millis deliveryTimeout(size_t bytes);
+// `copies`: messages of this size that the sender's link carries at the same time.
+Millis deliveryTimeout(size_t bytes, size_t copies = 1);
+
+// Changes in one message, unless a single one is larger. The operators' document waits until the message in flight has
+// been sent, so this is what the document may wait for: a relay behind the smallest link sends so much to its whole
+// group in a third of a second.
+constexpr size_t maxNewsBytes = 32'768;
 
 }
--- a/packages/decisions/RouteRules.h
+++ b/packages/decisions/RouteRules.h
@@ -54,6 +54,7 @@
 
 // Limits on the size and duration of callers' requests.
 struct CallerBounds {
+    int64_t revision = 0; // of the document in the store
     uint64_t headerBytes = 16'384;
     uint64_t bodyBytes = 8'000'000;
     Millis headerTimeout { 10'000 };
@@ -64,6 +65,7 @@
 class RouteRules {
 public:
     int64_t version = 0;
+    int64_t revision = 0; // of the document in the store
     CallerBounds bounds;
 
     void add(HostRoute); // replaces the route with the same host and prefix
@@ -105,6 +107,8 @@
     Instant warmupEnd {}; // end of the warm-up by this host's clock
     // Operators have evacuated its data centre: no new requests go to the servers there.
     bool evacuated = false;
+    Instant leavingSince {}; // when the server announced that it is leaving, as far as this host can tell
+    Instant evacuatedSince {}; // likewise of the evacuation
     // The server's entry was missing when this host could read the store again: either the server has left, or its
     // entry expired while the store was unavailable and will be written again. Until this is known, the server gets
     // requests only if no other server can take them.
