Peers and store: ages of changes, optional fields for documents, items that can't be compressed

Items that deflate doesn't make smaller could not be unpacked, and counted as lost. Former hosts send and read none of the new fields.

--- a/packages/peers/Coordination.cpp
+++ b/packages/peers/Coordination.cpp
@@ -4,6 +4,7 @@
 #include <Coordination.h>
 
 #include "peers/Frame.h"
+#include <algorithm>
 #include <thrift/protocol/TCompactProtocol.h>
 
 namespace cumindale {
@@ -65,6 +66,9 @@
     } catch (const TException&) {
         return std::nullopt;
     }
+    for (auto& item : list.items)
+        item.ageMillis
+            = static_cast<int32_t>(std::min<int64_t>(int64_t { item.ageMillis } + packed.ageMillis, INT32_MAX));
     return std::move(list.items);
 }
 
--- a/packages/peers/Deflate.cpp
+++ b/packages/peers/Deflate.cpp
@@ -35,7 +35,8 @@
     zlib::z_params params = paramsFor(plain, out);
     boost::beast::error_code error;
     stream.write(params, zlib::Flush::finish, error);
-    out.resize(params.total_out);
+    // Without a byte to spare the inflate stream doesn't recognise the end of some input that can't be compressed.
+    out.resize(params.total_out + 1);
     return out;
 }
 
--- a/packages/peers/FrameLink.cpp
+++ b/packages/peers/FrameLink.cpp
@@ -22,6 +22,8 @@
     auto stream = std::move(m_stream);
     const std::string request = out.getBufferAsString();
     out.resetBuffer();
+    if (stream && isReadable(*stream)) // the peer closes connections that have been idle for long
+        stream.reset();
     if (!stream) {
         stream = std::make_unique<boost::beast::tcp_stream>(m_executor);
         if (!co_await connectTo(*stream, m_address, m_port, timeout))
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -58,6 +58,10 @@
     19: bool cutOff // the host reaches no server
     20: i32 forwardPort // where the host takes requests that other hosts forward, at the IP of `address`; 0: it takes none
     21: i64 forwardTargetsKnown // checksum of the list of forward targets that the host has; 0: none
+    22: i64 rulesKnown // revision of the newest operators' document that the host has received; 0: it doesn't say
+    23: i64 standbysKnown // checksum of the list of standbys that the host has; 0: none
+    24: bool answersAwaiting // the host answers reports of hosts that await a coordinator
+    25: bool awaitsCoordinator // asks for missed changes alone, also a host that doesn't coordinate
 }
 
 struct ServerShare {
@@ -76,6 +80,7 @@
     4: bool erased
     5: i32 leftOutBytes // length of the omitted value; 0: the value is included
     6: i32 plainBytes // uncompressed length of the deflated value; 0: the value isn't compressed
+    7: i32 ageMillis // since the write, as far as the sender knows
 }
 
 struct ItemList {
@@ -86,6 +91,7 @@
 struct PackedItems {
     1: binary value
     2: i32 plainBytes // uncompressed length
+    3: i32 ageMillis // since the list was made; adds to the ages of its items
 }
 
 // A deflated table.
@@ -108,6 +114,7 @@
     9: list<i64> quarantined // likewise
     10: list<PackedTable> packedTables // whole tables, for hosts that route by an older one
     11: list<PackedItems> packedItems // further items, for hosts that read them
+    12: bool urgent // sent ahead of other news, by relays as well
 }
 
 // A host that grants slots of backend servers.
@@ -146,6 +153,11 @@
     20: list<Broker> brokers // all of them, unless the host knows this edition
     21: i64 forwardTargetsChecksum // of the list that follows; 0: the host keeps what it has
     22: list<ForwardTarget> forwardTargets // for this host; all of them, unless it knows this checksum
+    23: i64 rulesRevision // of the newest operators' document that the coordinator knows of; 0: it doesn't say
+    24: i32 rulesAgeMillis // since the store last confirmed to the coordinator that there is no newer document
+    25: i64 standbysChecksum // of the list that follows; 0: the host keeps what it has
+    26: list<string> standbys // "IP:port" of hosts that are asked while no coordinator answers; all of them, unless the host knows this checksum
+    27: bool watchesStore // in answers to awaitsCoordinator: the host that was asked watches the store, which answers it
     10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
 }
 
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -873,6 +873,22 @@
 void HostReport::__set_forwardTargetsKnown(const int64_t val) {
   this->forwardTargetsKnown = val;
 }
+
+void HostReport::__set_rulesKnown(const int64_t val) {
+  this->rulesKnown = val;
+}
+
+void HostReport::__set_standbysKnown(const int64_t val) {
+  this->standbysKnown = val;
+}
+
+void HostReport::__set_answersAwaiting(const bool val) {
+  this->answersAwaiting = val;
+}
+
+void HostReport::__set_awaitsCoordinator(const bool val) {
+  this->awaitsCoordinator = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -1137,6 +1153,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rulesKnown);
+          this->__isset.rulesKnown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->standbysKnown);
+          this->__isset.standbysKnown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answersAwaiting);
+          this->__isset.answersAwaiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->awaitsCoordinator);
+          this->__isset.awaitsCoordinator = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1286,6 +1334,22 @@
   xfer += oprot->writeI64(this->forwardTargetsKnown);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rulesKnown", ::apache::thrift::protocol::T_I64, 22);
+  xfer += oprot->writeI64(this->rulesKnown);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("standbysKnown", ::apache::thrift::protocol::T_I64, 23);
+  xfer += oprot->writeI64(this->standbysKnown);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answersAwaiting", ::apache::thrift::protocol::T_BOOL, 24);
+  xfer += oprot->writeBool(this->answersAwaiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("awaitsCoordinator", ::apache::thrift::protocol::T_BOOL, 25);
+  xfer += oprot->writeBool(this->awaitsCoordinator);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1312,6 +1376,10 @@
   swap(a.cutOff, b.cutOff);
   swap(a.forwardPort, b.forwardPort);
   swap(a.forwardTargetsKnown, b.forwardTargetsKnown);
+  swap(a.rulesKnown, b.rulesKnown);
+  swap(a.standbysKnown, b.standbysKnown);
+  swap(a.answersAwaiting, b.answersAwaiting);
+  swap(a.awaitsCoordinator, b.awaitsCoordinator);
   swap(a.__isset, b.__isset);
 }
 
@@ -1335,6 +1403,10 @@
   cutOff = other64.cutOff;
   forwardPort = other64.forwardPort;
   forwardTargetsKnown = other64.forwardTargetsKnown;
+  rulesKnown = other64.rulesKnown;
+  standbysKnown = other64.standbysKnown;
+  answersAwaiting = other64.answersAwaiting;
+  awaitsCoordinator = other64.awaitsCoordinator;
   __isset = other64.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other65) {
@@ -1357,6 +1429,10 @@
   cutOff = other65.cutOff;
   forwardPort = other65.forwardPort;
   forwardTargetsKnown = other65.forwardTargetsKnown;
+  rulesKnown = other65.rulesKnown;
+  standbysKnown = other65.standbysKnown;
+  answersAwaiting = other65.answersAwaiting;
+  awaitsCoordinator = other65.awaitsCoordinator;
   __isset = other65.__isset;
   return *this;
 }
@@ -1382,6 +1458,10 @@
   out << ", " << "cutOff=" << to_string(cutOff);
   out << ", " << "forwardPort=" << to_string(forwardPort);
   out << ", " << "forwardTargetsKnown=" << to_string(forwardTargetsKnown);
+  out << ", " << "rulesKnown=" << to_string(rulesKnown);
+  out << ", " << "standbysKnown=" << to_string(standbysKnown);
+  out << ", " << "answersAwaiting=" << to_string(answersAwaiting);
+  out << ", " << "awaitsCoordinator=" << to_string(awaitsCoordinator);
   out << ")";
 }
 
@@ -1585,6 +1665,10 @@
 void StoreItem::__set_plainBytes(const int32_t val) {
   this->plainBytes = val;
 }
+
+void StoreItem::__set_ageMillis(const int32_t val) {
+  this->ageMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const StoreItem& obj)
 {
   obj.printTo(out);
@@ -1661,6 +1745,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1702,6 +1794,10 @@
   xfer += oprot->writeI32(this->plainBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1715,6 +1811,7 @@
   swap(a.erased, b.erased);
   swap(a.leftOutBytes, b.leftOutBytes);
   swap(a.plainBytes, b.plainBytes);
+  swap(a.ageMillis, b.ageMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -1725,6 +1822,7 @@
   erased = other68.erased;
   leftOutBytes = other68.leftOutBytes;
   plainBytes = other68.plainBytes;
+  ageMillis = other68.ageMillis;
   __isset = other68.__isset;
 }
 StoreItem& StoreItem::operator=(const StoreItem& other69) {
@@ -1734,6 +1832,7 @@
   erased = other69.erased;
   leftOutBytes = other69.leftOutBytes;
   plainBytes = other69.plainBytes;
+  ageMillis = other69.ageMillis;
   __isset = other69.__isset;
   return *this;
 }
@@ -1746,6 +1845,7 @@
   out << ", " << "erased=" << to_string(erased);
   out << ", " << "leftOutBytes=" << to_string(leftOutBytes);
   out << ", " << "plainBytes=" << to_string(plainBytes);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
   out << ")";
 }
 
@@ -1873,6 +1973,10 @@
 void PackedItems::__set_plainBytes(const int32_t val) {
   this->plainBytes = val;
 }
+
+void PackedItems::__set_ageMillis(const int32_t val) {
+  this->ageMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const PackedItems& obj)
 {
   obj.printTo(out);
@@ -1917,6 +2021,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMillis);
+          this->__isset.ageMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1942,6 +2054,10 @@
   xfer += oprot->writeI32(this->plainBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ageMillis", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1951,17 +2067,20 @@
   using ::std::swap;
   swap(a.value, b.value);
   swap(a.plainBytes, b.plainBytes);
+  swap(a.ageMillis, b.ageMillis);
   swap(a.__isset, b.__isset);
 }
 
 PackedItems::PackedItems(const PackedItems& other78) {
   value = other78.value;
   plainBytes = other78.plainBytes;
+  ageMillis = other78.ageMillis;
   __isset = other78.__isset;
 }
 PackedItems& PackedItems::operator=(const PackedItems& other79) {
   value = other79.value;
   plainBytes = other79.plainBytes;
+  ageMillis = other79.ageMillis;
   __isset = other79.__isset;
   return *this;
 }
@@ -1970,6 +2089,7 @@
   out << "PackedItems(";
   out << "value=" << to_string(value);
   out << ", " << "plainBytes=" << to_string(plainBytes);
+  out << ", " << "ageMillis=" << to_string(ageMillis);
   out << ")";
 }
 
@@ -2153,6 +2273,10 @@
 void News::__set_packedItems(const std::vector<PackedItems> & val) {
   this->packedItems = val;
 }
+
+void News::__set_urgent(const bool val) {
+  this->urgent = val;
+}
 std::ostream& operator<<(std::ostream& out, const News& obj)
 {
   obj.printTo(out);
@@ -2365,6 +2489,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->urgent);
+          this->__isset.urgent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2490,6 +2622,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("urgent", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->urgent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2508,6 +2644,7 @@
   swap(a.quarantined, b.quarantined);
   swap(a.packedTables, b.packedTables);
   swap(a.packedItems, b.packedItems);
+  swap(a.urgent, b.urgent);
   swap(a.__isset, b.__isset);
 }
 
@@ -2523,6 +2660,7 @@
   quarantined = other130.quarantined;
   packedTables = other130.packedTables;
   packedItems = other130.packedItems;
+  urgent = other130.urgent;
   __isset = other130.__isset;
 }
 News& News::operator=(const News& other131) {
@@ -2537,6 +2675,7 @@
   quarantined = other131.quarantined;
   packedTables = other131.packedTables;
   packedItems = other131.packedItems;
+  urgent = other131.urgent;
   __isset = other131.__isset;
   return *this;
 }
@@ -2554,6 +2693,7 @@
   out << ", " << "quarantined=" << to_string(quarantined);
   out << ", " << "packedTables=" << to_string(packedTables);
   out << ", " << "packedItems=" << to_string(packedItems);
+  out << ", " << "urgent=" << to_string(urgent);
   out << ")";
 }
 
@@ -2910,6 +3050,26 @@
   this->forwardTargets = val;
 }
 
+void HostAdvice::__set_rulesRevision(const int64_t val) {
+  this->rulesRevision = val;
+}
+
+void HostAdvice::__set_rulesAgeMillis(const int32_t val) {
+  this->rulesAgeMillis = val;
+}
+
+void HostAdvice::__set_standbysChecksum(const int64_t val) {
+  this->standbysChecksum = val;
+}
+
+void HostAdvice::__set_standbys(const std::vector<std::string> & val) {
+  this->standbys = val;
+}
+
+void HostAdvice::__set_watchesStore(const bool val) {
+  this->watchesStore = val;
+}
+
 void HostAdvice::__set_missed(const News& val) {
   this->missed = val;
 }
@@ -3205,6 +3365,58 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rulesRevision);
+          this->__isset.rulesRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rulesAgeMillis);
+          this->__isset.rulesAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->standbysChecksum);
+          this->__isset.standbysChecksum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->standbys.clear();
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->standbys.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
+            {
+              xfer += iprot->readString(this->standbys[_i180]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.standbys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->watchesStore);
+          this->__isset.watchesStore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->missed.read(iprot);
@@ -3245,10 +3457,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ServerShare> ::const_iterator _iter176;
-    for (_iter176 = this->shares.begin(); _iter176 != this->shares.end(); ++_iter176)
+    std::vector<ServerShare> ::const_iterator _iter181;
+    for (_iter181 = this->shares.begin(); _iter181 != this->shares.end(); ++_iter181)
     {
-      xfer += (*_iter176).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3257,10 +3469,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tables.size()));
-    std::vector<std::string> ::const_iterator _iter177;
-    for (_iter177 = this->tables.begin(); _iter177 != this->tables.end(); ++_iter177)
+    std::vector<std::string> ::const_iterator _iter182;
+    for (_iter182 = this->tables.begin(); _iter182 != this->tables.end(); ++_iter182)
     {
-      xfer += oprot->writeString((*_iter177));
+      xfer += oprot->writeString((*_iter182));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3293,10 +3505,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter178;
-    for (_iter178 = this->suspects.begin(); _iter178 != this->suspects.end(); ++_iter178)
+    std::vector<int64_t> ::const_iterator _iter183;
+    for (_iter183 = this->suspects.begin(); _iter183 != this->suspects.end(); ++_iter183)
     {
-      xfer += oprot->writeI64((*_iter178));
+      xfer += oprot->writeI64((*_iter183));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3305,10 +3517,10 @@
   xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-    std::vector<int64_t> ::const_iterator _iter179;
-    for (_iter179 = this->quarantined.begin(); _iter179 != this->quarantined.end(); ++_iter179)
+    std::vector<int64_t> ::const_iterator _iter184;
+    for (_iter184 = this->quarantined.begin(); _iter184 != this->quarantined.end(); ++_iter184)
     {
-      xfer += oprot->writeI64((*_iter179));
+      xfer += oprot->writeI64((*_iter184));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3321,10 +3533,10 @@
   xfer += oprot->writeFieldBegin("rates", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rates.size()));
-    std::vector<ServerRate> ::const_iterator _iter180;
-    for (_iter180 = this->rates.begin(); _iter180 != this->rates.end(); ++_iter180)
+    std::vector<ServerRate> ::const_iterator _iter185;
+    for (_iter185 = this->rates.begin(); _iter185 != this->rates.end(); ++_iter185)
     {
-      xfer += (*_iter180).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3337,10 +3549,10 @@
   xfer += oprot->writeFieldBegin("packedTables", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->packedTables.size()));
-    std::vector<PackedTable> ::const_iterator _iter181;
-    for (_iter181 = this->packedTables.begin(); _iter181 != this->packedTables.end(); ++_iter181)
+    std::vector<PackedTable> ::const_iterator _iter186;
+    for (_iter186 = this->packedTables.begin(); _iter186 != this->packedTables.end(); ++_iter186)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3357,10 +3569,10 @@
   xfer += oprot->writeFieldBegin("brokers", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->brokers.size()));
-    std::vector<Broker> ::const_iterator _iter182;
-    for (_iter182 = this->brokers.begin(); _iter182 != this->brokers.end(); ++_iter182)
+    std::vector<Broker> ::const_iterator _iter187;
+    for (_iter187 = this->brokers.begin(); _iter187 != this->brokers.end(); ++_iter187)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3373,15 +3585,43 @@
   xfer += oprot->writeFieldBegin("forwardTargets", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->forwardTargets.size()));
-    std::vector<ForwardTarget> ::const_iterator _iter183;
-    for (_iter183 = this->forwardTargets.begin(); _iter183 != this->forwardTargets.end(); ++_iter183)
+    std::vector<ForwardTarget> ::const_iterator _iter188;
+    for (_iter188 = this->forwardTargets.begin(); _iter188 != this->forwardTargets.end(); ++_iter188)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rulesRevision", ::apache::thrift::protocol::T_I64, 23);
+  xfer += oprot->writeI64(this->rulesRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rulesAgeMillis", ::apache::thrift::protocol::T_I32, 24);
+  xfer += oprot->writeI32(this->rulesAgeMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("standbysChecksum", ::apache::thrift::protocol::T_I64, 25);
+  xfer += oprot->writeI64(this->standbysChecksum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("standbys", ::apache::thrift::protocol::T_LIST, 26);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->standbys.size()));
+    std::vector<std::string> ::const_iterator _iter189;
+    for (_iter189 = this->standbys.begin(); _iter189 != this->standbys.end(); ++_iter189)
+    {
+      xfer += oprot->writeString((*_iter189));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("watchesStore", ::apache::thrift::protocol::T_BOOL, 27);
+  xfer += oprot->writeBool(this->watchesStore);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3410,59 +3650,74 @@
   swap(a.brokers, b.brokers);
   swap(a.forwardTargetsChecksum, b.forwardTargetsChecksum);
   swap(a.forwardTargets, b.forwardTargets);
+  swap(a.rulesRevision, b.rulesRevision);
+  swap(a.rulesAgeMillis, b.rulesAgeMillis);
+  swap(a.standbysChecksum, b.standbysChecksum);
+  swap(a.standbys, b.standbys);
+  swap(a.watchesStore, b.watchesStore);
   swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
 }
 
-HostAdvice::HostAdvice(const HostAdvice& other184) {
-  coordinates = other184.coordinates;
-  term = other184.term;
-  hosts = other184.hosts;
-  shares = other184.shares;
-  tables = other184.tables;
-  storeSilentMillis = other184.storeSilentMillis;
-  lastChange = other184.lastChange;
-  standsBy = other184.standsBy;
-  reportMillis = other184.reportMillis;
-  storeRevision = other184.storeRevision;
-  crashesEdition = other184.crashesEdition;
-  suspects = other184.suspects;
-  quarantined = other184.quarantined;
-  ratesEdition = other184.ratesEdition;
-  rates = other184.rates;
-  packedTables = other184.packedTables;
-  missedLater = other184.missedLater;
-  brokersEdition = other184.brokersEdition;
-  brokers = other184.brokers;
-  forwardTargetsChecksum = other184.forwardTargetsChecksum;
-  forwardTargets = other184.forwardTargets;
-  missed = other184.missed;
-  __isset = other184.__isset;
-}
-HostAdvice& HostAdvice::operator=(const HostAdvice& other185) {
-  coordinates = other185.coordinates;
-  term = other185.term;
-  hosts = other185.hosts;
-  shares = other185.shares;
-  tables = other185.tables;
-  storeSilentMillis = other185.storeSilentMillis;
-  lastChange = other185.lastChange;
-  standsBy = other185.standsBy;
-  reportMillis = other185.reportMillis;
-  storeRevision = other185.storeRevision;
-  crashesEdition = other185.crashesEdition;
-  suspects = other185.suspects;
-  quarantined = other185.quarantined;
-  ratesEdition = other185.ratesEdition;
-  rates = other185.rates;
-  packedTables = other185.packedTables;
-  missedLater = other185.missedLater;
-  brokersEdition = other185.brokersEdition;
-  brokers = other185.brokers;
-  forwardTargetsChecksum = other185.forwardTargetsChecksum;
-  forwardTargets = other185.forwardTargets;
-  missed = other185.missed;
-  __isset = other185.__isset;
+HostAdvice::HostAdvice(const HostAdvice& other190) {
+  coordinates = other190.coordinates;
+  term = other190.term;
+  hosts = other190.hosts;
+  shares = other190.shares;
+  tables = other190.tables;
+  storeSilentMillis = other190.storeSilentMillis;
+  lastChange = other190.lastChange;
+  standsBy = other190.standsBy;
+  reportMillis = other190.reportMillis;
+  storeRevision = other190.storeRevision;
+  crashesEdition = other190.crashesEdition;
+  suspects = other190.suspects;
+  quarantined = other190.quarantined;
+  ratesEdition = other190.ratesEdition;
+  rates = other190.rates;
+  packedTables = other190.packedTables;
+  missedLater = other190.missedLater;
+  brokersEdition = other190.brokersEdition;
+  brokers = other190.brokers;
+  forwardTargetsChecksum = other190.forwardTargetsChecksum;
+  forwardTargets = other190.forwardTargets;
+  rulesRevision = other190.rulesRevision;
+  rulesAgeMillis = other190.rulesAgeMillis;
+  standbysChecksum = other190.standbysChecksum;
+  standbys = other190.standbys;
+  watchesStore = other190.watchesStore;
+  missed = other190.missed;
+  __isset = other190.__isset;
+}
+HostAdvice& HostAdvice::operator=(const HostAdvice& other191) {
+  coordinates = other191.coordinates;
+  term = other191.term;
+  hosts = other191.hosts;
+  shares = other191.shares;
+  tables = other191.tables;
+  storeSilentMillis = other191.storeSilentMillis;
+  lastChange = other191.lastChange;
+  standsBy = other191.standsBy;
+  reportMillis = other191.reportMillis;
+  storeRevision = other191.storeRevision;
+  crashesEdition = other191.crashesEdition;
+  suspects = other191.suspects;
+  quarantined = other191.quarantined;
+  ratesEdition = other191.ratesEdition;
+  rates = other191.rates;
+  packedTables = other191.packedTables;
+  missedLater = other191.missedLater;
+  brokersEdition = other191.brokersEdition;
+  brokers = other191.brokers;
+  forwardTargetsChecksum = other191.forwardTargetsChecksum;
+  forwardTargets = other191.forwardTargets;
+  rulesRevision = other191.rulesRevision;
+  rulesAgeMillis = other191.rulesAgeMillis;
+  standbysChecksum = other191.standbysChecksum;
+  standbys = other191.standbys;
+  watchesStore = other191.watchesStore;
+  missed = other191.missed;
+  __isset = other191.__isset;
   return *this;
 }
 void HostAdvice::printTo(std::ostream& out) const {
@@ -3489,6 +3744,11 @@
   out << ", " << "brokers=" << to_string(brokers);
   out << ", " << "forwardTargetsChecksum=" << to_string(forwardTargetsChecksum);
   out << ", " << "forwardTargets=" << to_string(forwardTargets);
+  out << ", " << "rulesRevision=" << to_string(rulesRevision);
+  out << ", " << "rulesAgeMillis=" << to_string(rulesAgeMillis);
+  out << ", " << "standbysChecksum=" << to_string(standbysChecksum);
+  out << ", " << "standbys=" << to_string(standbys);
+  out << ", " << "watchesStore=" << to_string(watchesStore);
   out << ", " << "missed=" << to_string(missed);
   out << ")";
 }
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -363,7 +363,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerRate& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false), forwardPort(false), forwardTargetsKnown(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false), forwardPort(false), forwardTargetsKnown(false), rulesKnown(false), standbysKnown(false), answersAwaiting(false), awaitsCoordinator(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -383,6 +383,10 @@
   bool cutOff :1;
   bool forwardPort :1;
   bool forwardTargetsKnown :1;
+  bool rulesKnown :1;
+  bool standbysKnown :1;
+  bool answersAwaiting :1;
+  bool awaitsCoordinator :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -402,7 +406,11 @@
                brokersSlots(0),
                cutOff(0),
                forwardPort(0),
-               forwardTargetsKnown(0) {
+               forwardTargetsKnown(0),
+               rulesKnown(0),
+               standbysKnown(0),
+               answersAwaiting(0),
+               awaitsCoordinator(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -425,6 +433,10 @@
   bool cutOff;
   int32_t forwardPort;
   int64_t forwardTargetsKnown;
+  int64_t rulesKnown;
+  int64_t standbysKnown;
+  bool answersAwaiting;
+  bool awaitsCoordinator;
 
   _HostReport__isset __isset;
 
@@ -466,6 +478,14 @@
 
   void __set_forwardTargetsKnown(const int64_t val);
 
+  void __set_rulesKnown(const int64_t val);
+
+  void __set_standbysKnown(const int64_t val);
+
+  void __set_answersAwaiting(const bool val);
+
+  void __set_awaitsCoordinator(const bool val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -506,6 +526,14 @@
       return false;
     if (!(forwardTargetsKnown == rhs.forwardTargetsKnown))
       return false;
+    if (!(rulesKnown == rhs.rulesKnown))
+      return false;
+    if (!(standbysKnown == rhs.standbysKnown))
+      return false;
+    if (!(answersAwaiting == rhs.answersAwaiting))
+      return false;
+    if (!(awaitsCoordinator == rhs.awaitsCoordinator))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -596,13 +624,14 @@
 std::ostream& operator<<(std::ostream& out, const ServerShare& obj);
 
 typedef struct _StoreItem__isset {
-  _StoreItem__isset() : key(false), value(false), revision(false), erased(false), leftOutBytes(false), plainBytes(false) {}
+  _StoreItem__isset() : key(false), value(false), revision(false), erased(false), leftOutBytes(false), plainBytes(false), ageMillis(false) {}
   bool key :1;
   bool value :1;
   bool revision :1;
   bool erased :1;
   bool leftOutBytes :1;
   bool plainBytes :1;
+  bool ageMillis :1;
 } _StoreItem__isset;
 
 class StoreItem : public virtual ::apache::thrift::TBase {
@@ -616,7 +645,8 @@
               revision(0),
               erased(0),
               leftOutBytes(0),
-              plainBytes(0) {
+              plainBytes(0),
+              ageMillis(0) {
   }
 
   virtual ~StoreItem() noexcept;
@@ -626,6 +656,7 @@
   bool erased;
   int32_t leftOutBytes;
   int32_t plainBytes;
+  int32_t ageMillis;
 
   _StoreItem__isset __isset;
 
@@ -641,6 +672,8 @@
 
   void __set_plainBytes(const int32_t val);
 
+  void __set_ageMillis(const int32_t val);
+
   bool operator == (const StoreItem & rhs) const
   {
     if (!(key == rhs.key))
@@ -655,6 +688,8 @@
       return false;
     if (!(plainBytes == rhs.plainBytes))
       return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
     return true;
   }
   bool operator != (const StoreItem &rhs) const {
@@ -716,9 +751,10 @@
 std::ostream& operator<<(std::ostream& out, const ItemList& obj);
 
 typedef struct _PackedItems__isset {
-  _PackedItems__isset() : value(false), plainBytes(false) {}
+  _PackedItems__isset() : value(false), plainBytes(false), ageMillis(false) {}
   bool value :1;
   bool plainBytes :1;
+  bool ageMillis :1;
 } _PackedItems__isset;
 
 class PackedItems : public virtual ::apache::thrift::TBase {
@@ -728,12 +764,14 @@
   PackedItems& operator=(const PackedItems&);
   PackedItems() noexcept
               : value(),
-                plainBytes(0) {
+                plainBytes(0),
+                ageMillis(0) {
   }
 
   virtual ~PackedItems() noexcept;
   std::string value;
   int32_t plainBytes;
+  int32_t ageMillis;
 
   _PackedItems__isset __isset;
 
@@ -741,12 +779,16 @@
 
   void __set_plainBytes(const int32_t val);
 
+  void __set_ageMillis(const int32_t val);
+
   bool operator == (const PackedItems & rhs) const
   {
     if (!(value == rhs.value))
       return false;
     if (!(plainBytes == rhs.plainBytes))
       return false;
+    if (!(ageMillis == rhs.ageMillis))
+      return false;
     return true;
   }
   bool operator != (const PackedItems &rhs) const {
@@ -823,7 +865,7 @@
 std::ostream& operator<<(std::ostream& out, const PackedTable& obj);
 
 typedef struct _News__isset {
-  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false), packedTables(false), packedItems(false) {}
+  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false), packedTables(false), packedItems(false), urgent(false) {}
   bool afterChange :1;
   bool lastChange :1;
   bool items :1;
@@ -835,6 +877,7 @@
   bool quarantined :1;
   bool packedTables :1;
   bool packedItems :1;
+  bool urgent :1;
 } _News__isset;
 
 class News : public virtual ::apache::thrift::TBase {
@@ -845,7 +888,8 @@
   News() noexcept
        : afterChange(0),
          lastChange(0),
-         crashesEdition(0) {
+         crashesEdition(0),
+         urgent(0) {
   }
 
   virtual ~News() noexcept;
@@ -860,6 +904,7 @@
   std::vector<int64_t>  quarantined;
   std::vector<PackedTable>  packedTables;
   std::vector<PackedItems>  packedItems;
+  bool urgent;
 
   _News__isset __isset;
 
@@ -885,6 +930,8 @@
 
   void __set_packedItems(const std::vector<PackedItems> & val);
 
+  void __set_urgent(const bool val);
+
   bool operator == (const News & rhs) const
   {
     if (!(afterChange == rhs.afterChange))
@@ -909,6 +956,8 @@
       return false;
     if (!(packedItems == rhs.packedItems))
       return false;
+    if (!(urgent == rhs.urgent))
+      return false;
     return true;
   }
   bool operator != (const News &rhs) const {
@@ -1042,7 +1091,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardTarget& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), brokersEdition(false), brokers(false), forwardTargetsChecksum(false), forwardTargets(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), brokersEdition(false), brokers(false), forwardTargetsChecksum(false), forwardTargets(false), rulesRevision(false), rulesAgeMillis(false), standbysChecksum(false), standbys(false), watchesStore(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -1064,6 +1113,11 @@
   bool brokers :1;
   bool forwardTargetsChecksum :1;
   bool forwardTargets :1;
+  bool rulesRevision :1;
+  bool rulesAgeMillis :1;
+  bool standbysChecksum :1;
+  bool standbys :1;
+  bool watchesStore :1;
   bool missed :1;
 } _HostAdvice__isset;
 
@@ -1085,7 +1139,11 @@
                ratesEdition(0),
                missedLater(0),
                brokersEdition(0),
-               forwardTargetsChecksum(0) {
+               forwardTargetsChecksum(0),
+               rulesRevision(0),
+               rulesAgeMillis(0),
+               standbysChecksum(0),
+               watchesStore(0) {
   }
 
   virtual ~HostAdvice() noexcept;
@@ -1110,6 +1168,11 @@
   std::vector<Broker>  brokers;
   int64_t forwardTargetsChecksum;
   std::vector<ForwardTarget>  forwardTargets;
+  int64_t rulesRevision;
+  int32_t rulesAgeMillis;
+  int64_t standbysChecksum;
+  std::vector<std::string>  standbys;
+  bool watchesStore;
   News missed;
 
   _HostAdvice__isset __isset;
@@ -1156,6 +1219,16 @@
 
   void __set_forwardTargets(const std::vector<ForwardTarget> & val);
 
+  void __set_rulesRevision(const int64_t val);
+
+  void __set_rulesAgeMillis(const int32_t val);
+
+  void __set_standbysChecksum(const int64_t val);
+
+  void __set_standbys(const std::vector<std::string> & val);
+
+  void __set_watchesStore(const bool val);
+
   void __set_missed(const News& val);
 
   bool operator == (const HostAdvice & rhs) const
@@ -1202,6 +1275,16 @@
       return false;
     if (!(forwardTargets == rhs.forwardTargets))
       return false;
+    if (!(rulesRevision == rhs.rulesRevision))
+      return false;
+    if (!(rulesAgeMillis == rhs.rulesAgeMillis))
+      return false;
+    if (!(standbysChecksum == rhs.standbysChecksum))
+      return false;
+    if (!(standbys == rhs.standbys))
+      return false;
+    if (!(watchesStore == rhs.watchesStore))
+      return false;
     if (!(missed == rhs.missed))
       return false;
     return true;
--- a/packages/store/Store.h
+++ b/packages/store/Store.h
@@ -6,6 +6,7 @@
 
 #include "base/Time.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <functional>
@@ -21,6 +22,9 @@
     int64_t modRevision = 0; // revision of the last write of this key; 0: the key does not exist
     int64_t createRevision = 0;
     int64_t lease = 0;
+    // Time since the write when this host received it, as far as it can tell; 0: it came at once. After a silence of
+    // the store this is the whole silence.
+    Millis age { 0 };
 };
 
 enum class StoreStatus : uint8_t { Ok, Unavailable };
@@ -61,6 +65,14 @@
     KeyValue value;
 };
 
+inline int64_t newestRevisionOf(const std::vector<WatchEvent>& events) // 0: there are none
+{
+    int64_t newest = 0;
+    for (const auto& event : events)
+        newest = std::max(newest, event.value.modRevision);
+    return newest;
+}
+
 // Reason why a watch ended.
 enum class WatchEnd : uint8_t {
     Unavailable, // the watch can resume from its last revision
