Errors that rest on the operators' document are final only while it is known to be the newest

Callers got 404, 413 and 431 by documents that had been replaced, and don't ask again after these. The table of errors says which kinds rest on the document; CallerSession and Router ask before they answer, and say 503 not-fresh instead. Bodies of more than 1 MiB met the HTTP library's own limit first and got 413 whatever the document allows.

--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -278,6 +278,15 @@
         m_idleConnections.push_back(std::move(connection));
 }
 
+asio::awaitable<bool> ServerPool::tryConnect(Millis timeout)
+{
+    auto connection = co_await connect(timeout);
+    const bool connected = connection != nullptr;
+    if (connected)
+        returnConnection(std::move(connection));
+    co_return connected;
+}
+
 void ServerPool::closeIdleConnections() { m_idleConnections.clear(); }
 
 }
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -86,8 +86,9 @@
 
     // --- Connections. Null: the connection attempt failed.
     boost::asio::awaitable<ConnectionPointer> acquireConnection(bool idempotent, Millis timeout);
-    boost::asio::awaitable<ConnectionPointer> connect(Millis timeout); // opens a new connection
     void returnConnection(ConnectionPointer);
+    // Opens a new connection and keeps it for the next request. False: none could be opened.
+    boost::asio::awaitable<bool> tryConnect(Millis timeout);
     // Whether an idle connection would be used for any request. It may still turn out to be closed.
     bool hasConnection(Instant now) const;
     void closeIdleConnections(); // for a server that became unresponsive: its connections may be dead
@@ -100,6 +101,7 @@
         bool shed = false;
     };
 
+    boost::asio::awaitable<ConnectionPointer> connect(Millis timeout); // opens a new connection
     void admitQueued();
     void notifyShed();
     bool usable(const BackendConnection&, bool idempotent, Instant now) const;
--- a/packages/base/ErrorKind.h
+++ b/packages/base/ErrorKind.h
@@ -58,6 +58,7 @@
     Ran ran = Ran::No;
     bool retryAfter = false; // whether the response says when to retry
     bool retryable = false; // whether a retry may succeed; retrying a non-idempotent request also requires Ran::No
+    bool restsOnRules = false; // final for a caller, but a newer document of the operators may say otherwise
 };
 
 const ErrorInfo& errorInfo(ErrorKind);
--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -239,7 +239,10 @@
 
 asio::awaitable<ErrorKind> CallerSession::readHeader(Parser& parser)
 {
+    m_limitsRevision = m_context->limits.rulesRevision;
     parser.header_limit(static_cast<uint32_t>(m_context->limits.headerBytes));
+    // admit() sets the limit of the service. Beast's own, 1 MiB, would refuse larger bodies by their header.
+    parser.body_limit(boost::none);
     m_requestDeadline = m_context->clock.now() + m_context->limits.headerTimeout;
     m_timedOut = false;
     const auto [error, bytesRead] = co_await http::async_read_header(m_stream, m_buffer, parser, token);
@@ -247,12 +250,21 @@
         co_return ErrorKind::None;
     if (m_timedOut)
         co_return ErrorKind::RequestTimeout;
-    co_return isParseError(error) ? readErrorKind(error) : ErrorKind::ConnectionLost;
+    co_return isParseError(error) ? sizeError(readErrorKind(error)) : ErrorKind::ConnectionLost;
+}
+
+// The handler decides whether an error is final by the document that it has now. If the limit is from an earlier one,
+// nobody has compared the request with the present limit.
+ErrorKind CallerSession::sizeError(ErrorKind error) const
+{
+    const bool outdated = m_limitsRevision != m_context->limits.rulesRevision;
+    return outdated && errorInfo(error).restsOnRules ? ErrorKind::NotFresh : error;
 }
 
 // Decides from the header alone whether to read the body.
 ErrorKind CallerSession::admit(Parser& parser, Exchange& exchange)
 {
+    m_limitsRevision = m_context->limits.rulesRevision;
     const RequestPolicy policy = m_context->handler.requestPolicy(parser.get().base());
     if (policy.error != ErrorKind::None)
         return policy.error;
@@ -283,7 +295,7 @@
         const auto [error, bytesRead] = co_await http::async_read_some(m_stream, m_buffer, parser, token);
         if (error)
             co_return m_timedOut      ? ErrorKind::RequestTimeout
-                : isParseError(error) ? readErrorKind(error)
+                : isParseError(error) ? sizeError(readErrorKind(error))
                                       : ErrorKind::ConnectionLost;
     }
     m_context->bodyBytes.add(parser.get().body().size());
@@ -335,7 +347,7 @@
         const bool head = parser.get().method() == http::verb::head;
         answer(std::move(exchange), head,
             healthCheck ? healthResponse(m_context->handler.ready() && !m_context->draining)
-                        : m_context->handler.errorResponse(requestError));
+                        : m_context->handler.errorResponse(requestError, parser.get().base()));
     } else {
         exchange->request = parser.release();
         const bool started = co_await startInTurn(std::move(exchange));
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -105,6 +105,8 @@
     boost::asio::awaitable<ErrorKind> readHeader(Parser&);
     boost::asio::awaitable<ErrorKind> readBody(Parser&, BodyReservation&);
     ErrorKind admit(Parser&, Exchange&);
+    // NotFresh in place of a request that is too large by a limit that has been replaced since.
+    ErrorKind sizeError(ErrorKind) const;
     boost::asio::awaitable<void> linger();
     bool mayReadOn() const;
     bool mayStart(const Exchange&) const;
@@ -130,6 +132,7 @@
     Exchanges m_exchanges; // in the order of the requests
     Signal m_progress; // notified when a response has been written or the connection ends
     ReadState m_readState = ReadState::None;
+    int64_t m_limitsRevision = 0; // CallerLimits::rulesRevision, of the limit for the part that is being read
     Instant m_requestDeadline {}; // for the next part of the request that is being read
     bool m_timedOut = false; // the read in progress was ended at its deadline
     bool m_writing = false;
--- a/packages/resources/Settings.cpp
+++ b/packages/resources/Settings.cpp
@@ -113,6 +113,7 @@
         gateway.minStoreLease = readSeconds(reader, "shortestLeaseSeconds", 0, gateway.minStoreLease);
         gateway.leaveTimeout = readSeconds(reader, "leaveWithinSeconds", 0.1, gateway.leaveTimeout);
         gateway.evacuationTimeout = readSeconds(reader, "evacuateWithinSeconds", 0.1, gateway.evacuationTimeout);
+        gateway.rulesDeadline = readSeconds(reader, "rulesWithinSeconds", 0.1, gateway.rulesDeadline);
         gateway.shutdownGrace = readSeconds(reader, "graceSeconds", 1, gateway.shutdownGrace);
         gateway.fingerprintKey = reader.text("fingerprintKey", false);
         gateway.retryRatio = reader.real("retryRatio", 0, 1, gateway.retryRatio);
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -52,6 +52,8 @@
     Millis minStoreLease { 1'000 }; // shortest lease that the store accepts
     Millis leaveTimeout { 2'000 }; // from a server's leave notice until no new request may reach it
     Millis evacuationTimeout { 5'000 }; // from an evacuation order until no new request may reach the data centre
+    // From the store's acknowledgement of the operators' document until it must be in force on all hosts.
+    Millis rulesDeadline { 2'000 };
     Millis shutdownGrace { 6'000 }; // from the request to stop to the end of the process
     // Key for the fingerprints of requests that crash servers, in logs and in the store; the same on all hosts.
     std::string fingerprintKey;
--- a/packages/routing/RequestHeaders.cpp
+++ b/packages/routing/RequestHeaders.cpp
@@ -7,9 +7,10 @@
 namespace {
 
     constexpr std::array<std::string_view, 3> connectionHeaders { "Connection", "Keep-Alive", "Proxy-Connection" };
-    constexpr std::array<std::string_view, 16> requestOnlyHeaders { "TE", "Trailer", "Upgrade", "Expect", ranHeader,
+    constexpr std::array<std::string_view, 18> requestOnlyHeaders { "TE", "Trailer", "Upgrade", "Expect", ranHeader,
         errorHeader, requestIdHeader, fenceHeader, rangeHeader, deadlineHeader, timeoutHeader, hostHeader,
-        forwardedByHeader, forwardedCallerHeader, forwardedServiceHeader, forwardedSendsHeader };
+        forwardedByHeader, forwardedCallerHeader, forwardedServiceHeader, forwardedRulesHeader, forwardedSendsHeader,
+        reachQueryHeader };
 
     std::string_view segmentOf(std::string_view path, unsigned index)
     {
@@ -24,6 +25,8 @@
 
 }
 
+std::string_view hostOf(std::string_view header) { return header.substr(0, header.find(':')); }
+
 std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 std::string_view keyOf(const ServiceResource& service, const CallerRequest& request)
--- a/packages/routing/RequestHeaders.h
+++ b/packages/routing/RequestHeaders.h
@@ -21,11 +21,14 @@
 constexpr std::string_view forwardedByHeader = "Cumindale-Forwarded-By"; // host that forwards the request to another
 constexpr std::string_view forwardedCallerHeader = "Cumindale-Forwarded-Caller"; // the caller's IP address
 constexpr std::string_view forwardedServiceHeader = "Cumindale-Forwarded-Service"; // that the first host has chosen
+constexpr std::string_view forwardedRulesHeader = "Cumindale-Forwarded-Rules"; // revision of the first host's document
 constexpr std::string_view forwardedSendsHeader = "Cumindale-Forwarded-Sends"; // attempts so far
 constexpr std::string_view forwardResultHeader = "Cumindale-Forward-Result"; // on responses; see ForwardHeaders.h
+constexpr std::string_view reachQueryHeader = "Cumindale-Reaches"; // between hosts; see ReachQueries.h
 constexpr std::string_view relayedHeader = "Cumindale-Relayed"; // relaying host, which can't reach the owner
 
 std::string_view pathOf(std::string_view target); // target without its query string
+std::string_view hostOf(std::string_view header); // the value of Host without the port
 std::string_view keyOf(const ServiceResource&, const CallerRequest&); // empty if the key is missing
 void stripForServer(CallerRequest&); // removes internal and hop-by-hop headers
 void stripForCaller(CallerResponse&); // removes hop-by-hop headers
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -213,9 +213,17 @@
     });
 }
 
-CallerResponse Router::errorResponse(ErrorKind kind)
+// Without valid leases this host may have missed a newer configuration, and the host that relays a request has found it
+// to be proper by a configuration that may be newer than the one here.
+ErrorKind Router::confirmedError(ErrorKind error, const CallerHeader& header) const
 {
-    return m_errorResponses.make(kind, withJitter(Millis(500)), false);
+    const bool isFinal = ready() && !header.count(relayedHeader);
+    return errorInfo(error).restsOnRules && !isFinal ? ErrorKind::NotFresh : error;
+}
+
+CallerResponse Router::errorResponse(ErrorKind kind, const CallerHeader& header)
+{
+    return m_errorResponses.make(confirmedError(kind, header), withJitter(Millis(500)), false);
 }
 
 ErrorKind Router::prepare(CallerRequest& request, Job& job) const
@@ -251,7 +259,7 @@
     job.arrivedMicros = m_clock.monotonicMicros();
     const ErrorKind fault = prepare(request, job);
     if (fault != ErrorKind::None)
-        co_return errorResponse(fault);
+        co_return errorResponse(fault, request.base());
     m_budgets.at(job.service->name).deposit();
     CallerResponse response = co_await runWithRetries(job);
     const int64_t total = m_clock.monotonicMicros() - job.arrivedMicros;
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -42,7 +42,7 @@
     // --- From callers
     RequestPolicy requestPolicy(const CallerHeader&) override;
     boost::asio::awaitable<CallerResponse> handle(CallerRequest&, CallerConnection&) override;
-    CallerResponse errorResponse(ErrorKind) override;
+    CallerResponse errorResponse(ErrorKind, const CallerHeader&) override;
     bool ready() const override;
 
 private:
@@ -71,6 +71,8 @@
     Destination locate(const std::string& service, uint64_t point) const;
 
     ErrorKind prepare(CallerRequest&, Job&) const;
+    // NotFresh in place of an error that is final by a configuration which may not be the newest.
+    ErrorKind confirmedError(ErrorKind, const CallerHeader&) const;
     boost::asio::awaitable<CallerResponse> runWithRetries(Job&);
     boost::asio::awaitable<ErrorKind> attempt(Job&, CallerResponse&); // one dispatch; None if it set the response
     boost::asio::awaitable<ExchangeResult> dispatch(Job&, const Destination&, SendTime, BackendConnection&);
