--- a/apps/cumindaled/Duties.cpp
+++ b/apps/cumindaled/Duties.cpp
@@ -37,19 +37,6 @@
     return applied;
 }
 
-CallerLimits forwardLimits(const CallerLimits& callers)
-{
-    constexpr size_t memoryDivisor = 4; // of the memory for requests of this host's own callers
-    CallerLimits limits = callers;
-    limits.bodyMemory /= memoryDivisor;
-    limits.responseMemory /= memoryDivisor;
-    limits.pipelinedRequests = 1;
-    // Each forwarding host has as many connections as requests at a time.
-    constexpr size_t maxConnections = 1'000;
-    limits.connections = std::min(limits.connections, maxConnections);
-    return limits;
-}
-
 asio::awaitable<void> drainForwarded(CallerServer& server)
 {
     constexpr Millis idleBeforeClose { 200 };
--- a/apps/cumindaled/Duties.h
+++ b/apps/cumindaled/Duties.h
@@ -15,7 +15,6 @@
 
 void runEventLoop(boost::asio::io_context&); // returns when the context is stopped
 CallerLimits callerLimits(const Settings&);
-CallerLimits forwardLimits(const CallerLimits&); // for requests that other hosts forward
 
 struct DrainTiming {
     Millis balancerDelay { 2'000 }; // how long new connections may arrive after the health check fails
--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -3,6 +3,7 @@
 #include "Duties.h"
 #include "base/Log.h"
 #include "base/Ring.h"
+#include "gateway/ForwardHeaders.h"
 #include "gateway/ForwardedRequestHandler.h"
 #include "gateway/Gateway.h"
 #include "gateway/GatewayControl.h"
@@ -158,6 +159,7 @@
         void applyBounds(const CallerBounds& bounds)
         {
             CallerLimits limits = callerLimits(m_settings);
+            limits.rulesRevision = bounds.revision;
             limits.headerBytes = bounds.headerBytes;
             limits.headerTimeout = bounds.headerTimeout;
             // Callers may send a request until the idle limit. Closing the connection exactly then could race with one.
--- a/packages/gateway/Announcer.cpp
+++ b/packages/gateway/Announcer.cpp
@@ -25,10 +25,11 @@
     // Large values are deflated. The document of routes, which is sent to every host, has a megabyte and shrinks to a
     // tenth. Uncompressed, a relay with ten members behind a small link would need more time to forward it than a
     // configuration may take to be in force.
-    ItemChange changeOf(const WatchEvent& event)
+    ItemChange changeOf(const WatchEvent& event, Instant now)
     {
         constexpr size_t minBytesToDeflate = 4'096; // servers' entries have some 300 bytes
-        ItemChange change { event.value.key, event.value.value, event.value.modRevision, event.erased };
+        ItemChange change { event.value.key, event.value.value, event.value.modRevision, event.erased,
+            now - event.value.age };
         if (change.value.size() > minBytesToDeflate) {
             change.plainBytes = change.value.size();
             change.value = deflated(change.value);
@@ -36,7 +37,12 @@
         return change;
     }
 
-    std::vector<wire::StoreItem> itemsOf(const std::vector<ItemChange>& changes)
+    int32_t millisSince(Instant past, Instant now)
+    {
+        return static_cast<int32_t>(std::clamp<int64_t>((now - past).count(), 0, INT32_MAX));
+    }
+
+    std::vector<wire::StoreItem> itemsOf(const std::vector<ItemChange>& changes, Instant now)
     {
         std::vector<wire::StoreItem> items;
         items.reserve(changes.size());
@@ -48,15 +54,18 @@
             item.erased = change.erased;
             item.plainBytes = static_cast<int32_t>(change.plainBytes);
             item.leftOutBytes = static_cast<int32_t>(change.leftOutBytes);
+            item.ageMillis = millisSince(change.writtenBy, now);
         }
         return items;
     }
 
 }
 
-Announcer::Announcer(asio::any_io_executor executor, const Clock& clock, Counter& bytesSent)
-    : m_news(std::move(executor), clock, bytesSent)
-    , m_history(historyOptions)
+Announcer::Announcer(asio::any_io_executor executor, const Clock& clock, Counter& bytesSent, KeyPredicate isDocument)
+    : m_clock(clock)
+    , m_isDocument(std::move(isDocument))
+    , m_news(std::move(executor), clock, bytesSent)
+    , m_history(historyOptions, m_isDocument)
 {
 }
 
@@ -66,7 +75,11 @@
         report.sender, report.address, report.dataCentre, report.strengthCenti / centi, report.readsPacked);
 }
 
-void Announcer::removeHost(std::string_view host) { m_news.removeHost(host); }
+void Announcer::removeHost(std::string_view host)
+{
+    m_news.removeHost(host);
+    m_documentRepeats.forget(host);
+}
 
 void Announcer::onTermEnded()
 {
@@ -74,24 +87,27 @@
     m_published.clear();
     m_packed.clear();
     m_recentChanges.clear();
+    m_documentRepeats.clear();
 }
 
 void Announcer::onStoreChanges(
     int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>& events, bool isLeader)
 {
+    const Instant now = m_clock.now();
     std::vector<ItemChange> changes;
     changes.reserve(events.size());
     for (const auto& event : events)
-        changes.push_back(changeOf(event));
+        changes.push_back(changeOf(event, now));
     m_history.add(afterChange, lastChange, changes);
+    for (const auto& change : changes) {
+        if (m_isDocument(change.key) && change.revision > m_document.revision)
+            m_document = change;
+    }
     if (!isLeader)
         return;
     // News reach the hosts within a few ms and without load on the store.
-    wire::News news;
-    news.afterChange = afterChange;
-    news.lastChange = lastChange;
-    news.items = itemsOf(changes);
-    m_news.publish(news);
+    for (const auto& news : divideNews(afterChange, lastChange, itemsOf(changes, now), m_isDocument))
+        m_news.publish(news);
 }
 
 bool Announcer::hasPublished(const std::string& service, uint64_t edition) const
@@ -157,9 +173,13 @@
 {
     // Without these changes the host would have to read the whole store, which takes a small link longer than the
     // interval between changes.
-    const auto missed = m_history.changesSince(report.lastChange, report.readsPacked ? SIZE_MAX : maxUnpackedBytes);
-    if (missed && !missed->empty())
-        addMissedItems(*missed, report, mayBeLarge, advice);
+    if (!mayBeLarge || !report.readsPacked || !addKeptPack(report, advice)) {
+        const auto missed = m_history.changesSince(report.lastChange, report.readsPacked ? SIZE_MAX : maxUnpackedBytes);
+        if (!missed)
+            addMissedDocument(report, advice);
+        else if (!missed->empty())
+            addMissedItems(*missed, report, mayBeLarge, advice);
+    }
     for (const auto& [name, table] : tables) {
         const auto held = std::find_if(report.services.begin(), report.services.end(),
             [&wanted = name](const wire::ServiceUse& service) { return service.serviceName == wanted; });
@@ -171,26 +191,66 @@
     }
 }
 
-void Announcer::addMissedItems(const std::vector<ItemChange>& missed, const wire::HostReport& report, bool mayBeLarge,
-    wire::HostAdvice& advice) const
+// The document alone, for a host that can't be sent all it has missed. It counts as no change that the host has
+// received: a later answer, or a read of the store, brings the others.
+void Announcer::addMissedDocument(const wire::HostReport& report, wire::HostAdvice& advice)
+{
+    const bool isMissed
+        = report.rulesKnown ? report.rulesKnown < m_document.revision : report.lastChange < m_document.revision;
+    if (!isMissed || m_document.key.empty())
+        return;
+    const DocumentRequest request { report.sender, report.rulesKnown, m_document.revision, m_document.value.size() };
+    if (!m_documentRepeats.mayRepeat(request, m_clock.now()))
+        return;
+    wire::News& news = advice.missed;
+    news.items = itemsOf({ m_document }, m_clock.now());
+    news.afterChange = report.lastChange;
+    news.lastChange = report.lastChange;
+}
+
+void Announcer::addMissedItems(
+    const std::vector<ItemChange>& missed, const wire::HostReport& report, bool mayBeLarge, wire::HostAdvice& advice)
 {
     wire::News& news = advice.missed;
-    news.items = itemsOf(missed);
+    news.items = itemsOf(missed, m_clock.now());
     const size_t bytes = bytesOf(news.items);
     // When a fleet starts, servers register while hosts read the store, and each host has missed hundreds of entries.
     if (!mayBeLarge && report.readsPacked && bytes > minBytesToPack) {
         news.items.clear();
         advice.missedLater = true;
+        addMissedDocument(report, advice);
         return;
     }
     news.afterChange = report.lastChange;
     news.lastChange = m_history.last();
     if (report.readsPacked && bytes > minBytesToPack) {
-        news.packedItems.push_back(packItems(news.items));
+        keepPack(report.lastChange, news.items);
         news.items.clear();
+        addKeptPack(report, advice);
     }
 }
 
+bool Announcer::addKeptPack(const wire::HostReport& report, wire::HostAdvice& advice)
+{
+    const auto kept = m_packedUpTo == m_history.last() ? m_packedSince.find(report.lastChange) : m_packedSince.end();
+    if (kept == m_packedSince.end())
+        return false;
+    wire::News& news = advice.missed;
+    news.afterChange = report.lastChange;
+    news.lastChange = m_history.last();
+    news.packedItems.push_back(kept->second.items);
+    news.packedItems.back().ageMillis = millisSince(kept->second.at, m_clock.now());
+    return true;
+}
+
+void Announcer::keepPack(int64_t knownRevision, const std::vector<wire::StoreItem>& items)
+{
+    constexpr size_t maxKept = 8; // each may be as large as the whole history
+    if (std::exchange(m_packedUpTo, m_history.last()) != m_history.last() || m_packedSince.size() >= maxKept)
+        m_packedSince.clear();
+    m_packedSince[knownRevision] = { packItems(items), m_clock.now() };
+}
+
 // Most hosts that know an older table lack only its last change, or are about to receive it. They are sent the changes
 // since their edition, others the whole table.
 void Announcer::addTableUpdate(const GrantTable& table, const wire::HostReport& report, const TableEdition& known,
--- a/packages/gateway/Announcer.h
+++ b/packages/gateway/Announcer.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include "decisions/ChangeHistory.h"
+#include "decisions/DocumentRepeats.h"
 #include "decisions/GrantTable.h"
 #include "gateway/NewsFanout.h"
 #include "peers/Coordination.h"
 #include "store/Store.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,7 +22,10 @@
 public:
     using Tables = std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>>; // by service
 
-    Announcer(boost::asio::any_io_executor, const Clock&, Counter& bytesSent);
+    using KeyPredicate = std::function<bool(std::string_view key)>;
+
+    // `isDocument`: whether the item of this key is the operators' document, which never waits behind other items.
+    Announcer(boost::asio::any_io_executor, const Clock&, Counter& bytesSent, KeyPredicate isDocument);
 
     // --- Recipients
     void updateHost(const wire::HostReport&);
@@ -50,12 +55,26 @@
 
     void addTableUpdate(
         const GrantTable&, const wire::HostReport&, const TableEdition& known, bool mayBeLarge, wire::HostAdvice&);
-    void addMissedItems(
-        const std::vector<ItemChange>&, const wire::HostReport&, bool mayBeLarge, wire::HostAdvice&) const;
+    void addMissedItems(const std::vector<ItemChange>&, const wire::HostReport&, bool mayBeLarge, wire::HostAdvice&);
+    void addMissedDocument(const wire::HostReport&, wire::HostAdvice&);
     const wire::PackedTable& packed(const GrantTable&); // made once for each edition
+    bool addKeptPack(const wire::HostReport&, wire::HostAdvice&); // false: none is kept of what the host has missed
+    void keepPack(int64_t knownRevision, const std::vector<wire::StoreItem>&);
 
+    const Clock& m_clock;
+    KeyPredicate m_isDocument;
     NewsFanout m_news;
     ChangeHistory m_history;
+    // Of the changes after the revision up to m_packedUpTo. Hosts that have missed the same changes ask at about the
+    // same time.
+    struct PackedChanges {
+        wire::PackedItems items;
+        Instant at {};
+    };
+    std::map<int64_t, PackedChanges> m_packedSince;
+    int64_t m_packedUpTo = 0;
+    ItemChange m_document; // the newest one that is known; no key: none
+    DocumentRepeats m_documentRepeats;
     std::map<std::string, GrantTable> m_published; // by service, as sent to the hosts
     struct PackedEdition {
         TableEdition edition;
--- a/packages/gateway/BrokerAnnouncer.cpp
+++ b/packages/gateway/BrokerAnnouncer.cpp
@@ -1,7 +1,6 @@
 #include "gateway/BrokerAnnouncer.h"
 
 #include "base/Log.h"
-#include "decisions/FleetTiming.h"
 #include "gateway/TermEdition.h"
 
 #include <algorithm>
@@ -11,11 +10,6 @@
 
 namespace {
 
-    // Each change moves pools, whose new brokers know no requests yet. A plan costs as much as there are hosts, and
-    // while a fleet starts there is a new host with most reports.
-    constexpr Millis minPlanInterval { 1'000 };
-    constexpr int reportsToWaitFor = 2; // one may be lost
-
     std::vector<Broker> plannedAmong(const ReportingHosts& hosts)
     {
         std::vector<BrokerCandidate> candidates;
@@ -36,7 +30,7 @@
 void BrokerAnnouncer::beginTerm(int64_t term, std::set<std::string, std::less<>> listedHosts, Instant now)
 {
     m_term = term;
-    m_termBegan = now;
+    m_updates.beginTerm(now);
     m_listedHosts = std::move(listedHosts);
     m_edition = 0;
     m_brokers.clear();
@@ -45,8 +39,7 @@
 // The list would shrink at each change of the coordinator, and grow again, if it were planned from the first reports.
 bool BrokerAnnouncer::heardFromMostHosts(const ReportingHosts& hosts, Instant now) const
 {
-    const Millis interval = fleetTiming(std::max(m_listedHosts.size(), hosts.size())).reportInterval;
-    if (now - m_termBegan >= reportsToWaitFor * interval)
+    if (m_updates.hasHeardFrom(std::max(m_listedHosts.size(), hosts.size()), now))
         return true;
     return !m_listedHosts.empty() && std::all_of(m_listedHosts.begin(), m_listedHosts.end(), [&](const auto& name) {
         return hosts.all().count(name) > 0;
@@ -58,10 +51,8 @@
     const bool planned = m_edition > 0;
     if (!planned && !heardFromMostHosts(hosts, now))
         return;
-    if (planned && (hosts.edition() == m_plannedFor || now - m_plannedAt < minPlanInterval))
+    if (!m_updates.isDue(hosts, now))
         return;
-    m_plannedFor = hosts.edition();
-    m_plannedAt = now;
     auto brokers = plannedAmong(hosts);
     if (planned && brokers == m_brokers)
         return;
--- a/packages/gateway/BrokerAnnouncer.h
+++ b/packages/gateway/BrokerAnnouncer.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "decisions/BrokerPlan.h"
-#include "gateway/ReportingHosts.h"
+#include "gateway/HostListUpdates.h"
 
 #include <cstdint>
 #include <set>
@@ -23,13 +23,14 @@
     bool heardFromMostHosts(const ReportingHosts&, Instant now) const;
     void update(const ReportingHosts&, Instant now);
 
+    // Each change moves pools, whose new brokers know no requests yet.
+    static constexpr Millis minPlanInterval { 1'000 };
+
     int64_t m_term = 0;
-    Instant m_termBegan {};
     std::set<std::string, std::less<>> m_listedHosts;
     uint64_t m_edition = 0; // of m_brokers, in this term; 0: none planned yet
     std::vector<Broker> m_brokers; // ordered by name
-    Instant m_plannedAt {};
-    uint64_t m_plannedFor = 0; // ReportingHosts::edition() of the last plan
+    HostListUpdates m_updates { minPlanInterval };
 };
 
 }
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -18,6 +18,7 @@
 #include "gateway/PlatformView.h"
 #include "gateway/ReportingHosts.h"
 #include "gateway/ServerShares.h"
+#include "gateway/StandbyAnnouncer.h"
 #include "peers/Coordination.h"
 #include "web/HttpClient.h"
 #include "web/Signal.h"
@@ -67,6 +68,8 @@
     void setCutOff(bool); // this host reaches no server
     bool hasSteppedDownRecently() const; // since it reached too few servers, while other hosts do
     wire::HostAdvice onReport(const wire::HostReport&, bool mayBeLarge); // `mayBeLarge`: as for the Announcer
+    // What a host that awaits a coordinator has missed, as far as this host knows, whether it is the leader or not.
+    wire::HostAdvice missedChanges(const wire::HostReport&, bool mayBeLarge);
     void onEvents(int64_t afterChange, const std::vector<WatchEvent>&); // forwards changes in the store to all hosts
     // Records changes that the present coordinator relays, for the case that this host succeeds it. `complete`: none of
     // the changes after `afterChange` up to `lastChange` is left out.
@@ -163,6 +166,7 @@
     ReportingHosts m_hosts;
     BrokerAnnouncer m_brokers;
     ForwardAnnouncer m_forwardTargets;
+    StandbyAnnouncer m_standbys;
     bool m_cutOff = false;
     Instant m_cutOffSince {};
     ServerReach m_orderReach; // from orders in this term
--- a/packages/gateway/ForwardAnnouncer.h
+++ b/packages/gateway/ForwardAnnouncer.h
@@ -3,23 +3,23 @@
 #pragma once
 
 #include "decisions/ForwardTargets.h"
-#include "gateway/ReportingHosts.h"
+#include "gateway/HostListUpdates.h"
 
 namespace cumindale {
 
 class ForwardAnnouncer {
 public:
-    void beginTerm(Instant now);
+    void beginTerm(Instant now) { m_updates.beginTerm(now); }
     // Adds the reporter's list to the advice unless it knows the list.
     void addTargets(const wire::HostReport&, const ReportingHosts&, Instant now, wire::HostAdvice&);
 
 private:
     void update(const ReportingHosts&, Instant now);
 
+    static constexpr Millis minPlanInterval { 100 };
+
     ForwardPlan m_plan;
-    Instant m_termBegan {};
-    Instant m_plannedAt {};
-    uint64_t m_plannedFor = 0; // ReportingHosts::edition() of the plan
+    HostListUpdates m_updates { minPlanInterval };
 };
 
 }
--- a/packages/gateway/ForwardHeaders.h
+++ b/packages/gateway/ForwardHeaders.h
@@ -17,6 +17,7 @@
     std::string host; // that forwards the request
     std::string caller; // IP address of the caller
     std::string service; // that the first host has chosen
+    int64_t rulesRevision = 0; // of the document by which it has; 0: of a version that doesn't say
     unsigned sends = 0; // to servers before, which count against the route's maximum
 };
 
@@ -24,8 +25,10 @@
 struct ForwardResult {
     ErrorKind error = ErrorKind::None; // of a response that the receiving host made itself
     unsigned sends = 0; // to servers, earlier ones included
+    std::string server; // that it was last sent to, or could not be reached; empty: the host has tried none
 };
 
+CallerLimits forwardLimits(const CallerLimits& callers); // for requests that other hosts forward
 void setForwardHeaders(CallerRequest&, const ForwardedRequest&);
 ForwardedRequest takeForwardHeaders(CallerRequest&); // and removes them
 void setForwardResult(CallerResponse&, const ForwardResult&);
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -92,8 +92,6 @@
         return joined;
     }
 
-    std::string_view hostOf(std::string_view header) { return header.substr(0, header.find(':')); }
-
     uint64_t numberIn(std::string_view text, uint64_t otherwise)
     {
         uint64_t number = 0;
@@ -120,7 +118,7 @@
     , m_forwardedServed(metrics.counter("requests_forwarded_here"))
     , m_crashes(
           executor, clock, metrics, { m_options.settings.fingerprintKey, m_options.connectTimeout },
-          [this] { reportEarly(); }, [this] { return m_reach.checkCutOff(); })
+          [this] { reportEarly(); }, [this](std::string server) { return confirmServerGone(std::move(server)); })
     , m_log(clock, metrics, m_crashes)
     , m_servers(m_executor, clock, m_options.host, m_options.dataCentre,
           [this](const Upstream& server) { m_crashes.recordServerGone(server, "the server's entry was removed"); })
@@ -129,6 +127,8 @@
     , m_reach(m_executor, clock, m_servers, metrics, m_options.connectTimeout,
           [this](bool cutOff) { onReachChange(cutOff); })
     , m_forwarder(m_executor, clock, m_options.dataCentre, m_options.connectTimeout, metrics)
+    , m_queries(m_executor, clock, m_forwarder, m_options.connectTimeout,
+          [this](std::string_view server) { m_reach.recordAnswerElsewhere(server); })
     , m_changed(executor)
     , m_urgentReport(executor)
 {
@@ -141,10 +141,11 @@
     m_lastReport = m_clock.now();
     m_slots.start();
     m_reach.start();
+    m_queries.start();
     spawnLoop(m_executor, "reports", reportLoop());
 }
 
-bool Gateway::ready() const { return m_rules != nullptr; }
+bool Gateway::ready() const { return m_rules && m_hasReadStore; }
 
 // --- From control
 
@@ -156,6 +157,9 @@
         m_boundsSink(m_rules->bounds);
         m_servers.setRules(m_rules);
     }
+    m_hasReadStore = m_hasReadStore || update.hasReadStore;
+    if (update.rulesValidity)
+        m_rulesValidity = *update.rulesValidity;
     if (!update.servers.empty() || update.allServers) {
         m_servers.apply(update.servers, update.allServers);
         m_registeredRevision = update.serversAsOf;
@@ -219,22 +223,6 @@
 
 // --- Requests
 
-RequestPolicy Gateway::requestPolicy(const CallerHeader& header)
-{
-    if (!m_rules)
-        return { ErrorKind::NotFresh, 0 };
-    const HostRoute* route = m_rules->match(hostOf(header[http::field::host]), pathOf(header.target()));
-    if (!route)
-        return { ErrorKind::UnknownService, 0 };
-    return { ErrorKind::None, m_rules->bounds.bodyBytes, route->idempotent() };
-}
-
-CallerResponse Gateway::errorResponse(ErrorKind kind)
-{
-    return ErrorResponses(m_metrics, RetryAfterFormat::FractionalSeconds)
-        .make(kind, withJitter(m_options.moveWait), false);
-}
-
 RetryBudget& Gateway::budgetOf(const std::string& service)
 {
     const auto found = m_budgets.find(service);
@@ -263,7 +251,11 @@
     job.identity
         = hashOf(0, { job.callerAddress, request.method_string(), request[http::field::host], request.target() });
     if (!job.route)
-        return ErrorKind::UnknownService;
+        return confirmedError(ErrorKind::UnknownService, !job.forwardedBy.empty());
+    // The route has moved to another service by a document that this host lacks.
+    const bool hasMoved = !job.forwardedService.empty() && !job.route->hasService(job.forwardedService);
+    if (hasMoved && job.forwardedRules > m_rules->revision)
+        return ErrorKind::NotFresh;
     job.priority = classOf(*job.route);
     const auto timeLeft = numberIn(request[m_names.timeLeft], 0);
     const Millis callerTimeout = timeLeft ? Millis(timeLeft) : job.route->timeout;
@@ -377,11 +369,12 @@
     // requests after its time limit.
     const Instant now = m_clock.now();
     const auto overdue = [&](Instant since, Millis within) { return now - since > within - leaveMargin; };
-    const bool leaving = upstream->entry.leaving && overdue(upstream->leavingSince, m_options.settings.leaveTimeout);
+    const bool leaving
+        = upstream->entry.leaving && overdue(upstream->entry.leavingSince, m_options.settings.leaveTimeout);
     const bool announced = upstream->announcedLeaving()
         && now - upstream->announcedLeavingSince() > m_options.settings.leaveTimeout - announcedLeaveMargin;
     const bool evacuated
-        = upstream->entry.evacuated && overdue(upstream->evacuatedSince, m_options.settings.evacuationTimeout);
+        = upstream->entry.evacuated && overdue(upstream->entry.evacuatedSince, m_options.settings.evacuationTimeout);
     if (leaving || announced || evacuated)
         return { ErrorKind::NoOwner, nullptr, false };
     if (range->moving() && now < upstream->refusesKeysUntil)
@@ -409,7 +402,7 @@
         ServerCandidate candidate;
         candidate.usable = !server->isUnready(now)
             && std::find(job.tried.begin(), job.tried.end(), server->entry.id) == job.tried.end();
-        candidate.resting = server->failing(now) || server->entry.unconfirmed;
+        candidate.resting = server->failing(now) || server->entry.unconfirmed || m_reach.reachedThroughOthers(*server);
         candidate.sameDataCentre = server->entry.dataCentre == m_options.dataCentre;
         candidate.busy = admission.inFlight();
         candidate.waiting = static_cast<unsigned>(admission.queued());
@@ -608,7 +601,7 @@
         co_return ErrorKind::Moving;
     }
     if (mustForward(job, *server))
-        co_return co_await forward(job, response);
+        co_return co_await forward(job, *server, response);
     const Instant asked = m_clock.now();
     ErrorKind refused = ErrorKind::None;
     if (m_slots.appliesTo(*server, *job.rules, m_hosts, asked))
@@ -620,7 +613,7 @@
     const auto giveUp = [&] { releaseSlot(job, *server, Millis(0), false); };
     if (mustForward(job, *server)) { // the path was lost during the wait
         giveUp();
-        co_return co_await forward(job, response);
+        co_return co_await forward(job, *server, response);
     }
     auto connection = co_await server->pool.acquireConnection(job.route->idempotent(), m_options.connectTimeout);
     const bool newConnection = !connection || connection->lastResponseAt == Instant {};
@@ -629,12 +622,14 @@
     if (!connection) {
         giveUp();
         const bool cutOff = m_reach.cutOff() || co_await m_reach.confirmCutOff();
-        if (cutOff && mustForward(job, *server))
-            co_return co_await forward(job, response);
         if (!cutOff) {
             server->recordFailure(m_clock.now());
             server->connectFailed();
         }
+        if (mustForward(job, *server))
+            co_return co_await forward(job, *server, response);
+        if (startTrial(job, *server))
+            co_return co_await forwardTrial(job, *server, response);
         job.tried.push_back(server->entry.id);
         logRequest(job, "server-unreachable", ErrorKind::ServerUnreachable, server->entry.id);
         co_return ErrorKind::ServerUnreachable;
@@ -792,7 +787,7 @@
         const bool known = server.backingOff(now);
         server.backOffUntil(now + notice.retryAfter);
         m_metrics.counter("server_rests").add();
-        if (!known && m_log.mayLog())
+        if (!known && m_log.mayLog(ErrorKind::ServerResting))
             logChange(LogLevel::Info, "server-requested-backoff",
                 { { "server", id }, { "request", job.id }, { "restMs", notice.retryAfter.count() } });
     }
@@ -812,7 +807,7 @@
     const auto before = std::exchange(server.loggedLimit, limit);
     if (before.has_value() != limit.has_value())
         reportEarly();
-    if (before == limit || !m_log.mayLog())
+    if (before == limit || !m_log.mayLog(ErrorKind::ServerAtLimit))
         return;
     const std::string& id = server.entry.id;
     if (limit)
@@ -899,11 +894,11 @@
 
 void Gateway::logRequest(const Job& job, std::string_view event, ErrorKind error, std::string_view server)
 {
-    if (!m_log.mayLog())
+    if (!m_log.mayLog(error))
         return;
     const auto table = m_tables.find(job.service);
     const uint64_t edition = table == m_tables.end() ? 0 : table->second->edition.edition;
-    m_log.write(event, job, error, server, { m_registeredRevision, edition });
+    m_log.write(event, job, error, server, { m_registeredRevision, edition, rulesAgeMillis() });
 }
 
 // --- Reports
@@ -912,6 +907,8 @@
 {
     const Instant now = m_clock.now();
     GatewayReport report;
+    m_metrics.counter("rules_version").set(m_rules ? static_cast<uint64_t>(m_rules->version) : 0);
+    m_metrics.counter("rules_age_ms").set(static_cast<uint64_t>(std::max<int64_t>(0, rulesAgeMillis())));
     report.period = now - std::exchange(m_lastReport, now);
     report.lastSharesNumber = m_lastSharesNumber;
     report.urgent = std::exchange(m_reportIsUrgent, false);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -11,9 +11,11 @@
 #include "decisions/RetryBudget.h"
 #include "decisions/RouteRules.h"
 #include "decisions/WarmUp.h"
+#include "gateway/ForwardHeaders.h"
 #include "gateway/Messages.h"
 #include "gateway/PeerForwarder.h"
 #include "gateway/PlatformAdapter.h"
+#include "gateway/ReachQueries.h"
 #include "gateway/RequestCrashes.h"
 #include "gateway/RequestLog.h"
 #include "gateway/ServerReachMonitor.h"
@@ -60,12 +62,13 @@
     // --- From callers
     RequestPolicy requestPolicy(const CallerHeader&) override;
     boost::asio::awaitable<CallerResponse> handle(CallerRequest&, CallerConnection&) override;
-    CallerResponse errorResponse(ErrorKind) override;
+    CallerResponse errorResponse(ErrorKind, const CallerHeader&) override;
     bool ready() const override;
 
     // --- From other hosts, which have no path to the servers
     boost::asio::awaitable<CallerResponse> handleForwarded(CallerRequest&, CallerConnection&);
-    CallerResponse forwardedErrorResponse(ErrorKind);
+    CallerResponse forwardedErrorResponse(ErrorKind, const CallerHeader&);
+    boost::asio::awaitable<CallerResponse> handleReachQuery(std::string server); // see ReachQueries.h
 
     std::string slotsText() const { return m_slots.statusText(); } // JSON, for operators
 
@@ -82,6 +85,9 @@
     void applyShares(const HostShares&);
     void evictMoved(const GrantTable& before, const GrantTable& after);
     ErrorKind prepare(Job&);
+    // NotFresh in place of an error that is final by rules which may not be the newest.
+    ErrorKind confirmedError(ErrorKind, bool forwarded) const;
+    CallerResponse refuseUnhandled(ErrorKind, const CallerHeader&);
     Located locate(const Job&);
     Located locateKey(const Job&);
     Located chooseByLoad(const Job&);
@@ -101,9 +107,12 @@
     void releaseSlot(Job&, Upstream&, Millis took, bool refused);
     SlotRequest slotRequestOf(const Job&) const;
     bool mustForward(const Job&, const Upstream&) const; // this host has no path to the server
-    boost::asio::awaitable<ErrorKind> forward(Job&, CallerResponse&);
-    ErrorKind recordForwarded(Job&, const ForwardTarget&, ExchangeResult&);
+    bool startTrial(const Job&, const Upstream&); // whether to forward a request that found no path to the server
+    boost::asio::awaitable<ErrorKind> forwardTrial(Job&, const Upstream&, CallerResponse&);
+    boost::asio::awaitable<ErrorKind> forward(Job&, const Upstream&, CallerResponse&);
+    ForwardResult recordForwarded(Job&, const ForwardTarget&, ExchangeResult&);
     void onReachChange(bool cutOff);
+    boost::asio::awaitable<bool> confirmServerGone(std::string server); // that accepts no connection of this host
     boost::asio::awaitable<ErrorKind> exchange(Job&, Upstream&, ConnectionPointer, CallerResponse&);
     void applyNotice(const Job&, Upstream&, const BackendResponse&); // from the response's headers
     void applyAnnouncedLimit(const Job&, Upstream&, std::optional<PerSecond>); // no value: no limit announced
@@ -115,6 +124,7 @@
     double retryBurst() const; // maximum of unused retries that this host may accumulate
     RetryBudget& budgetOf(const std::string& service);
     void logRequest(const Job&, std::string_view event, ErrorKind, std::string_view server);
+    int64_t rulesAgeMillis() const; // since the rules were last known to be the newest; -1: never
 
     boost::asio::awaitable<void> reportLoop();
     void reportEarly();
@@ -137,10 +147,13 @@
     RequestCrashes m_crashes;
     RequestLog m_log;
     std::shared_ptr<const RouteRules> m_rules; // null until the first rules arrive
+    RulesValidity m_rulesValidity;
+    bool m_hasReadStore = false; // until then most servers may be unknown
     UpstreamRegistry m_servers;
     SlotExchange m_slots;
     ServerReachMonitor m_reach;
     PeerForwarder m_forwarder;
+    ReachQueries m_queries;
     std::set<BackendConnection*> m_idempotentExchanges; // with servers, in progress
     int64_t m_registeredRevision = 0; // GatewayUpdate::serversAsOf
     size_t m_hosts = 0; // number of hosts that share the servers; 0: not known yet
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -19,7 +19,6 @@
     constexpr Millis shortestReportInterval { 100 };
     // Fraction of the report interval that must pass before a report that asks for permits.
     constexpr double minReportIntervalFactor = 0.4;
-    constexpr Millis maxStoreSilence { 1'500 }; // beyond it at the coordinator, this host watches the store itself
     constexpr Millis connectionErrorTime { 100 }; // a report that fails sooner met a broken connection, not a timeout
     // Answers that wait for this host's link. With more than this a host's table follows with a later answer: when a
     // fleet starts, all hosts lack it at once. A strong host's link carries so much in a third of a second.
@@ -73,6 +72,7 @@
         event.value.key = item.key;
         event.value.value = item.value;
         event.value.modRevision = item.revision;
+        event.value.age = Millis(std::max(0, item.ageMillis));
         if (item.plainBytes > 0) {
             auto plain = inflated(item.value, static_cast<size_t>(item.plainBytes));
             if (!plain)
@@ -95,13 +95,22 @@
     , m_reportsFailed(metrics.counter("reports_failed"))
     , m_newsTaken(metrics.counter("news_taken"))
     , m_newsGaps(metrics.counter("news_gaps"))
-    , m_view(adapter, clock)
+    , m_awaitingAnswered(metrics.counter("awaiting_hosts_answered"))
+    , m_view(adapter, clock, settings.gateway->rulesDeadline)
     , m_follower(
           executor, clock, {}, store, m_view, metrics,
           [this](const PlatformView::Change& change) { onViewChange(change); },
           [this](int64_t afterChange, const std::vector<WatchEvent>& events) {
               m_coordinator.onEvents(afterChange, events);
           })
+    , m_rulesWatcher(executor, clock, adapter, store, m_view, metrics,
+          [this](const PlatformView::Change& change) {
+              m_follower.recordOtherAnswer();
+              onViewChange(change);
+          })
+    , m_standbyReader(
+          executor, clock, textOf(settings.host.peers), metrics, [this] { return makeStandbyReport(); },
+          [this](const wire::HostAdvice& advice, Instant askedAt) { return takeStandbyAnswer(advice, askedAt); })
     , m_election(executor, clock,
           electionOptions(
               settings, [this] { m_coordinator.wake(); }, [this] { return campaignDelay(); },
@@ -120,6 +129,8 @@
 {
     spawnLoop(m_executor, "store-follower", m_follower.run());
     spawnLoop(m_executor, "leader-watch", m_follower.watchLeader());
+    spawnLoop(m_executor, "rules-watcher", m_rulesWatcher.run());
+    spawnLoop(m_executor, "standby-reader", m_standbyReader.run());
     spawnLoop(m_executor, "election", m_election.run());
     spawnLoop(m_executor, "coordinator", m_coordinator.run());
     spawnLoop(m_executor, "reports", reportLoop());
@@ -139,10 +150,12 @@
 
 // --- Updates to the routing thread
 
-void GatewayControl::pushUpdate(GatewayUpdate update)
+bool GatewayControl::pushUpdate(GatewayUpdate update)
 {
-    if (!m_updateSink(std::move(update)))
-        m_pushFailed = true; // the full state is sent after the next report
+    update.hasReadStore = m_follower.hasSnapshot();
+    const bool pushed = m_updateSink(std::move(update));
+    m_pushFailed |= !pushed; // the full state is sent after the next report
+    return pushed;
 }
 
 void GatewayControl::pushFullUpdate()
@@ -150,6 +163,7 @@
     m_pushFailed = false;
     GatewayUpdate update;
     update.rules = m_view.rules();
+    update.rulesValidity = m_rulesValidity = m_view.rulesFreshness().validity();
     update.servers = m_view.allServers();
     update.allServers = true;
     update.serversAsOf = m_view.lastChange();
@@ -164,8 +178,8 @@
     if (change.leader) {
         m_election.onLeaderChange();
         m_link.reset();
-        if (m_view.leader().host.empty())
-            m_follower.followStore(); // as the next coordinator this host would need all changes at once
+        if (m_view.leader().host.empty() || m_view.leader().host == m_settings.host.name)
+            followWithoutCoordinator();
     }
     GatewayUpdate update;
     update.newCoordinator = change.leader && m_view.leader().modRevision != m_answeringTerm;
@@ -181,6 +195,7 @@
     if (update.newCoordinator || update.coordinatorLost || change.rules || !change.servers.empty()
         || !change.tables.empty())
         pushUpdate(std::move(update));
+    pushRulesValidity();
     if (change.quarantine)
         publishCrashes();
     if (change.any())
@@ -191,7 +206,7 @@
 
 wire::HostAdvice GatewayControl::onReport(const wire::HostReport& report)
 {
-    return m_coordinator.onReport(report, m_server->pendingReplyBytes() < maxPendingReplyBytes);
+    return answerReport(report, m_server->pendingReplyBytes() < maxPendingReplyBytes);
 }
 
 void GatewayControl::onAdopt(const wire::News& news)
@@ -205,11 +220,15 @@
 {
     std::vector<WatchEvent> events;
     for (const auto& item : items) {
-        if (auto event = decodeStoreItem(item))
+        if (auto event = decodeStoreItem(item)) {
             events.push_back(std::move(*event));
+            continue;
+        }
+        const Millis messageTime = deliveryTimeout(static_cast<size_t>(item.leftOutBytes));
+        if (m_view.isRulesKey(item.key))
+            expectRules(item.revision, messageTime);
         else
-            m_follower.readItemIfMissed(
-                item.key, item.revision, deliveryTimeout(static_cast<size_t>(item.leftOutBytes)));
+            m_follower.readItemIfMissed(item.key, item.revision, messageTime);
     }
     (afterChange > m_view.lastChange() ? m_newsGaps : m_newsTaken).add();
     onViewChange(m_view.applyNews(afterChange, lastChange, events));
@@ -296,14 +315,31 @@
     }
 }
 
-wire::HostReport GatewayControl::makeReport()
+void GatewayControl::describeHost(wire::HostReport& report) const
 {
-    wire::HostReport report;
     report.sender = m_settings.host.name;
     report.dataCentre = m_settings.host.dataCentre;
     report.address = textOf(m_settings.host.peers);
     report.lastChange = m_view.lastChange();
+    report.rulesKnown = m_view.rulesFreshness().revision();
     report.strengthCenti = toCenti(m_settings.gateway->strength);
+    report.ratesKnown = m_ratesEdition;
+    report.readsPacked = true;
+    report.brokersKnown = m_brokers ? m_brokers->edition : 0;
+    report.brokersSlots = m_exchangesSlots && m_settings.gateway->slotBrokers != SlotBrokerMode::Off;
+    report.cutOff = m_cutOff;
+    const unsigned forwardPortOffset = m_settings.gateway->forwardPortOffset;
+    if (forwardPortOffset && !m_leaving)
+        report.forwardPort = static_cast<int32_t>(m_settings.host.peers.port + forwardPortOffset);
+    report.forwardTargetsKnown = m_forwardTargetsChecksum;
+    report.standbysKnown = m_standbyReader.standbysChecksum();
+    report.answersAwaiting = true;
+}
+
+wire::HostReport GatewayControl::makeReport()
+{
+    wire::HostReport report;
+    describeHost(report);
     for (const auto& [name, table] : m_view.tables()) {
         wire::ServiceUse service;
         service.serviceName = name;
@@ -336,15 +372,6 @@
     report.answered.assign(m_pendingReport.answered.begin(), m_pendingReport.answered.end());
     report.released.assign(m_unreportedReleases.begin(), m_unreportedReleases.end());
     report.leaving = m_pendingReport.leaving;
-    report.ratesKnown = m_ratesEdition;
-    report.readsPacked = true;
-    report.brokersKnown = m_brokers ? m_brokers->edition : 0;
-    report.brokersSlots = m_exchangesSlots && m_settings.gateway->slotBrokers != SlotBrokerMode::Off;
-    report.cutOff = m_cutOff;
-    const unsigned forwardPortOffset = m_settings.gateway->forwardPortOffset;
-    if (forwardPortOffset && !m_leaving)
-        report.forwardPort = static_cast<int32_t>(m_settings.host.peers.port + forwardPortOffset);
-    report.forwardTargetsKnown = m_forwardTargetsChecksum;
     for (const auto& knownRate : m_pendingReport.rates) {
         wire::ServerRate& rate = report.rates.emplace_back();
         rate.server = knownRate.server;
@@ -380,16 +407,25 @@
 
 }
 
-void GatewayControl::handleAdvice(const wire::HostAdvice& advice, std::span<const std::string> reportedServers)
+void GatewayControl::handleAdvice(
+    const wire::HostAdvice& advice, std::span<const std::string> reportedServers, Instant reportedAt)
 {
     handleNews(advice.missed);
+    m_view.setReportInterval(Millis(advice.reportMillis));
+    takeRulesConfirmation(advice, reportedAt);
     m_view.confirmUnchanged(advice.lastChange, advice.storeRevision);
     for (const auto& text : advice.tables)
         handleTable(text);
     for (const auto& table : advice.packedTables)
         handleTable(table);
     m_isStandby = advice.standsBy;
-    m_reportInterval = std::clamp(Millis(advice.reportMillis), shortestReportInterval, maxReportInterval);
+    const ConfirmationTiming timing
+        = confirmationTiming(m_settings.gateway->rulesDeadline, Millis(advice.reportMillis));
+    m_reportInterval = std::clamp(timing.reportInterval, shortestReportInterval, maxReportInterval);
+    m_follower.setWatchDuration(timing.watchDuration);
+    m_rulesWatcher.setDocumentWait(timing.documentWait);
+    m_mostHosts = std::max(m_mostHosts, static_cast<size_t>(std::max(1, advice.hosts)));
+    m_follower.setMaxShortOutage(fleetTiming(knownHosts()).maxShortOutage);
     const auto shares = std::make_shared<HostShares>();
     shares->number = m_shares ? m_shares->number + 1 : 1;
     shares->hosts = static_cast<size_t>(std::max(1, advice.hosts));
@@ -408,9 +444,9 @@
     updateBrokers(advice);
     shares->brokers = m_brokers;
     updateForwardTargets(advice);
+    m_standbyReader.setStandbys(advice.standbysChecksum, advice.standbys);
     shares->forwardTargets = m_forwardTargets;
     m_shares = shares;
-    m_unreportedReleases.clear();
     GatewayUpdate update;
     update.shares = shares;
     update.newCoordinator = std::exchange(m_answeringTerm, advice.term) != advice.term;
@@ -512,11 +548,12 @@
     std::vector<std::string> reportedServers;
     for (const auto& use : report.servers)
         reportedServers.push_back(use.server);
+    const auto releases = static_cast<std::ptrdiff_t>(report.released.size());
     m_lastReport = m_clock.now();
     m_awaitsPermit = false;
     if (leader.host == m_settings.host.name) {
         m_linkAddress.clear();
-        advice = m_coordinator.onReport(report, true);
+        advice = answerReport(report, true);
     } else if (!leader.address.empty()) {
         advice = co_await reportTo(leader.address, report);
         // A connection reset doesn't show that the coordinator is unavailable, so the report is sent once more over a
@@ -539,13 +576,19 @@
         logChange(answers ? LogLevel::Info : LogLevel::Warning, answers ? "coordinator-answers" : "coordinator-silent",
             { { "coordinator", leader.host }, { "term", leader.modRevision } });
     m_coordinatorAnswers = answers;
-    if (answers)
-        handleAdvice(*advice, reportedServers);
-    if (!answers || m_election.isLeader() || Millis(advice->storeSilentMillis) > maxStoreSilence)
-        m_follower.followStore();
-    else
-        m_follower.followCoordinator(advice->missedLater ? m_view.lastChange() : advice->lastChange,
-            Millis(advice->storeSilentMillis), m_isStandby);
+    if (answers) {
+        // Others may have been asked for while the report was on its way.
+        m_unreportedReleases.erase(m_unreportedReleases.begin(), m_unreportedReleases.begin() + releases);
+        handleAdvice(*advice, reportedServers, m_lastReport);
+    }
+    if (!answers || m_election.isLeader() || isAskedByAwaitingHosts()
+        || Millis(advice->storeSilentMillis) > maxStoreSilence) {
+        followWithoutCoordinator();
+        co_return;
+    }
+    m_standbyReader.stop();
+    m_follower.followCoordinator(
+        advice->missedLater ? m_view.lastChange() : advice->lastChange, Millis(advice->storeSilentMillis), m_isStandby);
 }
 
 asio::awaitable<void> GatewayControl::reportLoop()
@@ -583,7 +626,7 @@
 {
     json::object status;
     status["host"] = m_settings.host.name;
-    status["rulesVersion"] = m_view.rules() ? m_view.rules()->version : 0;
+    addRulesStatus(status);
     status["storeRevision"] = m_view.revision();
     status["coordinator"] = m_view.leader().host;
     status["term"] = m_view.leader().modRevision;
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -5,9 +5,12 @@
 #include "gateway/Coordinator.h"
 #include "gateway/Messages.h"
 #include "gateway/PlatformFollower.h"
+#include "gateway/RulesWatcher.h"
+#include "gateway/StandbyReader.h"
 #include "peers/Coordination.h"
 #include "resources/Settings.h"
 
+#include <boost/json/fwd.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -36,8 +39,24 @@
 
 private:
     void onViewChange(const PlatformView::Change&);
-    void pushUpdate(GatewayUpdate);
+    void followWithoutCoordinator();
+    size_t knownHosts() const; // that share the store
+    bool pushUpdate(GatewayUpdate); // false: the queue is full, and the full state follows
     void pushFullUpdate();
+    // --- How recent the operators' document is; GatewayControlRules.cpp
+    void pushRulesValidity(); // to the routing thread
+    wire::HostAdvice answerReport(const wire::HostReport&, bool mayBeLarge);
+    void takeRulesConfirmation(const wire::HostAdvice&, Instant reportedAt);
+    void expectRules(int64_t revision, Millis messageTime); // a message with this document may be on its way
+    void addRulesStatus(boost::json::object&) const;
+
+    // --- Changes while no coordinator answers; GatewayControlStandby.cpp
+    wire::HostAdvice answerAwaitingHost(const wire::HostReport&, bool mayBeLarge);
+    bool isAskedByAwaitingHosts() const; // so that this host follows the store
+    StandbyAnswer takeStandbyAnswer(const wire::HostAdvice&, Instant askedAt);
+    wire::HostReport makeStandbyReport() const;
+    void describeHost(wire::HostReport&) const; // without what it has seen of servers
+
     boost::asio::awaitable<void> reportLoop();
     boost::asio::awaitable<void> reportOnce();
     boost::asio::awaitable<std::optional<wire::HostAdvice>> reportTo(std::string address, wire::HostReport);
@@ -45,7 +64,7 @@
     void handleNews(const wire::News&);
     void handleItems(int64_t afterChange, int64_t lastChange, const std::vector<wire::StoreItem>&);
     // `reportedServers`: ids of the servers in the report that the advice answers.
-    void handleAdvice(const wire::HostAdvice&, std::span<const std::string> reportedServers);
+    void handleAdvice(const wire::HostAdvice&, std::span<const std::string> reportedServers, Instant reportedAt);
     // Permits for the server that the routing thread's last report doesn't take into account yet.
     unsigned unseenPermits(const std::string& server) const;
     void updateBrokers(const wire::HostAdvice&);
@@ -57,6 +76,9 @@
     Millis campaignDelay() const;
     bool wouldCoordinateBadly() const; // this host reaches no servers, or too few
 
+    // Of another host. Beyond it, that host doesn't stand in for this host's own watch.
+    static constexpr Millis maxStoreSilence { 1'500 };
+
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
     const Settings& m_settings;
@@ -66,8 +88,11 @@
     Counter& m_reportsFailed;
     Counter& m_newsTaken;
     Counter& m_newsGaps;
+    Counter& m_awaitingAnswered;
     PlatformView m_view;
     PlatformFollower m_follower;
+    RulesWatcher m_rulesWatcher;
+    StandbyReader m_standbyReader;
     Election m_election;
     Coordinator m_coordinator;
     NewsRelay m_relay;
@@ -80,6 +105,8 @@
     bool m_isStandby = true; // follows the store to take over at once; true until a coordinator says otherwise
     Millis m_reportInterval { 250 };
     bool m_pushFailed = false;
+    size_t m_mostHosts = 1; // that a coordinator has reported
+    RulesValidity m_rulesValidity; // as last sent to the routing thread
     std::shared_ptr<const HostShares> m_shares; // from the last answer to a report; null: none yet
     std::shared_ptr<const RateLimits> m_limits; // as last sent by the coordinator; null: none yet
     int64_t m_ratesEdition = 0; // of m_limits
@@ -98,6 +125,8 @@
     int64_t m_answeringTerm = 0; // term of the coordinator that answered the last report; 0: none did
     Instant m_lastReport {};
     Instant m_lastAdvice {};
+    Instant m_lastStandbyAnswer {}; // from which this host has had all recent changes
+    Instant m_awaitingAskedAt {}; // when a host that awaits a coordinator asked this one last
 };
 
 }
--- a/packages/gateway/GatewayForwarding.cpp
+++ b/packages/gateway/GatewayForwarding.cpp
@@ -1,4 +1,4 @@
-// The part of the Gateway that deals with the loss of the path to the servers: requests are served through another
+// The part of the Gateway that deals with the loss of the path to servers: requests are served through another
 // host, and those that other hosts forward are served here.
 #include "gateway/Gateway.h"
 
@@ -36,26 +36,57 @@
 bool Gateway::mustForward(const Job& job, const Upstream& server) const
 {
     const bool mayTry = job.forwardedBy.empty() && !m_forwarder.hasTargets();
-    return m_reach.cutOff() && !m_reach.sendsDirectly(server, mayTry);
+    // A request that was lost with its connection may have crashed the server, so it isn't carried on to another host.
+    // While most connections are lost, this says nothing about the request.
+    if (!m_reach.cutOff() && (mayTry || job.sends))
+        return false;
+    return !m_reach.sendsDirectly(server, mayTry);
+}
+
+// Either the server has crashed, or other hosts reach it: the answer to a request that one of them serves tells. Where
+// another server can take the request, none is needed.
+bool Gateway::startTrial(const Job& job, const Upstream& server)
+{
+    const bool otherServers = !job.keyed && job.tried.size() + 1 < m_servers.countOf(job.service);
+    if (!job.forwardedBy.empty() || job.sends || otherServers || !m_forwarder.hasTargets())
+        return false;
+    return !m_crashes.isSuspect(job.fingerprints) && m_reach.startTrial(server);
+}
+
+asio::awaitable<ErrorKind> Gateway::forwardTrial(Job& job, const Upstream& server, CallerResponse& response)
+{
+    const ErrorKind error = co_await forward(job, server, response);
+    m_reach.trialEnded(server);
+    co_return error;
 }
 
 // The other host waits for a slot, sends the request and retries it. An answer of its own is this host's answer, too.
-asio::awaitable<ErrorKind> Gateway::forward(Job& job, CallerResponse& response)
+// `server`: that this host doesn't reach. Without a key another one may serve the request.
+asio::awaitable<ErrorKind> Gateway::forward(Job& job, const Upstream& server, CallerResponse& response)
 {
     // A request that another host has forwarded isn't forwarded again, so that none goes round.
-    if (!job.forwardedBy.empty())
+    if (!job.forwardedBy.empty()) {
+        if (!m_reach.cutOff())
+            job.tried.push_back(server.entry.id); // this host reaches other servers
         co_return ErrorKind::ServerUnreachable;
+    }
     constexpr size_t maxTargets = 3; // that say that they are cut off as well, or can't be reached
-    std::vector<std::string> tried;
-    while (tried.size() < maxTargets && !job.presence.disconnected) {
+    size_t targets = 0;
+    std::vector<std::string> excluded; // hosts
+    if (job.keyed)
+        excluded = m_queries.hostsWithout(server.entry.id);
+    bool unreachableElsewhere = !excluded.empty() && !m_forwarder.choose(excluded);
+    while (targets < maxTargets && !job.presence.disconnected) {
         if (m_clock.now() >= job.deadline)
             co_return ErrorKind::DeadlineBeforeSend;
-        const auto target = m_forwarder.choose(tried);
+        const auto target = m_forwarder.choose(excluded);
         if (!target)
             break;
-        tried.push_back(target->host);
+        ++targets;
+        excluded.push_back(target->host);
         job.forwardedTo = target->host;
-        setForwardHeaders(job.request, { m_options.host, job.callerAddress, job.service, job.sends });
+        setForwardHeaders(
+            job.request, { m_options.host, job.callerAddress, job.service, job.rules->revision, job.sends });
         const Millis timeLeft = std::max(Millis(1), job.deadline - m_clock.now());
         job.request.set(m_names.timeLeft, std::to_string(timeLeft.count()));
         job.request.keep_alive(true);
@@ -68,9 +99,14 @@
         auto result = co_await m_forwarder.exchange(*target, std::move(exchange));
         if (!result)
             continue; // nothing was sent
-        const ErrorKind error = recordForwarded(job, *target, *result);
-        if (error == ErrorKind::ServerUnreachable)
+        const auto [error, sends, servedBy] = recordForwarded(job, *target, *result);
+        // The other host has other rules. One of a former version says so by a final error.
+        if (error == ErrorKind::NotFresh || errorInfo(error).restsOnRules)
+            continue;
+        if (error == ErrorKind::ServerUnreachable) {
+            unreachableElsewhere |= servedBy == server.entry.id;
             continue; // the other host has no path either
+        }
         response = std::move(result->response);
         stripForCaller(response);
         if (error == ErrorKind::None)
@@ -80,11 +116,14 @@
         job.waited = true; // the other host has waited and retried already
         co_return error;
     }
+    if (unreachableElsewhere)
+        m_reach.recordUnreachableElsewhere(server);
+    job.tried.push_back(server.entry.id);
     job.waited = true;
     co_return ErrorKind::ServerUnreachable;
 }
 
-ErrorKind Gateway::recordForwarded(Job& job, const ForwardTarget& target, ExchangeResult& result)
+ForwardResult Gateway::recordForwarded(Job& job, const ForwardTarget& target, ExchangeResult& result)
 {
     std::optional<ForwardResult> outcome;
     if (result.error == ErrorKind::None)
@@ -96,12 +135,30 @@
         job.uncertainError = result.error == ErrorKind::None ? ErrorKind::BadAnswer : result.error;
         logRequest(job, "forward-failed", job.uncertainError, {});
         result.incomplete = true;
-        return job.uncertainError;
+        return { job.uncertainError, job.sends, {} };
     }
     job.sends = std::max(job.sends, outcome->sends);
-    if (outcome->error == ErrorKind::ServerUnreachable)
-        m_forwarder.avoid(target);
-    return outcome->error;
+    const ErrorKind error = outcome->error;
+    if (error == ErrorKind::ServerUnreachable && outcome->server.empty())
+        m_forwarder.avoid(target); // it is cut off from all servers
+    if (error == ErrorKind::ServerUnreachable && job.keyed && !outcome->server.empty())
+        m_queries.recordLacking({ outcome->server, target.host });
+    if (error == ErrorKind::None || error == ErrorKind::ServerRefused)
+        m_reach.recordAnswerElsewhere(outcome->server);
+    return *outcome;
+}
+
+// Without a path to any server, or to this one, it seems to have crashed. Other hosts that reach it know better; if
+// none of them tells, this host goes by what it sees.
+asio::awaitable<bool> Gateway::confirmServerGone(std::string server)
+{
+    const bool cutOff = co_await m_reach.checkCutOff();
+    if (cutOff)
+        co_return false;
+    const Reached elsewhere = co_await m_queries.ask(server);
+    if (elsewhere == Reached::Yes)
+        logChange(LogLevel::Info, "server-lost-here-only", { { "server", server } });
+    co_return elsewhere != Reached::Yes && !m_reach.cutOff();
 }
 
 // --- On the host that serves a forwarded request
@@ -113,18 +170,31 @@
     job.callerAddress = forwarded.caller;
     job.forwardedBy = forwarded.host;
     job.forwardedService = forwarded.service;
+    job.forwardedRules = forwarded.rulesRevision;
     job.sends = forwarded.sends;
     m_forwardedServed.add();
     CallerResponse response = co_await serve(job);
-    setForwardResult(response, { job.refused, job.sends });
+    setForwardResult(response, { job.refused, job.sends, job.tried.empty() ? std::string() : job.tried.back() });
     co_return response;
 }
 
-CallerResponse Gateway::forwardedErrorResponse(ErrorKind error)
+CallerResponse Gateway::forwardedErrorResponse(ErrorKind error, const CallerHeader& header)
 {
-    CallerResponse response = errorResponse(error);
-    setForwardResult(response, { error, 0 });
+    const ErrorKind answered = confirmedError(error, true);
+    CallerResponse response = refuseUnhandled(answered, header);
+    setForwardResult(response, { answered, 0, {} });
     return response;
 }
 
+asio::awaitable<CallerResponse> Gateway::handleReachQuery(std::string server)
+{
+    const std::shared_ptr<Upstream> held = m_servers.upstream(server);
+    if (!held || m_reach.cutOff())
+        co_return reachResponse(Reached::Unknown);
+    if (held->replaced)
+        co_return reachResponse(Reached::No);
+    const bool connected = co_await held->pool.tryConnect(m_options.connectTimeout);
+    co_return reachResponse(connected ? Reached::Yes : Reached::No);
+}
+
 }
--- a/packages/gateway/GatewayJob.h
+++ b/packages/gateway/GatewayJob.h
@@ -30,6 +30,7 @@
     std::string callerAddress; // IP address
     std::string forwardedBy; // host from which the request came; empty: from its caller
     std::string forwardedService; // that this host has chosen
+    int64_t forwardedRules = 0; // revision of this host's document; 0: it doesn't say
     std::string forwardedTo; // host that the request was last forwarded to; empty: none
     uint64_t identity = 0; // see SlotRequest
     Instant arrived {};
--- a/packages/gateway/Messages.h
+++ b/packages/gateway/Messages.h
@@ -9,6 +9,7 @@
 #include "decisions/GrantTable.h"
 #include "decisions/RateLimit.h"
 #include "decisions/RouteRules.h"
+#include "decisions/RulesFreshness.h"
 
 #include <map>
 #include <memory>
@@ -58,6 +59,8 @@
 // From control to routing. Empty members mean no change.
 struct GatewayUpdate {
     std::shared_ptr<const RouteRules> rules;
+    std::optional<RulesValidity> rulesValidity;
+    bool hasReadStore = false; // this host has read the entries of all servers
     std::vector<ServerChange> servers;
     bool allServers = false; // `servers` names every registered server; all others are gone
     int64_t serversAsOf = 0; // with `servers`: the host knew all writes of others up to this revision of the store
--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -14,54 +14,11 @@
 
     constexpr Millis relayRetryDelay { 5'000 }; // after a relay has failed; a restart takes about a second
 
-    void append(wire::News& news, const wire::News& more)
-    {
-        if (news.items.empty() && news.packedItems.empty())
-            news.afterChange = more.afterChange;
-        news.lastChange = std::max(news.lastChange, more.lastChange);
-        news.items.insert(news.items.end(), more.items.begin(), more.items.end());
-        news.packedItems.insert(news.packedItems.end(), more.packedItems.begin(), more.packedItems.end());
-        news.tables.insert(news.tables.end(), more.tables.begin(), more.tables.end());
-        news.packedTables.insert(news.packedTables.end(), more.packedTables.begin(), more.packedTables.end());
-        news.crowded.insert(news.crowded.end(), more.crowded.begin(), more.crowded.end());
-        if (more.crashesEdition > news.crashesEdition) {
-            news.crashesEdition = more.crashesEdition;
-            news.suspects = more.suspects;
-            news.quarantined = more.quarantined;
-        }
-        news.forwardTo = more.forwardTo;
-    }
-
-    size_t sizeOf(const wire::News& news)
-    {
-        size_t bytes = bytesOf(news.items);
-        for (const auto& items : news.packedItems)
-            bytes += items.value.size();
-        for (const auto& table : news.tables)
-            bytes += table.size();
-        for (const auto& table : news.packedTables)
-            bytes += table.value.size();
-        for (const auto& server : news.crowded)
-            bytes += server.size();
-        return bytes + (news.suspects.size() + news.quarantined.size()) * sizeof(int64_t);
-    }
-
-}
-
-size_t bytesOf(const std::vector<wire::StoreItem>& items)
-{
-    size_t bytes = 0;
-    for (const auto& item : items)
-        bytes += item.key.size() + item.value.size();
-    return bytes;
-}
-
-namespace {
-
     wire::News packedCopy(const wire::News& news)
     {
         wire::News packed = news;
-        if (bytesOf(news.items) > minBytesToPack) {
+        const bool deflated = news.urgent; // documents are, each by itself
+        if (!deflated && bytesOf(news.items) > minBytesToPack) {
             packed.packedItems.push_back(packItems(news.items));
             packed.items.clear();
         }
@@ -79,12 +36,12 @@
 {
 }
 
-void NewsLink::enqueue(const wire::News& news)
+void NewsLink::enqueue(const wire::News& news, size_t copies)
 {
     if (!m_link)
         return;
-    append(m_unsent, news);
-    m_hasUnsent = true;
+    m_copies = copies;
+    m_unsent.add(news);
     if (m_sending)
         return;
     m_sending = true;
@@ -93,11 +50,15 @@
 
 asio::awaitable<void> NewsLink::sendAll(std::shared_ptr<NewsLink>)
 {
-    while (std::exchange(m_hasUnsent, false)) {
-        const wire::News news = std::exchange(m_unsent, {});
-        const bool arrived = co_await m_link->adopt(news, deliveryTimeout(sizeOf(news)));
-        if (!arrived && m_onFailure)
-            m_onFailure(news);
+    while (!m_unsent.empty()) {
+        const wire::News news = m_unsent.takeNext();
+        const bool arrived = co_await m_link->adopt(news, deliveryTimeout(bytesOf(news), m_copies));
+        if (arrived || !m_onFailure)
+            continue;
+        m_onFailure(news);
+        // Those that wait would each take a timeout more.
+        while (!m_unsent.empty())
+            m_onFailure(m_unsent.takeNext());
     }
     m_sending = false;
 }
@@ -123,7 +84,7 @@
         if (!link)
             link = std::make_shared<NewsLink>(
                 m_executor, makeCoordinationLink(m_executor, address, m_bytesSent), NewsLink::FailureHandler {});
-        link->enqueue(forwarded);
+        link->enqueue(forwarded, news.forwardTo.size());
     }
 }
 
--- a/packages/gateway/NewsFanout.h
+++ b/packages/gateway/NewsFanout.h
@@ -6,6 +6,7 @@
 
 #include "base/Time.h"
 #include "decisions/RelayPlan.h"
+#include "gateway/NewsQueue.h"
 #include "peers/Coordination.h"
 
 #include <functional>
@@ -16,13 +17,14 @@
 
 namespace cumindale {
 
-// Sends news to one host in order. News that arrive while a message is in flight are merged into the next message.
+// Sends news to one host, one message at a time.
 class NewsLink : public std::enable_shared_from_this<NewsLink> {
 public:
     using FailureHandler = std::function<void(const wire::News&)>; // called with a message that was not answered
 
     NewsLink(boost::asio::any_io_executor, std::unique_ptr<CoordinationLink>, FailureHandler);
-    void enqueue(const wire::News&);
+    // `copies`: links of this host over which the same news are sent, where they may fill its connection.
+    void enqueue(const wire::News&, size_t copies = 1);
 
 private:
     boost::asio::awaitable<void> sendAll(
@@ -31,8 +33,8 @@
     boost::asio::any_io_executor m_executor;
     std::unique_ptr<CoordinationLink> m_link;
     FailureHandler m_onFailure;
-    wire::News m_unsent;
-    bool m_hasUnsent = false;
+    NewsQueue m_unsent;
+    size_t m_copies = 1;
     bool m_sending = false;
 };
 
@@ -48,7 +50,6 @@
     std::map<std::string, std::shared_ptr<NewsLink>, std::less<>> m_links; // by address
 };
 
-size_t bytesOf(const std::vector<wire::StoreItem>&);
 // Fewer bytes aren't worth packing: a message costs some hundred bytes anyway.
 constexpr size_t minBytesToPack = 2'048;
 
--- a/packages/gateway/PeerForwarder.cpp
+++ b/packages/gateway/PeerForwarder.cpp
@@ -59,6 +59,14 @@
     return m_choice.choose(excluded, m_clock.now(), randomNumber());
 }
 
+std::optional<ForwardTarget> PeerForwarder::targetNamed(std::string_view host) const
+{
+    const auto& targets = m_choice.targets();
+    const auto found
+        = std::find_if(targets.begin(), targets.end(), [&](const auto& target) { return target.host == host; });
+    return found == targets.end() ? std::nullopt : std::optional(*found);
+}
+
 void PeerForwarder::avoid(const ForwardTarget& target) { m_choice.avoid(target.host, m_clock.now() + avoidanceTime); }
 
 std::shared_ptr<ServerPool> PeerForwarder::poolOf(const ForwardTarget& target)
@@ -103,4 +111,18 @@
     co_return result;
 }
 
+asio::awaitable<std::optional<ExchangeResult>> PeerForwarder::query(
+    ForwardTarget target, BackendRequest& request, Millis timeout)
+{
+    const auto pool = poolOf(target);
+    constexpr bool idempotent = true;
+    auto connection = co_await pool->acquireConnection(idempotent, m_connectTimeout);
+    if (!connection)
+        co_return std::nullopt;
+    ExchangeResult result = co_await connection->exchange(request, timeout, {});
+    if (!result.incomplete)
+        pool->returnConnection(std::move(connection));
+    co_return result;
+}
+
 }
--- a/packages/gateway/PeerForwarder.h
+++ b/packages/gateway/PeerForwarder.h
@@ -27,6 +27,7 @@
     void setTargets(const std::vector<ForwardTarget>&); // from the coordinator
     bool hasTargets() const { return !m_choice.targets().empty(); }
     std::optional<ForwardTarget> choose(std::span<const std::string> excluded) const; // host names
+    std::optional<ForwardTarget> targetNamed(std::string_view host) const;
     // The target can't serve requests for now: it is cut off itself, or leaves.
     void avoid(const ForwardTarget&);
 
@@ -40,6 +41,8 @@
     };
     // No value: the target couldn't be reached, so nothing was sent.
     boost::asio::awaitable<std::optional<ExchangeResult>> exchange(ForwardTarget, Exchange);
+    // Asks the target something; counts neither as a forwarded request nor in the choice of targets.
+    boost::asio::awaitable<std::optional<ExchangeResult>> query(ForwardTarget, BackendRequest&, Millis timeout);
 
 private:
     std::shared_ptr<ServerPool> poolOf(const ForwardTarget&);
--- a/packages/gateway/PlatformAdapter.h
+++ b/packages/gateway/PlatformAdapter.h
@@ -41,6 +41,7 @@
 struct ParsedRules {
     RouteRules rules;
     std::vector<FieldError> problems; // one for each part that was ignored, or read in its strictest meaning
+    bool incomplete = false; // routes or limits couldn't be read, so what the rules don't allow may be allowed
 };
 
 class PlatformAdapter {
@@ -54,6 +55,7 @@
 
     // --- Entries of the store that belong to the platform
     virtual StoreItem itemOf(std::string_view key) const = 0;
+    virtual std::string_view rulesKey() const = 0; // of the operators' document
     virtual std::string serverNameIn(std::string_view key) const = 0;
     virtual std::string dataCentreIn(std::string_view key) const = 0; // of an evacuation
     // Each fails with a FieldError: parseRules() if the text is no valid document, parseServer() if the entry describes
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -41,7 +41,7 @@
     , m_bytesRead(metrics.counter("store_bytes_read"))
     , m_watches(metrics.counter("store_watches"))
     , m_failures(metrics.counter("store_failures"))
-    , m_standbyChanged(m_executor)
+    , m_leaderWatchChanged(m_executor)
     , m_modeChanged(m_executor)
 {
 }
@@ -58,6 +58,14 @@
         m_failures.add();
 }
 
+void PlatformFollower::recordOtherAnswer()
+{
+    if (!m_followsCoordinator)
+        return; // the watch of all keys tells
+    m_hadOutage = outageWasLong();
+    m_lastAnswer = m_clock.now();
+}
+
 void PlatformFollower::recordRead(std::string_view why, Instant begun, const RangeReply& reply)
 {
     m_reads.add();
@@ -69,19 +77,47 @@
             { "lastChange", m_view.lastChange() } });
 }
 
+// Of changes that arrive now. A watch that is pending brings changes at once.
+Millis PlatformFollower::oldestChangeAge() const
+{
+    const Instant known = std::max(m_changesKnownAt, m_lastWatchAnswer);
+    if (known == Instant {})
+        return Millis(0);
+    return std::max(Millis(0), m_clock.now() - known - m_options.watchDuration);
+}
+
+// A copy with the age of each, if they may be old; else none.
+std::vector<WatchEvent> PlatformFollower::lateEvents(const std::vector<WatchEvent>& events) const
+{
+    const Millis age = oldestChangeAge();
+    if (age == Millis(0))
+        return {};
+    std::vector<WatchEvent> late = events;
+    for (auto& event : late)
+        event.value.age = age;
+    return late;
+}
+
 asio::awaitable<bool> PlatformFollower::readAll(std::string_view why)
 {
     const Instant begun = m_clock.now();
-    const RangeReply reply = co_await m_store.range(std::string(allKeys), true, m_options.callTimeout);
+    RangeReply reply = co_await m_store.range(std::string(allKeys), true, m_options.callTimeout);
     recordRead(why, begun, reply);
     if (reply.status != StoreStatus::Ok) {
         recordAnswer(false);
         co_return false;
     }
     const bool afterOutage = m_hasSnapshot && outageWasLong();
+    const Millis age = oldestChangeAge();
+    for (auto& value : reply.values)
+        value.age = age;
     recordAnswer(true);
+    m_hadOutage = false;
     m_hasSnapshot = true;
+    m_changesKnownAt = begun;
+    m_polled.onRevision(reply.revision);
     const auto change = m_view.applySnapshot(reply, afterOutage);
+    m_view.confirmRules(begun, reply.revision);
     ++m_snapshotNumber;
     if (m_view.hasMissingServers())
         asio::co_spawn(m_executor, removeMissingAfterDelay(m_snapshotNumber), asio::detached);
@@ -135,7 +171,9 @@
         }
         const std::string_view why = m_hasSnapshot ? "the watch ended" : "start";
         bool ready = false;
-        if (followedCoordinator && !outageWasLong())
+        const Millis missed = m_clock.now() - m_changesKnownAt;
+        const bool resumes = followedCoordinator && !outageWasLong() && historyIsCheaperThanRead(missed);
+        if (resumes)
             ready = co_await readRouterItems();
         else
             ready = co_await readAll(why);
@@ -146,18 +184,23 @@
         }
         followedCoordinator = false;
         backoff = initialBackoff;
-        co_await watchLoop();
+        co_await watchLoop(resumes && missed > m_maxShortOutage);
         // A watch that ends immediately must not turn this into a busy loop of reads.
         if (!m_followsCoordinator)
             co_await sleepFor(randomUpTo(2 * initialBackoff));
     }
 }
 
-bool PlatformFollower::outageWasLong() const { return m_clock.now() - m_lastAnswer > m_options.maxShortOutage; }
+bool PlatformFollower::watchAnsweredWithin(Millis time) const
+{
+    return !m_followsCoordinator && m_lastWatchAnswer != Instant {} && m_clock.now() - m_lastWatchAnswer <= time;
+}
+
+bool PlatformFollower::outageWasLong() const { return m_hadOutage || m_clock.now() - m_lastAnswer > m_maxShortOutage; }
 
 // A host whose coordinator no longer answers resumes watching from the changes that it was sent, and reads only the
 // router's own items. Reading the whole store takes more than a second over the slowest links, and all hosts would
-// start at the same time.
+// start at the same time. A host that is elected while it awaits a coordinator must act within that second.
 asio::awaitable<bool> PlatformFollower::readRouterItems()
 {
     const Instant begun = m_clock.now();
@@ -165,18 +208,21 @@
     recordRead("the coordinator does not answer", begun, reply);
     const bool answered = reply.status == StoreStatus::Ok;
     recordAnswer(answered);
-    if (answered)
+    if (answered) {
+        m_polled.onRevision(reply.revision);
         m_changeSink(m_view.applyRouterItems(reply));
+    }
     co_return answered;
 }
 
-asio::awaitable<void> PlatformFollower::watchLoop()
+asio::awaitable<void> PlatformFollower::watchLoop(bool longHistory)
 {
     Millis backoff = initialBackoff;
     Millis wait = m_options.watchDuration;
     while (!m_followsCoordinator) {
         const WatchEnd end = co_await watchOnce(wait);
         if (end == WatchEnd::Stopped) {
+            longHistory = false;
             backoff = initialBackoff;
             wait = m_options.watchDuration;
             continue;
@@ -186,6 +232,8 @@
         if (end == WatchEnd::HistoryGone || outageWasLong())
             co_return;
         recordAnswer(false);
+        if (longHistory)
+            co_return; // it may be too long to arrive within one poll
         wait = m_options.retryWatchDuration;
         backoff = std::min(maxBackoff, backoff * 2);
         co_await sleepFor(randomUpTo(backoff));
@@ -196,14 +244,20 @@
 {
     bool changed = false;
     m_watches.add();
+    const Instant begun = m_clock.now();
+    m_polled.onPollBegun();
     const WatchEnd end = co_await m_store.watch(std::string(allKeys), m_view.revision() + 1, wait,
         [&](int64_t revision, const std::vector<WatchEvent>& events) {
             changed = !events.empty();
             recordAnswer(true);
+            const std::vector<WatchEvent> late = lateEvents(events);
+            m_changesKnownAt = begun;
             const int64_t before = m_view.lastChange();
-            const auto change = m_view.applyEvents(revision, events);
-            if (change.any())
-                m_changeSink(change);
+            const int64_t known = m_polled.onPollEnded(newestRevisionOf(events), revision);
+            const auto change = m_view.applyEvents(known, late.empty() ? events : late);
+            m_view.confirmRules(begun, known);
+            m_lastWatchAnswer = m_clock.now();
+            m_changeSink(change);
             if (!change.news.empty())
                 m_eventSink(before, change.news);
             return false; // one batch per watch, so that the caller checks whether to watch on
@@ -216,16 +270,30 @@
 void PlatformFollower::followCoordinator(int64_t coordinatorLastChange, Millis storeSilence, bool asStandby)
 {
     m_followsCoordinator = true;
-    if (asStandby && !m_isStandby) {
-        m_leaderKnownUpTo = 0;
-        m_standbyChanged.notifyAll();
-    }
-    m_isStandby = asStandby;
-    m_lastAnswer = std::max(m_lastAnswer, m_clock.now() - storeSilence);
+    setWatchesLeader(asStandby);
+    recordRelayed(storeSilence, coordinatorLastChange <= m_view.lastChange());
+    m_hadOutage = false; // the coordinator relays what came of it
     if (coordinatorLastChange > m_view.lastChange() && !std::exchange(m_isCatchingUp, true))
         spawnLoop(m_executor, "catch-up", catchUp(coordinatorLastChange));
 }
 
+void PlatformFollower::recordRelayed(Millis storeSilence, bool complete)
+{
+    const Instant asOf = m_clock.now() - storeSilence;
+    m_lastAnswer = std::max(m_lastAnswer, asOf);
+    if (complete)
+        m_changesKnownAt = std::max(m_changesKnownAt, asOf);
+}
+
+void PlatformFollower::setWatchesLeader(bool watches)
+{
+    if (watches && !m_watchesLeader) {
+        m_leaderKnownUpTo = 0;
+        m_leaderWatchChanged.notifyAll();
+    }
+    m_watchesLeader = watches;
+}
+
 asio::awaitable<bool> PlatformFollower::readLeader()
 {
     const RangeReply reply = co_await m_store.range(leaderKey(), false, m_options.callTimeout);
@@ -233,6 +301,7 @@
         co_return false;
     m_changeSink(m_view.applyLeader(reply));
     m_leaderKnownUpTo = reply.revision;
+    m_leaderPolled.onRevision(reply.revision);
     co_return true;
 }
 
@@ -242,8 +311,8 @@
 {
     Millis backoff = initialBackoff;
     for (;;) {
-        if (!m_isStandby || !m_followsCoordinator) {
-            co_await m_standbyChanged.wait(m_options.modeCheckInterval);
+        if (!m_watchesLeader || !m_followsCoordinator) {
+            co_await m_leaderWatchChanged.wait(m_options.modeCheckInterval);
             continue;
         }
         bool answered = m_leaderKnownUpTo > 0;
@@ -251,9 +320,11 @@
             answered = co_await readLeader();
         } else {
             m_watches.add();
+            m_leaderPolled.onPollBegun();
             const WatchEnd end = co_await m_store.watch(leaderKey(), m_leaderKnownUpTo + 1,
                 m_options.leaderWatchDuration, [&](int64_t revision, const std::vector<WatchEvent>& events) {
-                    m_leaderKnownUpTo = std::max(m_leaderKnownUpTo, revision);
+                    const int64_t known = m_leaderPolled.onPollEnded(newestRevisionOf(events), revision);
+                    m_leaderKnownUpTo = std::max(m_leaderKnownUpTo, known);
                     m_changeSink(m_view.applyLeaderEvents(events));
                     return false;
                 });
@@ -261,17 +332,31 @@
             if (end == WatchEnd::HistoryGone)
                 m_leaderKnownUpTo = 0;
         }
+        if (answered)
+            recordOtherAnswer();
         backoff = answered ? initialBackoff : std::min(m_options.maxStandbyBackoff, backoff * 2);
         if (!answered)
             co_await sleepFor(backoff / 2 + randomUpTo(backoff));
     }
 }
 
+void PlatformFollower::awaitCoordinator()
+{
+    if (!m_hasSnapshot) {
+        followStore();
+        return;
+    }
+    m_followsCoordinator = true;
+    setWatchesLeader(true);
+}
+
 void PlatformFollower::followStore()
 {
-    m_isStandby = false;
-    if (std::exchange(m_followsCoordinator, false))
-        m_modeChanged.notifyAll();
+    m_watchesLeader = false;
+    if (!std::exchange(m_followsCoordinator, false))
+        return;
+    m_lastWatchAnswer = {};
+    m_modeChanged.notifyAll();
 }
 
 asio::awaitable<void> PlatformFollower::catchUp(int64_t coordinatorLastChange)
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -4,20 +4,20 @@
 #pragma once
 
 #include "base/Metrics.h"
+#include "decisions/FleetTiming.h"
+#include "decisions/PolledChanges.h"
 #include "gateway/PlatformView.h"
 #include "store/Store.h"
 #include "web/Signal.h"
 
 #include <functional>
+#include <vector>
 
 namespace cumindale {
 
 struct FollowerOptions {
     Millis callTimeout { 1'500 }; // long enough for a slow store
-    // Length of one long poll. A pending watch may stop receiving changes without being closed, while a new one
-    // receives them. It is therefore renewed this often, well within the time in which a configuration must be in
-    // force.
-    Millis watchDuration { 900 };
+    Millis watchDuration = maxWatchDuration; // length of one long poll
     // Length of the poll after a lost answer: it soon returns the lost changes, and shows that the store answers.
     Millis retryWatchDuration { 50 };
     // A change that the coordinator knows of and that hasn't arrived after this time counts as lost, and the store is
@@ -31,14 +31,13 @@
     Millis modeCheckInterval { 1'000 }; // between checks whether the coordinator still relays changes
     // Pause after a batch of changes, so that the next answer holds several further changes instead of one each.
     Millis batchDelay { 120 };
-    // Servers' entries expire after a few missed heartbeats; none can have expired in an outage shorter than this.
-    Millis maxShortOutage { 2'000 };
     // Servers whose entries expired during an outage register again within about two seconds of its end.
     Millis reregistrationTime { 2'100 };
 };
 
 class PlatformFollower {
 public:
+    // Also called if nothing but the time has changed for which the rules are confirmed.
     using ChangeSink = std::function<void(const PlatformView::Change&)>;
     // External writes that say something new, in the order received.
     using EventSink = std::function<void(int64_t afterChange, const std::vector<WatchEvent>&)>;
@@ -46,7 +45,8 @@
     PlatformFollower(boost::asio::any_io_executor, const Clock&, FollowerOptions, Store&, PlatformView&, Metrics&,
         ChangeSink, EventSink);
     boost::asio::awaitable<void> run(); // never returns
-    boost::asio::awaitable<void> watchLeader(); // while this host is a standby; never returns
+    // Watches the leader's key alone, while this host is a standby or awaits a coordinator; never returns.
+    boost::asio::awaitable<void> watchLeader();
     // The coordinator relays every change, so this host stops watching the store. If the coordinator knows of a change
     // that doesn't arrive here, the store is read. `storeSilence`: time since the store last answered the coordinator.
     // It counts as this host's own last contact: if the time without requests counted as a store outage, servers whose
@@ -56,22 +56,42 @@
     // The coordinator has announced an item that is too large to be repeated in an answer. If the item hasn't arrived
     // after `timeout`, its message counts as lost, and the item alone is read from the store.
     void readItemIfMissed(std::string key, int64_t revision, Millis timeout);
+    // No coordinator relays changes, and the store doesn't carry the watches of all hosts: this host waits for the next
+    // coordinator, which has recorded the changes, and the standbys tell it of them meanwhile.
+    void awaitCoordinator();
+    // Another host has told this one what it has missed. `storeSilence`: as for followCoordinator(). `complete`: this
+    // host has all that the other one knows.
+    void recordRelayed(Millis storeSilence, bool complete);
+    // The store has answered a call that doesn't go through this object. Answers during a wait for a coordinator show
+    // that the store had no outage, in which entries may have expired.
+    void recordOtherAnswer();
     void followStore(); // no coordinator relays changes, or this host is the coordinator
+    // Servers' entries expire after a few missed heartbeats; none can have expired in an outage shorter than this.
+    void setMaxShortOutage(Millis duration) { m_maxShortOutage = duration; }
+    // Length of one long poll; a host without a coordinator, and the coordinator, know by it that nothing has changed.
+    void setWatchDuration(Millis duration) { m_options.watchDuration = duration; }
+    bool hasSnapshot() const { return m_hasSnapshot; } // the whole store has been read once
     Instant lastAnswer() const { return m_lastAnswer; }
+    bool watchAnsweredWithin(Millis) const; // this host watches the store, not only the leader's key
 
 private:
     boost::asio::awaitable<bool> readAll(std::string_view why);
     boost::asio::awaitable<bool> readRouterItems();
     boost::asio::awaitable<bool> readLeader();
-    boost::asio::awaitable<void> watchLoop(); // until the coordinator relays changes, or the store must be read again
+    // Until the coordinator relays changes, or the store must be read again. `longHistory`: the first answer has the
+    // changes of a wait for a coordinator.
+    boost::asio::awaitable<void> watchLoop(bool longHistory);
     boost::asio::awaitable<WatchEnd> watchOnce(Millis wait);
     bool outageWasLong() const;
+    void setWatchesLeader(bool);
     // Reads the store unless the missing changes arrive within newsTimeout.
     boost::asio::awaitable<void> catchUp(int64_t coordinatorLastChange);
     boost::asio::awaitable<void> readItem(std::string key, int64_t revision, Millis timeout);
     boost::asio::awaitable<void> removeMissingAfterDelay(uint64_t snapshotNumber);
     void recordAnswer(bool answers);
     void recordRead(std::string_view why, Instant begun, const RangeReply&);
+    Millis oldestChangeAge() const;
+    std::vector<WatchEvent> lateEvents(const std::vector<WatchEvent>&) const;
 
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
@@ -85,13 +105,19 @@
     Counter& m_watches;
     Counter& m_failures;
     Instant m_lastAnswer {};
+    Instant m_lastWatchAnswer {}; // since followStore() began the present watch; default: none
+    bool m_hadOutage = false; // a long one, while other calls than watches of all keys were answered
+    Instant m_changesKnownAt {}; // all changes of the store until then are known, or have been relayed
+    Millis m_maxShortOutage = FleetTiming().maxShortOutage;
     uint64_t m_snapshotNumber = 0;
     bool m_storeAnswers = true;
     bool m_hasSnapshot = false;
     bool m_followsCoordinator = false;
-    bool m_isStandby = false;
+    bool m_watchesLeader = false; // watchLeader() is at work
+    PolledChanges m_polled; // by watches of all keys
+    PolledChanges m_leaderPolled; // by watches of the leader's key
     int64_t m_leaderKnownUpTo = 0; // all changes of the leader's key up to this revision are known; 0: none
-    Signal m_standbyChanged; // m_isStandby was set
+    Signal m_leaderWatchChanged; // m_watchesLeader was set
     bool m_isCatchingUp = false; // catchUp() is running: the coordinator knows of changes that may still arrive
     Signal m_modeChanged; // m_followsCoordinator was cleared
 };
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -9,9 +9,10 @@
 
 namespace cumindale {
 
-PlatformView::PlatformView(const PlatformAdapter& adapter, const Clock& clock)
+PlatformView::PlatformView(const PlatformAdapter& adapter, const Clock& clock, Millis rulesDeadline)
     : m_adapter(adapter)
     , m_clock(clock)
+    , m_freshness(rulesDeadline)
 {
 }
 
@@ -36,14 +37,15 @@
 
 }
 
-void PlatformView::logServer(const RegisteredServer& server, int64_t revision)
+void PlatformView::logServer(const RegisteredServer& server, const KeyValue& entry)
 {
     if (!server.leaving && ++m_batchRegistrations > maxRegistrationLines)
         return;
     logChange(LogLevel::Info, server.leaving ? "server-leaving" : "server-registered",
         { { "server", server.id }, { "service", server.service },
             { "address", server.address + ":" + std::to_string(server.port) },
-            { "warmupLeftMs", server.warmupLeft.count() }, { "revision", revision } });
+            { "warmupLeftMs", server.warmupLeft.count() }, { "revision", entry.modRevision },
+            { "ageMs", entry.age.count() } });
 }
 
 void PlatformView::logOmittedRegistrations()
@@ -57,9 +59,14 @@
 PlatformView::Change PlatformView::applyEvents(int64_t revision, const std::vector<WatchEvent>& events)
 {
     Change change;
+    const bool hadGap = m_knownChanges.hasGap();
+    const int64_t before = lastChange();
     for (const auto& event : events) {
-        const bool isNews = applyEvent(event, change) && isExternalKey(event.value.key);
-        if (!isNews)
+        // What was relayed while earlier changes were missing belongs to the changes that are complete now.
+        const bool wasRelayed
+            = hadGap && event.value.modRevision > before && knows(event.value.key, event.value.modRevision);
+        const bool isNews = applyEvent(event, change) || wasRelayed;
+        if (!isNews || !isExternalKey(event.value.key))
             continue;
         m_knownChanges.markCompleteUpTo(event.value.modRevision);
         change.news.push_back(event);
@@ -100,7 +107,7 @@
     for (const auto& [centre, evacuation] : m_evacuations) {
         const std::string key = evacuation.key;
         if (evacuation.inForce && !present.count(key) && evacuation.revision <= reply.revision)
-            applyEvacuation(key, reply.revision, false, change);
+            applyEvacuation({ key, {}, reply.revision }, false, change);
     }
     for (const auto& [name, snapshotRevision] : m_missing)
         editServer(m_serverEntries.at(name).id, change).unconfirmed = true;
@@ -177,7 +184,7 @@
 {
     switch (m_adapter.itemOf(key)) {
     case StoreItem::Rules:
-        return m_rulesRevision >= revision;
+        return m_freshness.revision() >= revision;
     case StoreItem::Server: {
         const auto entry = m_serverEntries.find(m_adapter.serverNameIn(key));
         return entry != m_serverEntries.end() && entry->second.revision >= revision;
@@ -245,9 +252,9 @@
 
 void PlatformView::applyRules(const KeyValue& value, Change& change)
 {
-    if (value.modRevision <= m_rulesRevision)
+    if (value.modRevision <= m_freshness.revision())
         return;
-    m_rulesRevision = value.modRevision;
+    m_freshness.received(value.modRevision, false);
     ParsedRules reading;
     const auto fault = fieldErrorOf([&]() -> boost::leaf::result<void> {
         BOOST_LEAF_ASSIGN(reading, m_adapter.parseRules(value.value));
@@ -258,11 +265,18 @@
         return;
     }
     RouteRules& rules = reading.rules;
-    if (m_rules && rules.version <= m_rules->version)
+    if (m_rules && rules.version < m_rules->version) {
+        logChange(LogLevel::Error, "rules-refused",
+            { { "revision", value.modRevision }, { "why", "older than the version in force" },
+                { "version", rules.version } });
         return;
+    }
+    m_freshness.received(value.modRevision, !reading.incomplete);
     logRulesWarnings(reading.problems, rules.version);
     logChange(LogLevel::Info, "rules-in-force",
         { { "version", rules.version }, { "revision", value.modRevision }, { "routes", rules.routeCount() } });
+    rules.revision = value.modRevision;
+    rules.bounds.revision = value.modRevision;
     m_rules = std::make_shared<const RouteRules>(std::move(rules));
     change.rules = true;
 }
@@ -326,35 +340,41 @@
         server.warmupEnd = m_clock.now() + server.warmupLeft;
     const auto evacuation = m_evacuations.find(server.dataCentre);
     server.evacuated = evacuation != m_evacuations.end() && evacuation->second.inForce;
+    if (server.evacuated)
+        server.evacuatedSince = evacuation->second.since;
     if (entry.id != server.id)
         dropServer(name, value.modRevision, "restarted", change);
     const auto held = m_servers->find(server.id);
+    const bool wasLeaving = held != m_servers->end() && held->second.leaving;
+    if (server.leaving)
+        server.leavingSince = wasLeaving ? held->second.leavingSince : m_clock.now() - value.age;
     if (held != m_servers->end() && held->second == server)
         return false; // a heartbeat
     if (held == m_servers->end() || held->second.leaving != server.leaving)
-        logServer(server, value.modRevision);
+        logServer(server, value);
     entry.id = server.id;
     editServer(entry.id, change) = std::move(server);
     return true;
 }
 
-void PlatformView::applyEvacuation(const std::string& key, int64_t revision, bool inForce, Change& change)
+void PlatformView::applyEvacuation(const KeyValue& item, bool inForce, Change& change)
 {
-    const std::string centre = m_adapter.dataCentreIn(key);
+    const std::string centre = m_adapter.dataCentreIn(item.key);
     if (centre.empty()) {
-        logChange(LogLevel::Warning, "evacuation-refused", { { "key", key }, { "why", "names no data centre" } });
+        logChange(LogLevel::Warning, "evacuation-refused", { { "key", item.key }, { "why", "names no data centre" } });
         return;
     }
+    const int64_t revision = item.modRevision;
     Evacuation& evacuation = m_evacuations[centre];
     // As with servers: a write older than a snapshot without its item was followed by a deletion.
     const bool erasedSince = inForce && !evacuation.revision && revision <= m_snapshotRevision;
     if (revision <= evacuation.revision || erasedSince)
         return;
-    evacuation.key = key;
+    evacuation.key = item.key;
     evacuation.revision = revision;
     if (std::exchange(evacuation.inForce, inForce) == inForce)
         return;
-    evacuation.since = m_clock.now();
+    evacuation.since = m_clock.now() - item.age;
     logChange(LogLevel::Info, inForce ? "data-centre-evacuated" : "data-centre-evacuation-ended",
         { { "dataCentre", centre }, { "revision", revision } });
     markEvacuated(centre, inForce, change);
@@ -371,6 +391,7 @@
     for (const auto& id : serverIds) {
         RegisteredServer& server = editServer(id, change);
         server.evacuated = evacuated;
+        server.evacuatedSince = evacuated ? m_evacuations.at(dataCentre).since : Instant {};
         // Servers without traffic may have lost their caches, and their entries show that up to one heartbeat later.
         // After an evacuation the servers are therefore treated as warming up until a newer entry says otherwise.
         const RoutedService* service = m_rules ? m_rules->service(server.service) : nullptr;
@@ -434,7 +455,7 @@
     case StoreItem::Server:
         return applyServer(value, change);
     case StoreItem::Evacuation:
-        applyEvacuation(value.key, value.modRevision, true, change);
+        applyEvacuation(value, true, change);
         break;
     case StoreItem::Other:
         break;
@@ -454,7 +475,7 @@
     }
     const StoreItem item = m_adapter.itemOf(key);
     if (item == StoreItem::Evacuation)
-        applyEvacuation(key, revision, false, change);
+        applyEvacuation({ key, {}, revision }, false, change);
     if (item != StoreItem::Server)
         return;
     const std::string name = m_adapter.serverNameIn(key);
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -9,6 +9,7 @@
 #include "decisions/CrashEvidence.h"
 #include "decisions/GrantTable.h"
 #include "decisions/KnownChanges.h"
+#include "decisions/RulesFreshness.h"
 #include "gateway/Messages.h"
 #include "gateway/PlatformAdapter.h"
 #include "store/Store.h"
@@ -36,7 +37,8 @@
         bool any() const { return rules || !servers.empty() || leader || quarantine || !tables.empty(); }
     };
 
-    PlatformView(const PlatformAdapter&, const Clock&);
+    // `rulesDeadline`: as for RulesFreshness.
+    PlatformView(const PlatformAdapter&, const Clock&, Millis rulesDeadline);
 
     // --- Updates
     Change applyEvents(int64_t revision, const std::vector<WatchEvent>&);
@@ -57,6 +59,24 @@
     // The coordinator reports that there is no external write after `lastChange` up to `storeRevision`.
     void confirmUnchanged(int64_t lastChange, int64_t storeRevision);
     Change applyItem(const KeyValue&); // a read of one item
+    // The store's newest document had this revision at `asOf`, and no newer one was written up to `storeRevision`.
+    void confirmRules(int64_t revision, Instant asOf, int64_t storeRevision)
+    {
+        m_freshness.confirmed(revision, asOf, storeRevision);
+    }
+    // The same of the newest document that this host has received.
+    void confirmRules(Instant asOf, int64_t storeRevision)
+    {
+        confirmRules(m_freshness.revision(), asOf, storeRevision);
+    }
+    // The same by a check of the document alone.
+    void recordRulesCheck(Instant asOf, int64_t storeRevision)
+    {
+        m_freshness.checked(m_freshness.revision(), asOf, storeRevision);
+    }
+    void setReportInterval(Millis interval) { m_freshness.setReportInterval(interval); }
+    void announceRules(int64_t revision) { m_freshness.announced(revision); } // the document arrives later
+    bool isRulesKey(std::string_view key) const { return m_adapter.itemOf(key) == StoreItem::Rules; }
     Change applyTable(GrantTable); // from the coordinator; may be newer than the one in the store
 
     // --- Queries
@@ -67,6 +87,7 @@
     // Whether this external write to the key, or a later one, is known.
     bool knows(std::string_view key, int64_t revision) const;
     const std::shared_ptr<const RouteRules>& rules() const { return m_rules; } // null: none yet
+    const RulesFreshness& rulesFreshness() const { return m_freshness; }
     // The map itself, which later updates change. Only for this host's control thread.
     std::shared_ptr<const ServerMap> servers() const { return m_servers; }
     uint64_t serversEdition() const { return m_serversEdition; } // grows with each change of the servers
@@ -89,8 +110,8 @@
     void recordListed(std::set<std::string, std::less<>> hosts, int64_t modRevision);
 
 private:
-    void logServer(const RegisteredServer&, int64_t revision);
-    void applyEvacuation(const std::string& key, int64_t revision, bool evacuated, Change&);
+    void logServer(const RegisteredServer&, const KeyValue& entry);
+    void applyEvacuation(const KeyValue&, bool inForce, Change&);
     void markEvacuated(const std::string& dataCentre, bool evacuated, Change&); // sets the flag of its servers
     void logOmittedRegistrations(); // at the end of a batch
     // These return whether the write said something new.
@@ -112,7 +133,7 @@
     // revision hosts compare with each other and which therefore moves with external writes only.
     int64_t m_unchangedUpTo = 0;
     std::shared_ptr<const RouteRules> m_rules;
-    int64_t m_rulesRevision = 0; // of the last rules document, accepted or not
+    RulesFreshness m_freshness; // of the rules document
     std::shared_ptr<ServerMap> m_servers = std::make_shared<ServerMap>();
     uint64_t m_serversEdition = 0;
     // State of a server's entry in the store.
--- a/packages/gateway/ReportingHosts.cpp
+++ b/packages/gateway/ReportingHosts.cpp
@@ -13,7 +13,7 @@
     const double strength = report.strengthCenti / centi;
     if (!added && host.strength == strength && host.dataCentre == report.dataCentre && host.address == report.address
         && host.brokersSlots == report.brokersSlots && host.cutOff == report.cutOff
-        && host.forwardPort == report.forwardPort)
+        && host.forwardPort == report.forwardPort && host.answersAwaiting == report.answersAwaiting)
         return;
     host.strength = strength;
     host.dataCentre = report.dataCentre;
@@ -21,6 +21,7 @@
     host.brokersSlots = report.brokersSlots;
     host.cutOff = report.cutOff;
     host.forwardPort = report.forwardPort;
+    host.answersAwaiting = report.answersAwaiting;
     ++m_edition;
 }
 
@@ -57,19 +58,46 @@
         m_hosts.begin(), m_hosts.end(), [&](const auto& other) { return other.first != host && !other.second.cutOff; });
 }
 
+namespace {
+
+    // Ties are broken by name, so that the choice is stable.
+    bool isStronger(const ReportingHosts::Map::value_type& host, const ReportingHosts::Map::value_type& other)
+    {
+        if (host.second.strength != other.second.strength)
+            return host.second.strength > other.second.strength;
+        return host.first < other.first;
+    }
+
+}
+
 bool ReportingHosts::isStandby(std::string_view host, std::string_view coordinator, size_t standbys) const
 {
-    // Ties are broken by name, so that the choice is stable.
     const auto found = m_hosts.find(host);
     if (found == m_hosts.end() || host == coordinator)
         return false;
     size_t strongerHosts = 0;
-    for (const auto& [name, other] : m_hosts) {
-        const bool precedes
-            = other.strength > found->second.strength || (other.strength == found->second.strength && name < host);
-        strongerHosts += name != coordinator && precedes;
-    }
+    for (const auto& other : m_hosts)
+        strongerHosts += other.first != coordinator && isStronger(other, *found);
     return strongerHosts < standbys;
 }
 
+std::map<std::string, std::string> ReportingHosts::answeringStandbys(
+    std::string_view coordinator, size_t standbys) const
+{
+    std::vector<const Map::value_type*> strongest;
+    for (const auto& host : m_hosts) {
+        if (host.first != coordinator)
+            strongest.push_back(&host);
+    }
+    const auto end = strongest.begin() + static_cast<std::ptrdiff_t>(std::min(standbys, strongest.size()));
+    std::partial_sort(strongest.begin(), end, strongest.end(),
+        [](const auto* host, const auto* other) { return isStronger(*host, *other); });
+    std::map<std::string, std::string> addresses;
+    for (auto host = strongest.begin(); host != end; ++host) {
+        if ((*host)->second.answersAwaiting)
+            addresses.emplace((*host)->first, (*host)->second.address);
+    }
+    return addresses;
+}
+
 }
--- a/packages/gateway/ReportingHosts.h
+++ b/packages/gateway/ReportingHosts.h
@@ -21,6 +21,7 @@
     bool brokersSlots = false; // it may become a broker
     bool cutOff = false; // it reaches no server
     int forwardPort = 0; // 0: it takes no forwarded requests
+    bool answersAwaiting = false; // it answers hosts that await a coordinator
 };
 
 class ReportingHosts {
@@ -38,6 +39,8 @@
     bool anyOtherReachesServers(std::string_view host) const;
     // Whether the host is one of the `standbys` strongest hosts beside the coordinator.
     bool isStandby(std::string_view host, std::string_view coordinator, size_t standbys) const;
+    // Of those standbys, the ones that answer hosts that await a coordinator: addresses by name.
+    std::map<std::string, std::string> answeringStandbys(std::string_view coordinator, size_t standbys) const;
 
 private:
     Map m_hosts;
--- a/packages/gateway/RequestCrashes.cpp
+++ b/packages/gateway/RequestCrashes.cpp
@@ -43,14 +43,14 @@
 }
 
 RequestCrashes::RequestCrashes(asio::any_io_executor executor, const Clock& clock, Metrics& metrics,
-    const RequestCrashOptions& options, EarlyReport reportEarly, CutOffCheck checkCutOff)
+    const RequestCrashOptions& options, EarlyReport reportEarly, GoneCheck confirmGone)
     : m_executor(executor)
     , m_clock(clock)
     , m_metrics(metrics)
     , m_fingerprintSeed(hashOf(0, { options.fingerprintKey }))
     , m_connectTimeout(options.connectTimeout)
     , m_reportEarly(std::move(reportEarly))
-    , m_checkCutOff(std::move(checkCutOff))
+    , m_confirmGone(std::move(confirmGone))
 {
 }
 
@@ -134,21 +134,18 @@
     spawnLoop(m_executor, "server-look", checkReachable(server));
 }
 
-// A connection may end for many reasons. Connecting again tells a crash from the others within milliseconds. The new
-// connection is kept for the next request.
+// A connection may end for many reasons. Connecting again tells a crash from the others within milliseconds.
 asio::awaitable<void> RequestCrashes::checkReachable(std::shared_ptr<Upstream> server)
 {
-    auto connection = co_await server->pool.connect(m_connectTimeout);
-    if (connection) {
-        // The server may have restarted already, or a proxy may accept connections in its place. In these cases only
-        // the server's entry shows that it went away.
-        server->pool.returnConnection(std::move(connection));
+    // If it connects, the server may have restarted already, or a proxy may accept connections in its place. In these
+    // cases only the server's entry shows that it went away.
+    const bool connected = co_await server->pool.tryConnect(m_connectTimeout);
+    if (connected)
         co_return;
-    }
     server->acceptsConnections = false;
-    // Without a path to any server all of them seem to have crashed.
-    const bool cutOff = co_await m_checkCutOff();
-    if (cutOff)
+    // A request that was at the server stays known for a while, should the server's entry be removed.
+    const bool gone = co_await m_confirmGone(server->entry.id);
+    if (!gone)
         co_return;
     server->connectFailed();
     recordServerGone(*server, "the server accepts no connections");
--- a/packages/gateway/RequestCrashes.h
+++ b/packages/gateway/RequestCrashes.h
@@ -52,10 +52,11 @@
 class RequestCrashes {
 public:
     using EarlyReport = std::function<void()>; // called when there is news that can't wait for the next report
-    using CutOffCheck = std::function<boost::asio::awaitable<bool>()>; // whether this host reaches no server at all
+    // Whether a server (id) that accepts no connection of this host has gone, rather than this host's path to it.
+    using GoneCheck = std::function<boost::asio::awaitable<bool>(std::string)>;
 
     RequestCrashes(
-        boost::asio::any_io_executor, const Clock&, Metrics&, const RequestCrashOptions&, EarlyReport, CutOffCheck);
+        boost::asio::any_io_executor, const Clock&, Metrics&, const RequestCrashOptions&, EarlyReport, GoneCheck);
 
     // --- From the coordinator
     void apply(const CrashUpdate&);
@@ -90,7 +91,7 @@
     uint64_t m_fingerprintSeed;
     Millis m_connectTimeout;
     EarlyReport m_reportEarly;
-    CutOffCheck m_checkCutOff;
+    GoneCheck m_confirmGone;
     bool m_cutOff = false;
     HostCrashTracker m_tracker;
 };
--- a/packages/gateway/RequestLog.cpp
+++ b/packages/gateway/RequestLog.cpp
@@ -5,33 +5,42 @@
 #include "gateway/RequestCrashes.h"
 #include "resources/QuarantineCodec.h"
 
-#include <algorithm>
 #include <boost/json/object.hpp>
 #include <utility>
 
 namespace cumindale {
 
+namespace {
+
+    constexpr double linesPerSecond = 100; // about 30 kB/s, and 1% of a small host's processor time
+    constexpr double burst = 200;
+
+}
+
 RequestLog::RequestLog(const Clock& clock, Metrics& metrics, const RequestCrashes& crashes)
     : m_clock(clock)
     , m_crashes(crashes)
     , m_metrics(metrics)
+    , m_lines(errorKindCount, linesPerSecond, burst)
 {
 }
 
-bool RequestLog::mayLog()
+bool RequestLog::mayLog(ErrorKind kind)
 {
-    constexpr double linesPerSecond = 100; // about 30 kB/s, and 1% of a small host's processor time
-    constexpr double burst = 200;
-    const Instant now = m_clock.now();
-    m_tokens = std::min(burst, m_tokens + linesPerSecond * static_cast<double>((now - m_tokensAt).count()) / 1000);
-    m_tokensAt = now;
-    if (m_tokens < 1) {
-        ++m_droppedLines;
-        m_metrics.counter("log_lines_left_out").add();
-        return false;
-    }
-    m_tokens -= 1;
-    return true;
+    if (m_lines.take(static_cast<size_t>(kind), m_clock.now()))
+        return true;
+    ++m_droppedLines;
+    m_metrics.counter("log_lines_left_out").add();
+    return false;
+}
+
+void RequestLog::writeUnhandled(const UnhandledRequest& request)
+{
+    const ErrorInfo& info = errorInfo(request.error);
+    logChange(LogLevel::Info, "request-refused",
+        { { "request", request.id }, { "error", info.name }, { "ran", toString(info.ran) },
+            { "requestHost", request.host }, { "sends", 0 }, { "afterMs", 0 }, { "rules", request.rulesVersion },
+            { "rulesAgeMs", request.rulesAgeMillis }, { "leftOut", std::exchange(m_droppedLines, 0) } });
 }
 
 void RequestLog::write(
@@ -55,6 +64,7 @@
     line["deadlineMs"] = (job.deadline - job.arrived).count();
     line["serversAsOf"] = known.serversAsOf;
     line["rules"] = job.rules ? job.rules->version : 0;
+    line["rulesAgeMs"] = known.rulesAgeMillis;
     line["edition"] = known.table;
     if (error == ErrorKind::Quarantined || mayHaveCrashedServer(error))
         line["fingerprint"] = formatFingerprint(m_crashes.relevantFingerprint(job.fingerprints));
--- a/packages/gateway/ServerReachMonitor.cpp
+++ b/packages/gateway/ServerReachMonitor.cpp
@@ -15,6 +15,8 @@
 namespace {
 
     constexpr size_t probesPerCheck = ServerReachOptions {}.probesPerCheck;
+    // In all, in a check whose first probes fail. Of about half of the servers three probes say nothing.
+    constexpr size_t probesPerWideCheck = 24;
     constexpr Millis idleInterval { 250 }; // between two looks at requests without an answer
     // Between two probes while cut off. All hosts that are cut off together probe so often, each another server.
     constexpr Millis probeInterval { 200 };
@@ -26,7 +28,7 @@
 
 // One check in progress.
 struct ServerReachMonitor::Check {
-    size_t ended = 0;
+    std::vector<ProbeOutcome> outcomes;
     size_t failures = 0;
 };
 
@@ -40,6 +42,7 @@
     , m_connectsFailed(metrics.counter("server_connects_failed"))
     , m_cutOffs(metrics.counter("host_cut_offs"))
     , m_isCutOff(metrics.counter("host_is_cut_off"))
+    , m_unreached(metrics.counter("servers_reached_by_others_only"))
     , m_checked(executor)
     , m_changed(executor)
 {
@@ -54,15 +57,46 @@
     server.acceptsConnections = connected;
     const bool wasCutOff = cutOff();
     if (connected) {
+        if (m_paths.reachedThroughOthers(server.entry.id)) {
+            server.forgetFailures();
+            logChange(LogLevel::Info, "server-reached-again", { { "server", server.entry.id } });
+        }
+        m_paths.connected(server.entry.id);
         m_reach.connected(server.entry.id, cutOff() ? probeableServers() : 0);
     } else {
         m_connectsFailed.add();
+        if (!wasCutOff)
+            m_paths.connectFailed(server.entry.id);
         m_reach.connectFailed(server.entry.id, m_clock.now());
     }
     onEvidence(wasCutOff);
 }
 
-void ServerReachMonitor::recordAnswer(const Upstream& server) { m_reach.answered(server.entry.id, m_clock.now()); }
+void ServerReachMonitor::recordAnswer(const Upstream& server)
+{
+    m_paths.answered(server.entry.id);
+    m_reach.answered(server.entry.id, m_clock.now());
+}
+
+bool ServerReachMonitor::startTrial(const Upstream& server)
+{
+    return !cutOff() && m_paths.startTrial(server.entry.id, m_clock.now());
+}
+
+void ServerReachMonitor::recordAnswerElsewhere(std::string_view server)
+{
+    const bool known = m_paths.reachedThroughOthers(server);
+    m_paths.answeredElsewhere(server);
+    if (!known && m_paths.reachedThroughOthers(server)) {
+        m_unreached.add();
+        logChange(LogLevel::Warning, "server-reached-by-others-only", { { "server", server } });
+    }
+}
+
+void ServerReachMonitor::recordUnreachableElsewhere(const Upstream& server)
+{
+    m_paths.unreachableElsewhere(server.entry.id, m_clock.now());
+}
 
 void ServerReachMonitor::checkIfUnknown()
 {
@@ -76,6 +110,7 @@
 {
     if (cutOff() == wasCutOff)
         return;
+    m_paths.clear();
     m_isCutOff.set(cutOff());
     m_cutOffs.add(cutOff());
     const Millis sinceAnswer = m_clock.now() - m_reach.lastAnswer();
@@ -89,6 +124,8 @@
 
 bool ServerReachMonitor::sendsDirectly(const Upstream& server, bool mayTry) const
 {
+    if (m_paths.reachedThroughOthers(server.entry.id))
+        return m_paths.answersOverOpenConnections(server.entry.id) && server.pool.hasConnection(m_clock.now());
     switch (m_reach.pathTo(server.entry.id)) {
     case ServerReach::Path::Connects:
         return true;
@@ -102,6 +139,11 @@
     return mayTry;
 }
 
+bool ServerReachMonitor::reachedThroughOthers(const Upstream& server) const
+{
+    return m_paths.reachedThroughOthers(server.entry.id);
+}
+
 asio::awaitable<bool> ServerReachMonitor::confirmCutOff()
 {
     if (!m_reach.suspicious(m_clock.now()))
@@ -111,10 +153,14 @@
 
 asio::awaitable<bool> ServerReachMonitor::checkCutOff()
 {
-    if (m_checking)
-        co_await m_checked.wait(2 * m_connectTimeout);
-    else if (m_reach.mayCheck(m_clock.now()))
+    if (m_checking) {
+        // m_checked is notified by each probe as well.
+        const Instant until = m_clock.now() + 2 * m_connectTimeout;
+        for (Instant now = m_clock.now(); m_checking && now < until; now = m_clock.now())
+            co_await m_checked.wait(until - now);
+    } else if (m_reach.mayCheck(m_clock.now())) {
         co_await check();
+    }
     co_return cutOff();
 }
 
@@ -122,16 +168,25 @@
 
 // Servers that have crashed say nothing about the path, so those that accepted the last connection are probed if there
 // are any. A request that crashes one server after the other would make this host believe that it is cut off.
-std::vector<ServerReachMonitor::UpstreamPointer> ServerReachMonitor::probeTargets(size_t count) const
+//
+// While cut off, those that are known to accept connections say nothing new.
+std::vector<ServerReachMonitor::UpstreamPointer> ServerReachMonitor::probeTargets(
+    size_t count, std::span<const ProbeOutcome> known) const
 {
     std::vector<UpstreamPointer> usable;
     for (const auto& [id, server] : m_servers.inUse()) {
-        if (!server->outOfUse())
+        const std::string& name = id;
+        const bool isKnown = std::any_of(
+            known.begin(), known.end(), [&](const ProbeOutcome& outcome) { return outcome.server == name; });
+        if (!server->outOfUse() && !isKnown)
             usable.push_back(server);
     }
     std::vector<UpstreamPointer> preferred;
-    std::copy_if(usable.begin(), usable.end(), std::back_inserter(preferred),
-        [&](const UpstreamPointer& server) { return cutOff() || server->acceptsConnections; });
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(preferred), [&](const UpstreamPointer& server) {
+        return cutOff() ? m_reach.pathTo(server->entry.id) != ServerReach::Path::Connects : server->acceptsConnections;
+    });
+    if (preferred.empty() && !known.empty())
+        return {};
     const auto& servers = preferred.empty() ? usable : preferred;
     std::vector<ProbeCandidate> candidates;
     candidates.reserve(servers.size());
@@ -150,36 +205,35 @@
         std::count_if(servers.begin(), servers.end(), [](const auto& server) { return !server.second->outOfUse(); }));
 }
 
-// The connection is kept for the next request.
-asio::awaitable<bool> ServerReachMonitor::tryConnect(UpstreamPointer server)
-{
-    auto connection = co_await server->pool.connect(m_connectTimeout);
-    const bool connected = connection != nullptr;
-    if (connected)
-        server->pool.returnConnection(std::move(connection));
-    co_return connected;
-}
-
 asio::awaitable<void> ServerReachMonitor::probe(UpstreamPointer server, std::shared_ptr<Check> check)
 {
-    const bool connected = co_await tryConnect(server);
+    const bool connected = co_await server->pool.tryConnect(m_connectTimeout);
     recordConnect(*server, connected);
     check->failures += !connected;
-    ++check->ended;
+    check->outcomes.push_back({ server->entry.id, connected });
     m_checked.notifyAll();
 }
 
+asio::awaitable<void> ServerReachMonitor::probeAll(std::vector<UpstreamPointer> targets, std::shared_ptr<Check> check)
+{
+    const size_t expected = check->outcomes.size() + targets.size();
+    for (const auto& target : targets)
+        asio::co_spawn(m_executor, probe(target, check), asio::detached);
+    while (check->outcomes.size() < expected)
+        co_await m_checked.wait(m_connectTimeout);
+}
+
 asio::awaitable<void> ServerReachMonitor::check()
 {
     m_checking = true;
-    const auto targets = probeTargets(probesPerCheck);
     const auto progress = std::make_shared<Check>();
-    for (const auto& target : targets)
-        asio::co_spawn(m_executor, probe(target, progress), asio::detached);
-    while (progress->ended < targets.size())
-        co_await m_checked.wait(m_connectTimeout);
+    co_await probeAll(probeTargets(probesPerCheck), progress);
+    // Without an answer from any server there is no doubt.
+    const bool silent = m_clock.now() - m_reach.lastAnswer() >= idleInterval;
+    if (progress->failures * 2 > progress->outcomes.size() && !silent)
+        co_await probeAll(probeTargets(probesPerWideCheck - probesPerCheck, progress->outcomes), progress);
     const bool wasCutOff = cutOff();
-    m_reach.checked(targets.size(), progress->failures, m_clock.now());
+    m_reach.checked(progress->outcomes, m_clock.now());
     m_checking = false;
     onEvidence(wasCutOff);
     m_checked.notifyAll();
@@ -196,6 +250,17 @@
     return stuck >= stuckServers;
 }
 
+// Servers that are gone say nothing about the path.
+void ServerReachMonitor::forgetUnused()
+{
+    const auto isUsed = [this](std::string_view id) {
+        const auto server = m_servers.inUse().find(id);
+        return server != m_servers.inUse().end() && !server->second->outOfUse();
+    };
+    m_reach.retain(isUsed);
+    m_paths.retain(isUsed);
+}
+
 // While probes succeed, the next follows at once.
 asio::awaitable<void> ServerReachMonitor::probeNext()
 {
@@ -203,16 +268,33 @@
         const auto targets = probeTargets(1);
         if (targets.empty())
             co_return;
-        const bool connected = co_await tryConnect(targets.front());
+        const bool connected = co_await targets.front()->pool.tryConnect(m_connectTimeout);
         recordConnect(*targets.front(), connected);
         if (!connected)
             co_return;
     }
 }
 
+// The failures are known, so they are no reason for suspicion.
+asio::awaitable<void> ServerReachMonitor::probeUnreached()
+{
+    const auto unreached = m_paths.allReachedThroughOthers();
+    const size_t start = unreached.empty() ? 0 : randomNumber() % unreached.size();
+    for (size_t i = 0; i < unreached.size() && !cutOff(); ++i) {
+        const auto server = m_servers.inUse().find(unreached[(start + i) % unreached.size()]);
+        if (server == m_servers.inUse().end())
+            continue;
+        const UpstreamPointer held = server->second;
+        if (!co_await held->pool.tryConnect(m_connectTimeout))
+            co_return;
+        recordConnect(*held, true);
+    }
+}
+
 asio::awaitable<void> ServerReachMonitor::run()
 {
     for (;;) {
+        forgetUnused();
         if (cutOff()) {
             co_await m_changed.wait(probeInterval + randomUpTo(probeJitter));
             co_await probeNext();
@@ -221,6 +303,7 @@
             const Instant now = m_clock.now();
             if (!cutOff() && !m_checking && m_reach.mayCheck(now) && requestsAreStuck(now))
                 co_await check();
+            co_await probeUnreached();
         }
     }
 }
--- /dev/null
+++ b/packages/gateway/StandbyReader.h
@@ -0,0 +1,71 @@
+// Asks the standbys of the last coordinator for changes of the store, while this host has no coordinator and doesn't
+// watch the store.
+//
+// Load pattern: a thousand hosts lose their coordinator for many seconds, while hundreds of servers announce that they
+// leave. The store's link doesn't carry the servers' entries to each host. The standbys watch all of them, and each
+// host asks one standby as often as it reported to the coordinator.
+#pragma once
+
+#include "base/Metrics.h"
+#include "base/Time.h"
+#include "peers/Coordination.h"
+#include "web/Signal.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cumindale {
+
+// What an answer of a standby is worth.
+enum class StandbyAnswer : uint8_t {
+    Recent, // this host knows all changes of the store now
+    Incomplete, // the answer leaves out some of what this host lacks
+    StoreSilent, // the standby doesn't know recent changes itself
+    None, // it hasn't answered
+};
+
+class StandbyReader {
+public:
+    using ReportSource = std::function<wire::HostReport()>;
+    using AnswerSink = std::function<StandbyAnswer(const wire::HostAdvice&, Instant askedAt)>; // takes an answer
+
+    // `ownAddress`: "IP:port" of this host, which doesn't ask itself.
+    StandbyReader(
+        boost::asio::any_io_executor, const Clock&, std::string ownAddress, Metrics&, ReportSource, AnswerSink);
+    boost::asio::awaitable<void> run(); // never returns
+    // `checksum`: 0 leaves the list as it is.
+    void setStandbys(int64_t checksum, const std::vector<std::string>& addresses);
+    int64_t standbysChecksum() const { return m_checksum; } // 0: no list is known
+    bool start(Millis interval); // between two questions; false: it asks already
+    void stop();
+
+private:
+    boost::asio::awaitable<StandbyAnswer> askEach(); // until one is Recent; else the last one
+    boost::asio::awaitable<StandbyAnswer> ask(std::string address);
+    void recordAnswer(StandbyAnswer);
+
+    boost::asio::any_io_executor m_executor;
+    const Clock& m_clock;
+    std::string m_ownAddress;
+    ReportSource m_makeReport;
+    AnswerSink m_answerSink;
+    Counter& m_bytesSent;
+    Counter& m_questions;
+    Counter& m_unanswered;
+    Signal m_changed; // m_active
+    std::vector<std::string> m_standbys; // addresses
+    int64_t m_checksum = 0;
+    size_t m_next = 0; // of m_standbys, modulo their number
+    std::unique_ptr<CoordinationLink> m_link;
+    std::string m_linkAddress;
+    Millis m_interval = maxIdleWait;
+    bool m_active = false;
+    bool m_isSpread = false; // the time of the first question was chosen at random
+    bool m_answered = true; // the last question, with all recent changes
+    static constexpr Millis maxIdleWait { 2'000 };
+};
+
+}
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -96,8 +96,6 @@
     ServerPool pool;
     Instant reachabilityCheckedAt {}; // last check after a lost connection
     bool replaced = false; // another server answers at its address, so this one is gone whatever its entry says
-    Instant leavingSince {}; // when this host learned from the entry that the server is leaving
-    Instant evacuatedSince {}; // when this host learned of its data centre's evacuation
     unsigned failures = 0; // consecutive
     bool acceptsConnections = true; // the last new connection was opened, or none was tried
     Instant failingUntil {};
--- a/packages/gateway/UpstreamRegistry.cpp
+++ b/packages/gateway/UpstreamRegistry.cpp
@@ -33,11 +33,9 @@
     return m_rules ? m_rules->service(server.service) : nullptr;
 }
 
-void UpstreamRegistry::update(Upstream& upstream, const Server& server, Instant now)
+void UpstreamRegistry::update(Upstream& upstream, const RegisteredServer& entry, Instant now)
 {
-    upstream.update(*server.entry, rulesOf(*server.entry), m_hosts, now);
-    upstream.leavingSince = server.leavingSince;
-    upstream.evacuatedSince = server.evacuatedSince;
+    upstream.update(entry, rulesOf(entry), m_hosts, now);
 }
 
 void UpstreamRegistry::setRules(std::shared_ptr<const RouteRules> rules)
@@ -45,7 +43,7 @@
     m_rules = std::move(rules);
     const Instant now = m_clock.now();
     for (const auto& [id, upstream] : m_upstreams)
-        update(*upstream, m_servers.find(id)->second, now);
+        update(*upstream, *m_servers.find(id)->second, now);
 }
 
 void UpstreamRegistry::setHosts(size_t hosts)
@@ -53,7 +51,7 @@
     m_hosts = hosts;
     const Instant now = m_clock.now();
     for (const auto& [id, upstream] : m_upstreams)
-        update(*upstream, m_servers.find(id)->second, now);
+        update(*upstream, *m_servers.find(id)->second, now);
 }
 
 void UpstreamRegistry::apply(std::span<const ServerChange> changes, bool complete)
@@ -81,26 +79,19 @@
         remove(change.id);
         return;
     }
-    Server& server = m_servers[change.id];
+    std::shared_ptr<const RegisteredServer>& held = m_servers[change.id];
     const RegisteredServer& entry = *change.entry;
-    const bool wasLeaving = server.entry && server.entry->leaving;
-    const bool wasEvacuated = server.entry && server.entry->evacuated;
-    if (entry.leaving && !wasLeaving)
-        server.leavingSince = now;
-    if (entry.evacuated && !wasEvacuated)
-        server.evacuatedSince = now;
-    const bool moved
-        = server.entry && (server.entry->service != entry.service || server.entry->dataCentre != entry.dataCentre);
+    const bool moved = held && (held->service != entry.service || held->dataCentre != entry.dataCentre);
     if (moved)
-        removeFromSubset(*server.entry);
-    if (!server.entry || moved) {
+        removeFromSubset(*held);
+    if (!held || moved) {
         ++m_membersEdition;
         m_subsets.try_emplace(entry.service, m_host, m_dataCentre).first->second.add(entry.id, entry.dataCentre);
     }
-    server.entry = change.entry;
+    held = change.entry;
     const auto upstream = m_upstreams.find(change.id);
     if (upstream != m_upstreams.end())
-        update(*upstream->second, server, now);
+        update(*upstream->second, entry, now);
 }
 
 void UpstreamRegistry::removeFromSubset(const RegisteredServer& entry)
@@ -115,7 +106,7 @@
     const auto server = m_servers.find(id);
     if (server == m_servers.end())
         return;
-    removeFromSubset(*server->second.entry);
+    removeFromSubset(*server->second);
     ++m_membersEdition;
     m_servers.erase(server);
     const auto found = m_upstreams.find(id);
@@ -176,9 +167,9 @@
     if (server == m_servers.end())
         return nullptr;
     const Instant now = m_clock.now();
-    const RegisteredServer& entry = *server->second.entry;
+    const RegisteredServer& entry = *server->second;
     auto made = std::make_shared<Upstream>(m_executor, m_clock, entry, rulesOf(entry));
-    update(*made, server->second, now);
+    update(*made, entry, now);
     made->lastUsed = now;
     if (m_limits) {
         const auto limit = m_limits->find(id);
@@ -201,7 +192,7 @@
 const RegisteredServer* UpstreamRegistry::entryOf(std::string_view server) const
 {
     const auto found = m_servers.find(server);
-    return found == m_servers.end() ? nullptr : found->second.entry.get();
+    return found == m_servers.end() ? nullptr : found->second.get();
 }
 
 bool UpstreamRegistry::takesNewWork(const RegisteredServer& entry, Instant now) const
@@ -243,7 +234,7 @@
         if (upstream != m_upstreams.end()) {
             warm = !upstream->second->outOfUse() && !upstream->second->warmingUp(now);
         } else {
-            const RegisteredServer& entry = *m_servers.find(id)->second.entry;
+            const RegisteredServer& entry = *m_servers.find(id)->second;
             const RoutedService* rules = rulesOf(entry);
             warm = !entry.draining() && !(rules && rules->warmUp.isSet() && entry.warmingUp(now));
         }
--- a/packages/gateway/UpstreamRegistry.h
+++ b/packages/gateway/UpstreamRegistry.h
@@ -65,16 +65,10 @@
     void dropUnused(Instant now); // those that have not been used for a while and whose state is worth nothing
 
 private:
-    struct Server {
-        std::shared_ptr<const RegisteredServer> entry;
-        Instant leavingSince {}; // when this host learned from the entry that the server is leaving
-        Instant evacuatedSince {}; // when this host learned of its data centre's evacuation
-    };
-
     void applyChange(const ServerChange&, Instant now);
     void remove(const std::string& server);
     void removeFromSubset(const RegisteredServer&);
-    void update(Upstream&, const Server&, Instant now);
+    void update(Upstream&, const RegisteredServer&, Instant now);
     const RoutedService* rulesOf(const RegisteredServer&) const;
 
     boost::asio::any_io_executor m_executor;
@@ -86,7 +80,7 @@
     size_t m_hosts = 0;
     std::shared_ptr<const RateLimits> m_limits; // as last sent by the coordinator; null: none
     size_t m_sharers = 0; // of m_limits
-    std::map<std::string, Server, std::less<>> m_servers; // by id
+    std::map<std::string, std::shared_ptr<const RegisteredServer>, std::less<>> m_servers; // by id
     std::map<std::string, ServerSubset, std::less<>> m_subsets; // by service
     uint64_t m_membersEdition = 0;
     std::map<std::string, UpstreamPointer, std::less<>> m_upstreams; // by id; of servers in use
