--- a/tests/callers_test.cpp
+++ b/tests/callers_test.cpp
@@ -89,6 +89,14 @@
     CHECK(fixture.post(std::string(900'000, 'u')).status == 200); // the reserved memory was freed
 }
 
+// Guards against 413 for bodies that are allowed: the limit of the HTTP library applied before that of the service.
+TEST_CASE("a body of several megabytes is served if the service allows it")
+{
+    RoutingFixture fixture({}, 8'000'000);
+    CHECK(fixture.post(std::string(3'000'000, 'u')).status == 200);
+    expectRefused(fixture, RoutingFixture::request("POST", "x", "Content-Length: 8000001\r\n"), 413, "body-too-large");
+}
+
 TEST_CASE("responses to HEAD have no body, including error responses of the router")
 {
     // Guards against a caller that receives the answer to an earlier request: a client reads the body of an error
--- a/tests/change_history_test.cpp
+++ b/tests/change_history_test.cpp
@@ -4,6 +4,7 @@
 #include "decisions/RelayPlan.h"
 #include "peers/Deflate.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 #include <set>
@@ -80,6 +81,61 @@
     }
 }
 
+// Guards against a new coordinator that can repeat nothing to hosts that are behind: documents overtake the entries of
+// servers on their way to it, and the history began anew with each of them.
+TEST_CASE("a change that precedes others and arrives after them closes the gap")
+{
+    ChangeHistory history;
+    const auto add = [&](int64_t after, int64_t last) {
+        std::vector<ItemChange> changes;
+        for (int64_t revision = after + 1; revision <= last; ++revision)
+            changes.push_back(changeAt(revision));
+        history.add(after, last, changes);
+    };
+    add(0, 5);
+    add(7, 8); // a document
+    CHECK(history.last() == 8);
+    CHECK_FALSE(history.changesSince(6));
+    add(5, 6);
+    CHECK_FALSE(history.changesSince(6));
+    add(6, 7);
+    add(8, 9);
+    CHECK(revisionsOf(*history.changesSince(0)) == std::vector<int64_t> { 1, 2, 3, 4, 5, 6, 7, 8, 9 });
+    // A copy of something that isn't followed by all that the history knows.
+    add(2, 4);
+    const std::vector<ItemChange> outside { changeAt(3) };
+    history.add(7, 7, outside);
+    CHECK(history.last() == 9);
+    CHECK(history.changesSince(0)->size() == 9);
+}
+
+TEST_CASE("the history repeats all changes after a revision or none, in whatever order they are received")
+{
+    CHECK(rc::check([] {
+        ChangeHistory history;
+        int64_t newest = 0;
+        const auto messages = *rc::gen::container<std::vector<std::pair<int64_t, int64_t>>>(
+            rc::gen::pair(rc::gen::inRange<int64_t>(0, 60), rc::gen::inRange<int64_t>(0, 9)));
+        for (const auto& [after, count] : messages) {
+            std::vector<ItemChange> changes;
+            for (int64_t revision = after + 1; revision <= after + count; ++revision)
+                changes.push_back(changeAt(revision));
+            history.add(after, after + count, changes);
+            newest = std::max(newest, after + count);
+            RC_ASSERT(history.last() == newest);
+            for (int64_t known = 0; known <= newest; ++known) {
+                const auto missed = history.changesSince(known);
+                if (!missed)
+                    continue;
+                std::vector<int64_t> expected;
+                for (int64_t revision = known + 1; revision <= newest; ++revision)
+                    expected.push_back(revision);
+                RC_ASSERT(revisionsOf(*missed) == expected);
+            }
+        }
+    }));
+}
+
 TEST_CASE("the history has a size limit and omits large values")
 {
     ChangeHistoryOptions options;
@@ -132,4 +188,38 @@
     CHECK(deliveryTimeout(300) == Millis(300));
     CHECK(deliveryTimeout(document) > Millis(document / smallestLink));
     CHECK(deliveryTimeout(document) < Millis(1'250)); // half of the time within which routes must take effect
+    constexpr size_t members = 11; // of a relay's group: all copies share its link
+    CHECK(deliveryTimeout(document / 10, members) > Millis(members * document / 10 / smallestLink));
+}
+
+// Guards against hosts that must read everything, or wait for their answer, since the history is full of documents that
+// nobody needs any more.
+TEST_CASE("of several documents the newest one alone is kept, and all entries beside it")
+{
+    const std::string document = "config";
+    ChangeHistory history({ 1'000, 1'000 }, [&](std::string_view key) { return key == document; });
+    constexpr int64_t rounds = 20;
+    int64_t revision = 0;
+    for (int64_t round = 0; round < rounds; ++round) {
+        const int64_t before = revision;
+        const std::vector<ItemChange> changes { { "i-" + std::to_string(round), "entry", ++revision },
+            { document, std::string(400, 'x'), ++revision } };
+        history.add(before, revision, changes);
+    }
+    const auto missed = history.changesSince(0);
+    REQUIRE(missed);
+    CHECK(missed->size() == rounds + 1);
+    CHECK(
+        std::count_if(missed->begin(), missed->end(), [&](const auto& change) { return change.key == document; }) == 1);
+    CHECK(missed->back().key == document);
+    CHECK(missed->back().revision == revision);
+    CHECK(history.changesSince(revision - 1)->size() == 1);
+    CHECK(history.changesSince(revision)->empty());
+    // An older document that arrives late doesn't replace the newer one.
+    const std::vector<ItemChange> late { { document, "old", revision + 1 }, { document, "new", revision + 2 } };
+    history.add(revision + 1, revision + 2, std::span(late).subspan(1));
+    history.add(revision, revision + 1, std::span(late).first(1));
+    REQUIRE(history.changesSince(revision));
+    CHECK(history.changesSince(revision)->back().value == "new");
+    CHECK(history.changesSince(revision)->size() == 1);
 }
--- a/tests/fleet_timing_test.cpp
+++ b/tests/fleet_timing_test.cpp
@@ -30,6 +30,7 @@
         CHECK(timing.reportInterval <= maxReportInterval);
         CHECK(timing.reportLifetime >= 2 * timing.reportInterval + reportTimeout);
         CHECK(timing.hostTimeout >= 3 * timing.reportInterval + reportTimeout);
+        CHECK(timing.maxShortOutage >= timing.reportInterval + reportTimeout + Millis(900)); // age of the last answer
         CHECK(timing.serverUseLifetime >= 2 * timing.reportInterval);
         CHECK(timing.reportLifetime < LeadershipTiming {}.maxWithoutStore);
     }
@@ -83,3 +84,10 @@
         }
     }
 }
+
+TEST_CASE("a host that has missed more than each entry twice reads the store instead of its history")
+{
+    CHECK(historyIsCheaperThanRead(fleetTiming(984).maxShortOutage));
+    CHECK(historyIsCheaperThanRead(Millis(10'000)));
+    CHECK_FALSE(historyIsCheaperThanRead(Millis(10'001)));
+}
--- a/tests/news_fanout_test.cpp
+++ b/tests/news_fanout_test.cpp
@@ -85,6 +85,25 @@
 
 }
 
+// Guards against messages that their receiver can't read, and that count as lost.
+TEST_CASE("items that can't be compressed can be packed and unpacked")
+{
+    uint64_t state = 1;
+    for (size_t bytes = 1; bytes < 40'000; bytes += bytes / 3 + 1) {
+        CAPTURE(bytes);
+        wire::StoreItem item;
+        item.key = "k";
+        for (size_t i = 0; i < bytes; ++i) {
+            state = state * 6364136223846793005U + 1442695040888963407U;
+            item.value.push_back(static_cast<char>(state >> 56));
+        }
+        const auto unpacked = unpackItems(packItems({ item }));
+        REQUIRE(unpacked);
+        REQUIRE(unpacked->size() == 1);
+        CHECK(unpacked->front().value == item.value);
+    }
+}
+
 TEST_CASE("the coordinator sends one copy per group, and each host receives the news once")
 {
     Fleet fleet(6);
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -44,7 +44,7 @@
         co_return response;
     }
 
-    CallerResponse errorResponse(ErrorKind kind) override
+    CallerResponse errorResponse(ErrorKind kind, const CallerHeader&) override
     {
         CallerResponse response { http::int_to_status(errorInfo(kind).status), 11 };
         response.body() = errorInfo(kind).name;
--- a/tests/request_outcome_test.cpp
+++ b/tests/request_outcome_test.cpp
@@ -160,6 +160,25 @@
     CHECK(fixture.post("claim").status == 200);
 }
 
+// Guards against 404 and 400 by a configuration that this host doesn't know to be the newest.
+TEST_CASE("what a configuration doesn't allow is final only with valid leases, and only to callers")
+{
+    RoutingFixture fixture;
+    const std::string unknown = "GET /other/x HTTP/1.1\r\nHost: h\r\nCase-Key: k\r\n\r\n";
+    const std::string withoutKey = "GET /tracing/x HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string relayed = "GET /other/x HTTP/1.1\r\nHost: h\r\nCase-Key: k\r\nCumindale-Relayed: host-b\r\n\r\n";
+    CHECK(fixture.send(unknown).status == 404);
+    CHECK(fixture.send(withoutKey).status == 400);
+    CHECK(fixture.send(relayed).header("Cumindale-Error") == "not-fresh");
+    fixture.setTable(2, SliceState::Serving, Millis(0));
+    for (const auto& request : { unknown, withoutKey }) {
+        const Answer answer = fixture.send(request);
+        CHECK(answer.status == 503);
+        CHECK(answer.header("Cumindale-Error") == "not-fresh");
+        CHECK_FALSE(answer.header("Retry-After").empty());
+    }
+}
+
 TEST_CASE("a request that waits for an owner is served once the slice has one")
 {
     RoutingFixture fixture;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -65,6 +65,10 @@
     CHECK(settings.gateway->shutdownGrace == Millis(6'500));
     CHECK(settingsError(gatewaySettingsWith("", R"("10.0.0.9")"))->field == "host.store");
     CHECK(settingsError(gatewaySettingsWith("", R"("here:7000")"))->field == "host.store");
+    CHECK(settings.gateway->rulesDeadline == Millis(2'000));
+    REQUIRE_FALSE(settingsError(gatewaySettingsWith(R"(,"rulesWithinSeconds":2.5)"), &settings).has_value());
+    CHECK(settings.gateway->rulesDeadline == Millis(2'500));
+    CHECK(settingsError(gatewaySettingsWith(R"(,"rulesWithinSeconds":0)"))->field == "gateway.rulesWithinSeconds");
     CHECK(settingsError(gatewaySettingsWith(R"(,"graceSeconds":0)"))->field == "gateway.graceSeconds");
     CHECK(settingsError(gatewaySettingsWith(R"(,"grace":1)"))->field == "gateway.grace");
     CHECK(settingsError(R"({"gateway":{"platform":"other","readiness":"10.0.0.1:83"}})")->text()
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -1,26 +1,18 @@
 // What the routing thread of a host keeps and does for each registered server, at the size of a large fleet.
-#include "base/Time.h"
 #include "gateway/SlotExchange.h"
 #include "gateway/UpstreamRegistry.h"
+#include "set_clock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
+#include <optional>
 #include <set>
 
 using namespace cumindale;
 
 namespace {
 
-class SetClock final : public Clock {
-public:
-    Instant now() const override { return time; }
-    int64_t unixMillis() const override { return 0; }
-    int64_t monotonicMicros() const override { return 0; }
-
-    Instant time = Instant {} + Millis(1'000'000);
-};
-
-ServerChange changeFor(size_t index, bool leaving = false)
+ServerChange changeFor(size_t index, std::optional<Instant> leavingSince = std::nullopt)
 {
     RegisteredServer server;
     server.id = "i-" + std::to_string(index) + "@0";
@@ -29,7 +21,8 @@
     server.dataCentre = "dc-" + std::to_string(index % 5);
     server.address = "127.0.0.1";
     server.port = 80;
-    server.leaving = leaving;
+    server.leaving = leavingSince.has_value();
+    server.leavingSince = leavingSince.value_or(Instant {});
     return { server.id, std::make_shared<const RegisteredServer>(server) };
 }
 
@@ -80,11 +73,11 @@
 {
     add(10);
     const Instant learned = clock.now();
-    const std::vector<ServerChange> leaving { changeFor(4, true) };
+    const std::vector<ServerChange> leaving { changeFor(4, learned) };
     registry.apply(leaving, false);
     clock.time = clock.time + Millis(3'000);
     REQUIRE(registry.upstream("i-4@0"));
-    CHECK(registry.upstream("i-4@0")->leavingSince == learned);
+    CHECK(registry.upstream("i-4@0")->entry.leavingSince == learned);
 }
 
 // Guards against limits that a server first used after they were told doesn't get.
@@ -131,7 +124,7 @@
     add(300);
     CHECK(listed().size() == 100);
     CHECK(directory.serversOf(poolOfService("vault", 1'000)).empty());
-    const std::vector<ServerChange> changes { { "i-3@0", nullptr }, changeFor(6, true), changeFor(900) };
+    const std::vector<ServerChange> changes { { "i-3@0", nullptr }, changeFor(6, Instant {}), changeFor(900) };
     registry.apply(changes, false);
     const auto ids = listed();
     CHECK(ids.size() == 99);
