A coordinator's time limit for a message counts the copies that its own link carries

Cause, from the log of such a coordinator: 6,689 servers get their keys at -16.14 to -16.05 s, the table goes to 82 relays, and from -15.64 to -15.0 s 74 of them count as unresponsive, one after the other. The time limit was that of one copy on the smallest link, some 0.45 s, but all copies share the coordinator's link. Then a copy goes to each of the 984 hosts, over the same link and out of the same memory. The loss of one message was told from the loss of a relay by a fixed rate beside a number that grows with the fleet.

Change: fanoutTimeout, the longer of one copy's time and that of all copies at 10,000 bytes per ms, four fifths of 100 Mbit/s. Relays and hosts that are sent to directly alike.

Evidence: the new test, 40 relays behind one link of 100 Mbit/s and a table of 200 kB: before, all 40 unresponsive and 41 checks failed; now each of 160 hosts has one copy, three of three runs. Ways: copies at the smallest link's rate (8.5 s for 100 kB and 82 relays, so long would a dead relay delay its group) or at the coordinator's (1.1 s): the latter.

--- a/packages/decisions/RelayPlan.cpp
+++ b/packages/decisions/RelayPlan.cpp
@@ -35,6 +35,7 @@
     // Hosts are a few ms apart; a lost packet is retransmitted after 0.2 s.
     constexpr Millis baseDeliveryTimeout { 300 };
     constexpr size_t bytesPerMillisecond = 1'000; // four fifths of a host's smallest link, 10 Mbit/s
+    constexpr size_t coordinatorsBytesPerMillisecond = 10'000; // the same of 100 Mbit/s; strong hosts coordinate
 
 }
 
@@ -43,6 +44,12 @@
     return baseDeliveryTimeout + Millis(static_cast<int64_t>(bytes * copies / bytesPerMillisecond));
 }
 
+Millis fanoutTimeout(size_t bytes, size_t copies)
+{
+    const Millis allCopies(static_cast<int64_t>(bytes * copies / coordinatorsBytesPerMillisecond));
+    return std::max(deliveryTimeout(bytes), baseDeliveryTimeout + allCopies);
+}
+
 std::vector<RelayGroup> planRelays(std::span<const RelayCandidate> candidates, const RelayOptions& options)
 {
     std::map<std::string_view, std::vector<const RelayCandidate*>> byDataCentre;
--- a/packages/decisions/RelayPlan.h
+++ b/packages/decisions/RelayPlan.h
@@ -43,6 +43,9 @@
 // reach a host behind a small link: each attempt would be aborted midway, and the host would read the store as well.
 // `copies`: messages of this size that the sender's link carries at the same time.
 Millis deliveryTimeout(size_t bytes, size_t copies = 1);
+// The same for a coordinator that sends this many copies. Its own link is larger than the relays', but carries all of
+// them: with the timeout of one copy it would take all relays for lost, and send a copy to each host.
+Millis fanoutTimeout(size_t bytes, size_t copies);
 
 // Changes in one message, unless a single one is larger. The operators' document waits until the message in flight has
 // been sent, so this is what the document may wait for: a relay behind the smallest link sends so much to its whole
--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -36,11 +36,12 @@
 {
 }
 
-void NewsLink::enqueue(const wire::News& news, size_t copies)
+void NewsLink::enqueue(const wire::News& news, size_t copies, Timeout timeout)
 {
     if (!m_link)
         return;
     m_copies = copies;
+    m_timeout = timeout;
     m_unsent.add(news);
     if (m_sending)
         return;
@@ -52,7 +53,7 @@
 {
     while (!m_unsent.empty()) {
         const wire::News news = m_unsent.takeNext();
-        const bool arrived = co_await m_link->adopt(news, deliveryTimeout(bytesOf(news), m_copies));
+        const bool arrived = co_await m_link->adopt(news, m_timeout(bytesOf(news), m_copies));
         if (arrived || !m_onFailure)
             continue;
         m_onFailure(news);
@@ -159,7 +160,7 @@
         wire::News forwarded = group.readsPacked ? packed : news;
         for (const auto& member : group.members)
             forwarded.forwardTo.push_back(m_hosts.at(member).address);
-        group.link->enqueue(forwarded);
+        group.link->enqueue(forwarded, m_groups.size(), fanoutTimeout);
     }
 }
 
@@ -172,7 +173,7 @@
     if (!link)
         link = std::make_shared<NewsLink>(m_executor,
             makeCoordinationLink(m_executor, found->second.address, m_bytesSent), NewsLink::FailureHandler {});
-    link->enqueue(found->second.readsPacked ? packed : news);
+    link->enqueue(found->second.readsPacked ? packed : news, m_groups.size(), fanoutTimeout);
 }
 
 void NewsFanout::onRelayFailed(
--- a/packages/gateway/NewsFanout.h
+++ b/packages/gateway/NewsFanout.h
@@ -23,8 +23,9 @@
     using FailureHandler = std::function<void(const wire::News&)>; // called with a message that was not answered
 
     NewsLink(boost::asio::any_io_executor, std::unique_ptr<CoordinationLink>, FailureHandler);
-    // `copies`: links of this host over which the same news are sent, where they may fill its connection.
-    void enqueue(const wire::News&, size_t copies = 1);
+    using Timeout = Millis (*)(size_t bytes, size_t copies); // of one message; deliveryTimeout or fanoutTimeout
+    // `copies`: links of this host over which the same news are sent.
+    void enqueue(const wire::News&, size_t copies = 1, Timeout = deliveryTimeout);
 
 private:
     boost::asio::awaitable<void> sendAll(
@@ -35,6 +36,7 @@
     FailureHandler m_onFailure;
     NewsQueue m_unsent;
     size_t m_copies = 1;
+    Timeout m_timeout = deliveryTimeout;
     bool m_sending = false;
 };
 
--- a/tests/news_fanout_test.cpp
+++ b/tests/news_fanout_test.cpp
@@ -1,6 +1,8 @@
 // Tests the distribution of news from a coordinator through relays to hosts on loopback.
 #include "gateway/NewsFanout.h"
 
+#include "slow_link.h"
+
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
@@ -24,6 +26,7 @@
     void onAdopt(const wire::News& news) override
     {
         forwardAddresses += news.forwardTo.size();
+        tables += news.packedTables.size();
         items += news.items.size();
         for (const auto& packed : news.packedItems)
             packedItems += unpackItems(packed).value_or(std::vector<wire::StoreItem> {}).size();
@@ -36,6 +39,7 @@
 
     size_t items = 0; // that came as they are
     size_t packedItems = 0;
+    size_t tables = 0;
     size_t forwardAddresses = 0; // to which this host was asked to forward news
     bool forwardsNews = true;
 
@@ -131,6 +135,36 @@
         CHECK(fleet.hosts[i]->items == 3);
 }
 
+// Guards against a coordinator that takes all of its relays for lost since its own link needs longer for a table than
+// one relay's link, and then sends a copy to each host.
+TEST_CASE("a table reaches all hosts through many relays, over the link that these share")
+{
+    constexpr size_t dataCentres = 40;
+    constexpr size_t groupSize = 4; // with its relay
+    constexpr size_t tableBytes = 200'000;
+    constexpr size_t coordinatorsLink = 12'500; // bytes per ms: 100 Mbit/s
+    Fleet fleet(0);
+    SlowLink link(fleet.context, fleet.clock, coordinatorsLink);
+    for (size_t i = 0; i < groupSize * dataCentres; ++i) {
+        const bool isRelay = i % groupSize == 0;
+        const auto& host = fleet.hosts.emplace_back(std::make_unique<RecordingHost>(fleet.context, fleet.bytes));
+        fleet.fanout.updateHost("host-" + std::to_string(i),
+            isRelay ? link.addressOf(host->address()) : host->address(), "dc-" + std::to_string(i / groupSize),
+            isRelay ? 0.5 : 0.1, true);
+    }
+    wire::News news;
+    news.packedTables.emplace_back().value = std::string(tableBytes, 'x');
+    fleet.fanout.publish(news);
+    fleet.context.run_for(Millis(3'000));
+    size_t relayed = 0;
+    for (const auto& host : fleet.hosts) {
+        CHECK(host->tables == 1);
+        relayed += host->forwardAddresses;
+    }
+    CHECK(relayed == dataCentres * (groupSize - 1));
+    CHECK(fleet.bytes.value() < (groupSize * dataCentres + 1) * tableBytes); // one copy to each host
+}
+
 TEST_CASE("a removed host receives no more news")
 {
     Fleet fleet(2);
