--- a/tests/fleet_timing_test.cpp
+++ b/tests/fleet_timing_test.cpp
@@ -85,6 +85,20 @@
     }
 }
 
+// Guards against hosts that all ask the same two, and against more watches than the store's link carries.
+TEST_CASE("hosts that answer others grow with the fleet, and fall with the number of servers")
+{
+    CHECK(answeringHosts(100, 100) == 4);
+    CHECK(answeringHosts(984, 10'000) == 15);
+    CHECK(answeringHosts(11'000, 1'000) == 171);
+    for (const size_t hosts : { 1U, 984U, 11'000U }) {
+        for (const size_t servers : { 0U, 1U, 10'000U, 100'000U, 1'000'000U }) {
+            const size_t answering = answeringHosts(hosts, servers);
+            CHECK((answering == 0 || storeCarriesAllWatches(answering, servers)));
+        }
+    }
+}
+
 TEST_CASE("a host that has missed more than each entry twice reads the store instead of its history")
 {
     CHECK(historyIsCheaperThanRead(fleetTiming(984).maxShortOutage));
