--- a/review/standins/Upstream.h
+++ b/review/standins/Upstream.h
@@ -52,6 +52,7 @@
     Upstream& operator=(const Upstream&) = delete;
 
     const std::string& id() const { return m_options.id; }
+    const std::string& service() const { return m_options.service; }
     uint16_t port() const { return m_listener.port(); }
     std::string entry(bool draining) const; // JSON, for the store
     // Body of the answer to a request.
