--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -53,6 +53,15 @@
         ::kill(pid, SIGKILL);
     for (const pid_t pid : m_processes)
         ::waitpid(pid, nullptr, 0);
+    m_processes.clear();
+    writePids();
+}
+
+void Deployment::writePids() const
+{
+    std::ofstream file(m_folder + "/pids");
+    for (const pid_t pid : m_processes)
+        file << pid << '\n';
 }
 
 pid_t Deployment::start(const std::vector<std::string>& command, const std::string& log)
@@ -64,8 +73,11 @@
     arguments.push_back(nullptr);
     const std::string file = m_folder + "/" + log;
     const pid_t pid = ::fork();
-    if (pid)
-        return m_processes.emplace_back(pid);
+    if (pid) {
+        m_processes.push_back(pid);
+        writePids();
+        return pid;
+    }
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int out = ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, STDOUT_FILENO);
@@ -173,6 +185,7 @@
     if (::waitpid(pid, nullptr, WNOHANG) != pid)
         return false;
     std::erase(m_processes, pid);
+    writePids();
     return true;
 }
 
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -45,6 +45,7 @@
 
     pid_t start(const std::vector<std::string>& command, const std::string& log);
     void beat() const;
+    void writePids() const; // of the processes that run, for run_case.sh
     bool control(std::string_view method, const std::string& target, const std::string& body) const;
 
     std::string m_folder;
--- a/review/standins/drain_main.cpp
+++ b/review/standins/drain_main.cpp
@@ -4,7 +4,9 @@
 // Rule: LOST, around planned work.
 #include "Case.h"
 
+#include <algorithm>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -20,11 +22,13 @@
 constexpr int receiveBufferBytes = 4'096;
 constexpr int betweenMillis = 30; // from the first request to the one behind it; the first one takes 60 ms or more
 constexpr int timeLeftMillis = 2'500;
+constexpr int routeTimeoutMillis = 1'500;
 constexpr int graceMillis = 6'000;
 
 struct Outcome {
     int first = 0; // status; 0: no complete answer
     size_t bytes = 0; // received
+    int64_t millis = 0; // from the request to the end of its answer or of the connection
 };
 
 Request lookup(const std::string& id, size_t connection)
@@ -61,6 +65,7 @@
         sleepMillis(1);
     sleepMillis(static_cast<int64_t>(100 + number * 50)); // the host has seen the signal
     const size_t before = connection.bytesRead();
+    const int64_t sentAt = nowMillis();
     if (!send("first-" + name))
         return { -1, 0 };
     sleepMillis(betweenMillis);
@@ -68,9 +73,21 @@
     Outcome outcome;
     outcome.first = receive("first-" + name);
     outcome.bytes = connection.bytesRead() - before;
+    outcome.millis = nowMillis() - sentAt;
     return outcome;
 }
 
+// Whether an upstream has run the request to its end, so that the host had been sent the whole answer.
+bool hasRun(const std::string& file, const std::string& id)
+{
+    std::ifstream in(file);
+    for (std::string line; std::getline(in, line);) {
+        if (line.find(" ended " + id + " ") != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
 int play(const CaseArguments& arguments)
 {
     // Not destroyed: connections of the upstreams stay open until the process ends.
@@ -116,7 +133,9 @@
     size_t lost = 0;
     for (size_t i = 0; i < connections; ++i) {
         complete += outcomes[i].first == 200;
-        if (outcomes[i].first)
+        // Not counted: the time of the request or of its route was over, or it wasn't passed on.
+        const bool inTime = outcomes[i].millis < std::min(timeLeftMillis, routeTimeoutMillis);
+        if (outcomes[i].first || !inTime || !hasRun(arguments.record, "first-" + std::to_string(i)))
             continue;
         ++lost;
         std::cout << "LOST: first-" << i << " ended after " << outcomes[i].bytes << " bytes of its answer\n";
