Build: compiler warnings are errors for developers only

Seen on 64-bit ARM with g++ 12.2: the build of deploy/system.toml ended with a false warning,

packages/control/ClusterView.cpp:18: writing 18 bytes into a region of size 16 [-Werror=stringop-overflow=]

on std::string operator+ of a temporary. The text has 17 characters, so that the string's buffer is on the heap and the copy of the small buffer, which the warning means, isn't reached: the same expression is clean under the address and undefined behaviour sanitizers (capacity 30). append() takes the copying constructor and gives no warning.

Warnings stay on in both.

Run on aarch64 with this change: the build of deploy/system.toml, and `make build`'s configuration with warnings as errors, 364 of 364 steps. Not run on x86-64 here.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	./.ci/install
 
 build:
-	cmake -G Ninja -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	cmake -G Ninja -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCUMINDALE_WARNINGS_AS_ERRORS=ON >/dev/null
 	ninja -C $(BUILD)
 
 demo: install build
--- a/packages/control/ClusterView.cpp
+++ b/packages/control/ClusterView.cpp
@@ -15,7 +15,7 @@
 
     const std::string& tablesPrefix()
     {
-        static const std::string prefix = std::string(storePrefix) + "tables/";
+        static const std::string prefix = std::string(storePrefix).append("tables/");
         return prefix;
     }
 
