Log lines of requests name the connection that carried the last send

Orders were refused as not run and had run. The log had two `server-refused` for each, which says as much for a server that refuses twice as for one late copy of its first refusal. `connection` (local port) and `connectionUse` (which request on it) tell these apart, and `server_responses_stale` counts responses to earlier requests that were dropped.

--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -38,6 +38,8 @@
 asio::awaitable<bool> BackendConnection::connect(const ServerResource& server, Millis timeout)
 {
     m_reusable = co_await connectTo(m_stream, server.address, server.port, timeout);
+    beast::error_code ignored; // the peer may have closed the connection already
+    m_localPort = m_reusable ? m_stream.socket().local_endpoint(ignored).port() : uint16_t(0);
     co_return m_reusable;
 }
 
@@ -91,6 +93,7 @@
     BackendRequest& request, Millis timeout, std::string_view echoHeader)
 {
     ExchangeResult result;
+    ++m_exchanges;
     m_reusable = false; // until a complete response is received
     m_stream.expires_after(timeout);
     result.sent = true;
@@ -98,7 +101,6 @@
     // A server may reject a long request before reading all of it and close the connection. Its response may then be
     // readable although writing the body failed.
     beast::error_code error = writeError == beast::error::timeout ? writeError : beast::error_code {};
-    bool sawStaleResponse = false;
     constexpr int maxStaleResponses = 3; // more than a server has left over from earlier requests
     for (int i = 0; !error && i <= maxStaleResponses; ++i) {
         error = co_await readResponse(request, result.response);
@@ -107,7 +109,7 @@
         const std::string_view echo = result.response[echoHeader];
         if (echo.empty() || echo == std::string_view(request[echoHeader]))
             break;
-        sawStaleResponse = true;
+        ++result.staleResponses;
         if (i == maxStaleResponses)
             error = http::error::bad_value;
     }
@@ -119,7 +121,7 @@
     }
     m_serverIdleTimeout = keepAliveTimeoutOf(result.response);
     // Bytes after the response belong to no request, so the connection is not reused.
-    m_reusable = result.response.keep_alive() && !m_buffer.size() && !sawStaleResponse && !writeError;
+    m_reusable = result.response.keep_alive() && !m_buffer.size() && !result.staleResponses && !writeError;
     co_return result;
 }
 
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -32,6 +32,7 @@
     ErrorKind error = ErrorKind::None;
     bool sent = false; // at least one byte may have reached the server
     bool incomplete = false; // no complete response was received
+    unsigned staleResponses = 0; // responses to earlier requests, which were dropped
     BackendResponse response;
 };
 
@@ -45,6 +46,8 @@
     void cancelExchange() { m_stream.cancel(); } // the exchange in progress fails as if the connection were lost
     bool reusable() const { return m_reusable; }
     bool hasUnsolicitedInput(); // data or end of stream arrived without a request
+    uint16_t localPort() const { return m_localPort; } // identifies the connection in logs
+    unsigned exchanges() const { return m_exchanges; } // begun so far
     Instant lastResponseAt {}; // set when the connection returns to the pool
     // Idle time after which the server closes the connection, as its last response said; Millis::max() if it said none.
     Millis serverIdleTimeout() const { return m_serverIdleTimeout; }
@@ -55,6 +58,8 @@
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     Millis m_serverIdleTimeout { Millis::max() };
+    uint16_t m_localPort = 0;
+    unsigned m_exchanges = 0;
     bool m_reusable = false;
 };
 
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -115,6 +115,7 @@
     , m_added(metrics.distribution("request_added"))
     , m_answered(metrics.counter("requests_answered"))
     , m_retries(metrics.counter("requests_sent_again"))
+    , m_staleResponses(metrics.counter("server_responses_stale"))
     , m_forwardedServed(metrics.counter("requests_forwarded_here"))
     , m_crashes(
           executor, clock, metrics, { m_options.settings.fingerprintKey, m_options.connectTimeout },
@@ -615,7 +616,8 @@
         giveUp();
         co_return co_await forward(job, *server, response);
     }
-    auto connection = co_await server->pool.acquireConnection(job.route->idempotent(), m_options.connectTimeout);
+    auto connection
+        = co_await server->pool.acquireConnection(job.route->idempotent(), m_options.connectTimeout, job.id);
     const bool newConnection = !connection || connection->lastResponseAt == Instant {};
     if (newConnection)
         m_reach.recordConnect(*server, connection != nullptr);
@@ -687,7 +689,10 @@
     const auto overdue = held->overdueTimes.insert(sentAt + usual * overdueFactor);
     if (job.route->idempotent())
         m_idempotentExchanges.insert(connection.get());
+    job.connection = connection->localPort();
+    job.connectionUse = connection->exchanges() + 1;
     ExchangeResult result = co_await connection->exchange(request, timeout, m_names.requestId);
+    m_staleResponses.add(result.staleResponses);
     m_idempotentExchanges.erase(connection.get());
     held->overdueTimes.erase(overdue);
     job.presence.onDisconnect = nullptr;
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -142,6 +142,7 @@
     Distribution& m_added;
     Counter& m_answered;
     Counter& m_retries;
+    Counter& m_staleResponses; // responses of servers to earlier requests
     Counter& m_forwardedServed;
 
     RequestCrashes m_crashes;
--- a/packages/gateway/GatewayJob.h
+++ b/packages/gateway/GatewayJob.h
@@ -42,6 +42,8 @@
     int64_t arrivedMicros = 0;
     int64_t serverMicros = 0; // time spent in exchanges
     unsigned sends = 0;
+    uint16_t connection = 0; // local port of the connection that carried the last send
+    unsigned connectionUse = 0; // 1: the last send was the first request on that connection
     unsigned share = 0; // this host's limit for the last server
     bool crowded = false; // the last server needed permits
     bool maybeRan = false; // an earlier attempt may have run
--- a/packages/gateway/RequestLog.cpp
+++ b/packages/gateway/RequestLog.cpp
@@ -56,6 +56,8 @@
     line["key"] = job.keyed ? static_cast<int64_t>(job.key) : -1;
     line["server"] = server;
     line["sends"] = job.sends;
+    line["connection"] = job.connection;
+    line["connectionUse"] = job.connectionUse;
     line["slots"] = job.share;
     line["crowded"] = job.crowded;
     line["afterMs"] = (m_clock.now() - job.arrived).count();
