An attempt of a request never uses a connection that has carried an earlier one

Cause: a response is matched by the request's id, which all attempts share. A late copy of the refusal of the first attempt came on the connection that had just been returned to the pool and was used for the second one.

Change: a connection remembers the hashes of the ids that it has carried until their timeouts are over, and the pool doesn't choose it for another attempt with the same id; it opens a new connection if there is no other. A copy that comes later meets another id and is dropped. The same pools serve forwarded requests, on both hosts.

Weighed: closing the connection after each refusal, which costs a connection for each refusal of a full server; an id of our own for each attempt, which the servers must be sent as the caller sent it.

--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -1,5 +1,6 @@
 #include "backends/ServerPool.h"
 
+#include "base/Hash.h"
 #include "web/Sockets.h"
 
 #include <algorithm>
@@ -30,8 +31,9 @@
 
 // --- One connection
 
-BackendConnection::BackendConnection(asio::any_io_executor executor)
-    : m_stream(std::move(executor))
+BackendConnection::BackendConnection(asio::any_io_executor executor, const Clock& clock)
+    : m_clock(clock)
+    , m_stream(std::move(executor))
 {
 }
 
@@ -43,6 +45,24 @@
     co_return m_reusable;
 }
 
+void BackendConnection::recordRequest(std::string_view echoed, Millis timeout)
+{
+    const Instant now = m_clock.now();
+    std::erase_if(m_carried, [now](const CarriedRequest& carried) { return carried.deadline <= now; });
+    if (!echoed.empty())
+        m_carried.push_back({ hashOf(0, { echoed }), now + timeout });
+}
+
+bool BackendConnection::hasCarried(std::string_view echoed) const
+{
+    if (echoed.empty() || m_carried.empty())
+        return false;
+    const uint64_t hash = hashOf(0, { echoed });
+    const Instant now = m_clock.now();
+    return std::any_of(m_carried.begin(), m_carried.end(),
+        [&](const CarriedRequest& carried) { return carried.echoedHash == hash && now < carried.deadline; });
+}
+
 bool BackendConnection::hasUnsolicitedInput() { return isReadable(m_stream); }
 
 namespace {
@@ -94,6 +114,7 @@
 {
     ExchangeResult result;
     ++m_exchanges;
+    recordRequest(echoHeader.empty() ? std::string_view() : std::string_view(request[echoHeader]), timeout);
     m_reusable = false; // until a complete response is received
     m_stream.expires_after(timeout);
     result.sent = true;
@@ -253,21 +274,31 @@
     return !m_idleConnections.empty() && usable(*m_idleConnections.back(), false, now);
 }
 
-asio::awaitable<ConnectionPointer> ServerPool::acquireConnection(bool idempotent, Millis timeout)
+ConnectionPointer ServerPool::takeIdleConnection(bool idempotent, std::string_view echoed)
 {
     const Instant now = m_clock.now();
-    while (!m_idleConnections.empty()) {
-        ConnectionPointer connection = std::move(m_idleConnections.back());
-        m_idleConnections.pop_back();
+    for (size_t i = m_idleConnections.size(); i-- > 0;) {
+        if (m_idleConnections[i]->hasCarried(echoed))
+            continue; // other requests can use it
+        ConnectionPointer connection = std::move(m_idleConnections[i]);
+        m_idleConnections.erase(m_idleConnections.begin() + static_cast<std::ptrdiff_t>(i));
         if (usable(*connection, idempotent, now) && !connection->hasUnsolicitedInput())
-            co_return connection;
+            return connection;
     }
+    return nullptr;
+}
+
+asio::awaitable<ConnectionPointer> ServerPool::acquireConnection(
+    bool idempotent, Millis timeout, std::string_view echoed)
+{
+    if (ConnectionPointer connection = takeIdleConnection(idempotent, echoed))
+        co_return connection;
     co_return co_await connect(timeout);
 }
 
 asio::awaitable<ConnectionPointer> ServerPool::connect(Millis timeout)
 {
-    auto connection = std::make_unique<BackendConnection>(m_executor);
+    auto connection = std::make_unique<BackendConnection>(m_executor, m_clock);
     if (!co_await connection->connect(m_server, timeout))
         co_return nullptr;
     co_return connection;
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -20,7 +20,9 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace cumindale {
 
@@ -38,11 +40,14 @@
 
 class BackendConnection {
 public:
-    explicit BackendConnection(boost::asio::any_io_executor);
+    BackendConnection(boost::asio::any_io_executor, const Clock&);
     boost::asio::awaitable<bool> connect(const ServerResource&, Millis timeout);
     // `echoHeader`: name of a request header that the server repeats in its response. A response with another value
     // belongs to an earlier request and is dropped; the connection is not reused.
     boost::asio::awaitable<ExchangeResult> exchange(BackendRequest&, Millis timeout, std::string_view echoHeader = {});
+    // Whether an exchange of a request with this echoed value has begun and its timeout isn't over. A server may send a
+    // late second copy of the response, which would look like the response to another attempt with the same value.
+    bool hasCarried(std::string_view echoed) const;
     void cancelExchange() { m_stream.cancel(); } // the exchange in progress fails as if the connection were lost
     bool reusable() const { return m_reusable; }
     bool hasUnsolicitedInput(); // data or end of stream arrived without a request
@@ -55,8 +60,17 @@
 private:
     boost::asio::awaitable<boost::beast::error_code> readResponse(const BackendRequest&, BackendResponse&);
 
+    struct CarriedRequest {
+        uint64_t echoedHash = 0;
+        Instant deadline {};
+    };
+
+    void recordRequest(std::string_view echoed, Millis timeout);
+
+    const Clock& m_clock;
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
+    std::vector<CarriedRequest> m_carried; // whose deadlines hadn't passed at the last exchange
     Millis m_serverIdleTimeout { Millis::max() };
     uint16_t m_localPort = 0;
     unsigned m_exchanges = 0;
@@ -90,7 +104,10 @@
     const SlotQueue& admission() const { return *m_admission; }
 
     // --- Connections. Null: the connection attempt failed.
-    boost::asio::awaitable<ConnectionPointer> acquireConnection(bool idempotent, Millis timeout);
+    // `echoed`: the value that the server repeats in its response to the request. Unless empty, the connection hasn't
+    // carried an earlier attempt with it.
+    boost::asio::awaitable<ConnectionPointer> acquireConnection(
+        bool idempotent, Millis timeout, std::string_view echoed = {});
     void returnConnection(ConnectionPointer);
     // Opens a new connection and keeps it for the next request. False: none could be opened.
     boost::asio::awaitable<bool> tryConnect(Millis timeout);
@@ -109,6 +126,7 @@
     boost::asio::awaitable<ConnectionPointer> connect(Millis timeout); // opens a new connection
     void admitQueued();
     void notifyShed();
+    ConnectionPointer takeIdleConnection(bool idempotent, std::string_view echoed); // null: none can be used
     bool usable(const BackendConnection&, bool idempotent, Instant now) const;
 
     boost::asio::any_io_executor m_executor;
--- a/packages/gateway/PeerForwarder.cpp
+++ b/packages/gateway/PeerForwarder.cpp
@@ -88,7 +88,8 @@
 asio::awaitable<std::optional<ExchangeResult>> PeerForwarder::exchange(ForwardTarget target, Exchange exchange)
 {
     const auto pool = poolOf(target);
-    auto connection = co_await pool->acquireConnection(exchange.idempotent, m_connectTimeout);
+    auto connection = co_await pool->acquireConnection(
+        exchange.idempotent, m_connectTimeout, exchange.request[exchange.requestIdHeader]);
     if (!connection) {
         avoid(target);
         co_return std::nullopt;
