A connection is closed only once its last response has been received

Cause: closing a socket with unread input resets it, which discards unsent output. The host discarded input first only if it knew of some; a request that came during the exchange was in the kernel's buffer.

Evidence: `response-undelivered`, new, has 28,073 unacknowledged and 143 to 145 unread bytes for each lost response.

Change: after a response that closes the connection the host ends its side and discards input until the caller closes, for as long as the caller goes on taking the response (SIOCOUTQ), at most a minute without progress as while it is written. A connection whose response is on its way isn't idle. The server of the administration API does the same.

--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -30,6 +30,7 @@
     constexpr Millis lingerTimeout { 1'000 }; // for the caller to read the last response and close its end
     constexpr Millis progressCheckInterval { 60'000 }; // waits end earlier, by a notification
     constexpr size_t readChunkBytes = 4'096;
+    constexpr double undeliveredLinesPerSecond = 20;
     // Memory reserved ahead of the bytes received, for a body of unknown length.
     constexpr uint64_t chunkedReservationBytes = 1'000'000;
 
@@ -86,6 +87,8 @@
     , overlappingRequests(metrics.counter("callers_overlapping_requests"))
     , bodyBytes(metrics.counter("callers_body_bytes"))
     , slowReadersClosed(metrics.counter("callers_slow_readers_closed"))
+    , closedUndelivered(metrics.counter("callers_closed_undelivered"))
+    , undeliveredLines(1, undeliveredLinesPerSecond, undeliveredLinesPerSecond)
 {
 }
 
@@ -125,24 +128,48 @@
     m_readState = ReadState::None;
     while (!m_exchanges.empty() || m_writing)
         co_await m_progress.wait(progressCheckInterval);
-    if (m_closing && !m_broken && (m_inputMayFollow || m_buffer.size()))
+    if (m_closing && !m_broken)
         co_await linger();
+    recordUndelivered();
     beast::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
-// Closing a socket with unread input resets the connection, and the reset can overtake the last response.
+// A caller may send something behind its last request at any time. Unread, it would reset the connection on closing,
+// and the reset would discard what the caller hasn't received of the last response.
 asio::awaitable<void> CallerSession::linger()
 {
     beast::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    m_requestDeadline = m_context->clock.now() + lingerTimeout;
+    m_buffer.clear();
+    m_unacknowledged = unacknowledgedBytes(m_stream);
+    m_lingerProgress = m_context->clock.now();
     m_readState = ReadState::Lingering;
-    for (bool open = true; open;) {
-        m_buffer.clear();
-        const auto [error, bytesRead] = co_await m_stream.async_read_some(m_buffer.prepare(readChunkBytes), token);
-        open = !error;
-    }
+    m_callerGone |= co_await discardInput(m_stream);
+    m_readState = ReadState::None;
+}
+
+// A caller that goes on taking its response has as much time for it as while the response is written.
+void CallerSession::checkLinger(Instant now)
+{
+    const size_t unacknowledged = unacknowledgedBytes(m_stream);
+    if (unacknowledged < m_unacknowledged)
+        m_lingerProgress = now;
+    m_unacknowledged = unacknowledged;
+    if (now - m_lingerProgress >= (unacknowledged ? responseStallTimeout : lingerTimeout))
+        m_stream.cancel();
+}
+
+void CallerSession::recordUndelivered()
+{
+    const size_t unacknowledged = m_broken || m_callerGone ? 0 : unacknowledgedBytes(m_stream);
+    if (!unacknowledged)
+        return;
+    m_context->closedUndelivered.add();
+    if (m_context->undeliveredLines.take(0, m_context->clock.now()))
+        logChange(LogLevel::Warning, "response-undelivered",
+            { { "caller", m_address }, { "unacknowledged", unacknowledged }, { "unread", unreadBytes(m_stream) },
+                { "draining", m_context->draining } });
 }
 
 void CallerSession::check()
@@ -157,8 +184,12 @@
             closeAsSlowReader();
         return; // cancelling a read would cancel the write too; its deadline applies once the response is written
     }
+    if (m_readState == ReadState::Lingering)
+        return checkLinger(now);
     if (m_readState == ReadState::None || m_readState == ReadState::Starting || now < readDeadline())
         return;
+    if (m_readState == ReadState::Waiting && !isIdle())
+        return;
     // The connection stays open, so that the caller of an incomplete request still gets a 408.
     m_timedOut = true;
     m_requestDeadline = Instant::max();
@@ -174,11 +205,17 @@
 
 void CallerSession::closeIfIdle(Millis idleFor)
 {
-    const bool idle = m_readState == ReadState::Waiting && m_exchanges.empty();
-    if (idle && m_context->clock.now() - m_idleSince >= idleFor)
+    if (m_context->clock.now() - m_idleSince >= idleFor && isIdle())
         m_stream.cancel();
 }
 
+bool CallerSession::isIdle()
+{
+    if (m_readState != ReadState::Waiting || !m_exchanges.empty())
+        return false;
+    return m_context->clock.now() - m_idleSince >= responseStallTimeout || !unacknowledgedBytes(m_stream);
+}
+
 Millis CallerSession::stalledFor() const { return m_writing ? m_context->clock.now() - m_writeProgress : Millis(0); }
 
 void CallerSession::closeAsSlowReader()
@@ -340,7 +377,6 @@
     m_readState = ReadState::Starting;
     // If part of the request is unread, the connection can't carry another request.
     const bool keepAlive = parser.is_done() && parser.keep_alive();
-    m_inputMayFollow |= !parser.is_done() || !m_exchanges.empty();
     exchange->keepAlive = keepAlive;
     const bool answerHere = healthCheck || requestError != ErrorKind::None;
     if (answerHere) {
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -11,6 +11,7 @@
 
 #include "base/Metrics.h"
 #include "callers/CallerServer.h"
+#include "decisions/LineBudget.h"
 #include "web/Signal.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -33,6 +34,8 @@
     Counter& overlappingRequests;
     Counter& bodyBytes;
     Counter& slowReadersClosed;
+    Counter& closedUndelivered; // connections that this host closed before the caller had received the last response
+    LineBudget undeliveredLines; // of the log, about such connections
     size_t bodyMemory = 0; // bytes reserved for bodies of requests
     size_t responseMemory = 0; // bytes of responses that aren't completely written
     bool draining = false; // each connection is closed after its next response
@@ -108,9 +111,11 @@
     // NotFresh in place of a request that is too large by a limit that has been replaced since.
     ErrorKind sizeError(ErrorKind) const;
     boost::asio::awaitable<void> linger();
+    void checkLinger(Instant now);
     bool mayReadOn() const;
     bool mayStart(const Exchange&) const;
     Instant readDeadline() const;
+    bool isIdle(); // no request, and no response that the caller is still receiving
     bool ended() const { return m_broken || m_closing; } // no further response is written
     bool stopsReading() const { return ended() || m_callerGone; }
 
@@ -124,6 +129,7 @@
     boost::asio::awaitable<bool> writeResponse(Exchange&);
     bool closesAfter(const Exchange&) const;
     void onCallerGone();
+    void recordUndelivered();
 
     std::shared_ptr<CallerContext> m_context;
     boost::beast::tcp_stream m_stream;
@@ -142,7 +148,8 @@
     bool m_closing = false; // the response being written, or written last, closes the connection
     bool m_broken = false; // no further response can be written
     bool m_callerGone = false; // the caller has closed its end
-    bool m_inputMayFollow = false; // the caller may have sent something behind the last request that was read
+    size_t m_unacknowledged = 0; // while lingering: bytes of responses that the caller hasn't acknowledged, ...
+    Instant m_lingerProgress {}; // ... and when it last acknowledged some
 };
 
 }
--- a/packages/web/HttpServer.cpp
+++ b/packages/web/HttpServer.cpp
@@ -27,6 +27,7 @@
     constexpr uint64_t maxControlBodyBytes = 64'000'000;
     constexpr uint32_t maxControlHeaderBytes = 64 * 1024;
     constexpr Millis idleTimeout { 120'000 };
+    constexpr Millis lingerTimeout { 1'000 }; // for the peer to read the last response and close its end
 
 }
 
@@ -78,8 +79,15 @@
             response->keep_alive(parser.get().keep_alive());
             stream.expires_after(idleTimeout);
             const auto [writeError, sent] = co_await http::async_write(stream, *response, token);
-            if (writeError || !response->keep_alive())
+            if (writeError)
                 co_return;
+            if (!response->keep_alive()) {
+                boost::system::error_code ignored; // the peer may have closed the connection already
+                stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+                stream.expires_after(lingerTimeout);
+                co_await discardInput(stream);
+                co_return;
+            }
         }
     }
 
--- a/packages/web/Sockets.cpp
+++ b/packages/web/Sockets.cpp
@@ -2,10 +2,14 @@
 
 #include "web/Signal.h"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace cumindale {
@@ -95,6 +99,29 @@
     stream.socket().close(ignored);
 }
 
+size_t unacknowledgedBytes(boost::beast::tcp_stream& stream)
+{
+    int bytes = 0;
+    return ::ioctl(stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0 ? static_cast<size_t>(bytes) : 0;
+}
+
+size_t unreadBytes(boost::beast::tcp_stream& stream)
+{
+    boost::system::error_code ignored; // the connection has failed: nothing to read
+    return stream.socket().available(ignored);
+}
+
+asio::awaitable<bool> discardInput(boost::beast::tcp_stream& stream)
+{
+    constexpr size_t chunkBytes = 4'096;
+    std::array<char, chunkBytes> chunk;
+    for (;;) {
+        const auto [error, bytesRead] = co_await stream.async_read_some(asio::buffer(chunk), token);
+        if (error)
+            co_return error != asio::error::operation_aborted&& error != boost::beast::error::timeout;
+    }
+}
+
 bool isReadable(boost::beast::tcp_stream& stream) { return peek(stream) >= 0; }
 
 bool isClosedByPeer(boost::beast::tcp_stream& stream) { return peek(stream) == 0; }
--- a/packages/web/Sockets.h
+++ b/packages/web/Sockets.h
@@ -21,6 +21,14 @@
 // Closes a connection made by connectTo() immediately (RST).
 void resetConnection(boost::beast::tcp_stream&);
 
+// Bytes that were written and that the peer hasn't acknowledged; 0 if that can't be told.
+size_t unacknowledgedBytes(boost::beast::tcp_stream&);
+size_t unreadBytes(boost::beast::tcp_stream&); // that have been received
+// Discards input until the peer closes the connection, or until the operation is cancelled or times out (false).
+// Closing a socket with unread input resets the connection, which discards what the peer hasn't received of the last
+// response.
+boost::asio::awaitable<bool> discardInput(boost::beast::tcp_stream&);
+
 // For idle connections, on which no input is expected.
 bool isReadable(boost::beast::tcp_stream&); // the peer closed the connection or sent unexpected bytes
 bool isClosedByPeer(boost::beast::tcp_stream&); // the peer closed the connection, or the connection failed
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -97,13 +97,21 @@
         return ReceivedResponse { static_cast<int>(response.result_int()), response.body(), response.keep_alive() };
     }
 
-    void readSome(size_t bytes) // of what has arrived
+    size_t readSome(size_t bytes) // of what has arrived
     {
         std::string chunk(bytes, '\0');
         boost::system::error_code error;
         m_socket.non_blocking(true);
-        m_socket.read_some(asio::buffer(chunk), error);
+        const size_t received = m_socket.read_some(asio::buffer(chunk), error);
         m_socket.non_blocking(false);
+        return received;
+    }
+
+    size_t readRest() // until the connection ends
+    {
+        std::string rest;
+        boost::system::error_code error;
+        return asio::read(m_socket, asio::dynamic_buffer(rest), error);
     }
 
     void close() { m_socket.close(); }
@@ -372,3 +380,67 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
     CHECK(fixture.onServer([&] { return fixture.handler.started.size(); }) <= CallerLimits {}.pipelinedRequests);
 }
+
+// Guards against a last response that is cut off by a reset, because the caller has sent something behind its request.
+TEST_CASE("a caller that sends a request behind its last one receives the last response whole")
+{
+    constexpr int receiveBuffer = 4'096;
+    constexpr size_t responseBytes = 300'000;
+    for (const bool draining : { true, false }) {
+        CAPTURE(draining);
+        CallerFixture fixture;
+        TestCaller caller(fixture.port, receiveBuffer);
+        caller.send(get("/before"));
+        REQUIRE(caller.receive());
+        if (draining)
+            fixture.onServer([&] { fixture.server->startDraining(); });
+        std::string last = get("/last", 60, responseBytes);
+        if (!draining)
+            last.insert(last.size() - 2, "Connection: close\r\n");
+        caller.send(last);
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        caller.send(get("/behind"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100)); // the response has been written
+        const auto response = caller.receive();
+        REQUIRE(response);
+        CHECK(response->body.size() == responseBytes + std::string("/last").size());
+        CHECK_FALSE(response->keepAlive);
+    }
+}
+
+// Guards against a response that is cut off although its caller goes on reading it, because it takes a second for it.
+TEST_CASE("a caller that reads its last response slowly receives all of it")
+{
+    constexpr int receiveBuffer = 4'096;
+    constexpr size_t responseBytes = 200'000;
+    CallerFixture fixture;
+    TestCaller caller(fixture.port, receiveBuffer);
+    std::string last = get("/last", 10, responseBytes);
+    last.insert(last.size() - 2, "Connection: close\r\n");
+    caller.send(last);
+    size_t received = 0;
+    for (int i = 0; i < 25; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        received += caller.readSome(2'000);
+        caller.send(get("/behind"));
+    }
+    CHECK(received > 20 * 1'000);
+    received += caller.readRest();
+    CHECK(received > responseBytes);
+}
+
+// Guards against a reset that discards a response that is still on its way when its connection counts as idle.
+TEST_CASE("a connection whose response is still being received is not closed as idle")
+{
+    constexpr int receiveBuffer = 4'096;
+    constexpr size_t responseBytes = 200'000;
+    CallerFixture fixture;
+    TestCaller caller(fixture.port, receiveBuffer);
+    caller.send(get("/last", 10, responseBytes));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // it has been written
+    fixture.onServer([&] { fixture.server->closeIdle(Millis(100)); });
+    caller.send(get("/next"));
+    REQUIRE(caller.receive());
+    CHECK(caller.receive());
+    CHECK(fixture.metric("callers_closed_undelivered") == 0);
+}
