Each release of keys has a connection of its own

Cause: responses to orders carry no id, and the first response on a kept connection counted as that of the order. A late copy of the response to a grant thus confirmed a release.

Change: HttpClient::sendAlone() opens a connection for one call. Releases use it, and no longer count as contacts over the connection of the grants, whose fences they don't affect.

--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -250,12 +250,13 @@
 
 std::optional<uint64_t> GrantPlan::fenceToSend(const GrantOrder& order, bool newConnection)
 {
+    // A release has a connection of its own, which says nothing about that of the grants.
+    if (order.kind == GrantOrder::Kind::Release)
+        return order.fence;
     // A new connection may lead to a later incarnation. This applies to all ranges of the server, including those whose
     // next grants are sent once the connection exists.
     uint64_t& connections = m_contacts[order.server].connections;
     connections += newConnection;
-    if (order.kind == GrantOrder::Kind::Release)
-        return order.fence;
     RangeState* state = find(order.range);
     if (!state || state->outstanding != order.number)
         return std::nullopt; // the order was abandoned in the meantime
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -317,7 +317,7 @@
     if (found == m_servers.end() || !found->second.port)
         return nullptr;
     ServerState& state = found->second;
-    constexpr size_t maxIdleConnections = 2; // one for renewals, and one for a release that waits for work to end
+    constexpr size_t maxIdleConnections = 1; // for grants; each release has a connection of its own
     if (!state.client)
         state.client = std::make_shared<HttpClient>(m_executor, state.address, state.port, maxIdleConnections);
     return state.client;
@@ -399,7 +399,13 @@
             order.fence = *fence;
             return m_adapter.callFor(order);
         };
-        const HttpReply reply = co_await client->send(std::move(make), timeout);
+        HttpReply reply;
+        // A late copy of another order's response, taken for that of a release, would give the keys away while their
+        // holder is at work.
+        if (release)
+            reply = co_await client->sendAlone(std::move(make), timeout);
+        else
+            reply = co_await client->send(std::move(make), timeout);
         if (reply.hasResponse()) {
             answer.result = m_adapter.resultOf(order, reply);
             answer.handover = m_adapter.handoverIn(reply);
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -82,7 +82,7 @@
 
 void HttpClient::returnToPool(Stream stream)
 {
-    if (m_idle.size() < m_maxIdleConnections)
+    if (stream && m_idle.size() < m_maxIdleConnections)
         m_idle.push_back(std::move(stream));
 }
 
@@ -93,7 +93,9 @@
         stream = co_await connect(timeout);
     if (!stream)
         co_return HttpReply {};
-    co_return co_await exchange(std::move(stream), std::move(call), timeout);
+    HttpReply reply = co_await exchange(stream, std::move(call), timeout);
+    returnToPool(std::move(stream));
+    co_return reply;
 }
 
 asio::awaitable<HttpReply> HttpClient::send(CallFactory makeCall, Millis timeout)
@@ -109,16 +111,30 @@
         returnToPool(std::move(stream));
         co_return HttpReply {};
     }
-    co_return co_await exchange(std::move(stream), std::move(*call), timeout);
+    HttpReply reply = co_await exchange(stream, std::move(*call), timeout);
+    returnToPool(std::move(stream));
+    co_return reply;
+}
+
+asio::awaitable<HttpReply> HttpClient::sendAlone(CallFactory makeCall, Millis timeout)
+{
+    Stream stream = co_await connect(timeout);
+    if (!stream)
+        co_return HttpReply {};
+    constexpr bool newConnection = true;
+    std::optional<HttpCall> call = makeCall(newConnection);
+    if (!call)
+        co_return HttpReply {};
+    co_return co_await exchange(stream, std::move(*call), timeout);
 }
 
-asio::awaitable<HttpReply> HttpClient::exchange(Stream stream, HttpCall call, Millis timeout)
+asio::awaitable<HttpReply> HttpClient::exchange(Stream& stream, HttpCall call, Millis timeout)
 {
     const auto request = makeRequest(call, m_address);
     stream->expires_after(timeout);
     const auto [writeError, written] = co_await http::async_write(*stream, request, token);
     if (writeError) {
-        resetConnection(*stream);
+        stream.reset();
         co_return unansweredReply();
     }
     beast::flat_buffer buffer;
@@ -126,7 +142,7 @@
     parser.body_limit(maxReplyBytes);
     const auto [readError, got] = co_await http::async_read(*stream, buffer, parser, token);
     if (readError) {
-        resetConnection(*stream);
+        stream.reset();
         co_return unansweredReply();
     }
 
@@ -134,8 +150,8 @@
     HttpReply reply { response.result_int(), std::move(response.body()), {}, true };
     for (const auto& field : response)
         reply.headers.emplace_back(field.name_string(), field.value());
-    if (response.keep_alive() && !buffer.size())
-        returnToPool(std::move(stream));
+    if (!response.keep_alive() || buffer.size())
+        stream.reset();
     co_return reply;
 }
 
--- a/packages/web/HttpClient.h
+++ b/packages/web/HttpClient.h
@@ -51,6 +51,10 @@
     using CallFactory = std::function<std::optional<HttpCall>(bool newConnection)>;
     boost::asio::awaitable<HttpReply> send(CallFactory, Millis timeout);
 
+    // The same over a new connection, which carries no other request: what the peer sends late in response to an
+    // earlier one can't be taken for this response.
+    boost::asio::awaitable<HttpReply> sendAlone(CallFactory, Millis timeout);
+
     // Sends the request and passes the response body to the handler line by line as it arrives. Returns when the body
     // ends, when nothing is received for `idleTimeout`, or when the handler returns false.
     using LineHandler = std::function<bool(std::string_view line)>;
@@ -61,7 +65,7 @@
     boost::asio::awaitable<Stream> connect(Millis timeout);
     Stream takeIdleConnection(); // null if no idle connection is still open
     void returnToPool(Stream);
-    boost::asio::awaitable<HttpReply> exchange(Stream, HttpCall, Millis timeout);
+    boost::asio::awaitable<HttpReply> exchange(Stream&, HttpCall, Millis timeout); // keeps a reusable stream
 
     boost::asio::any_io_executor m_executor;
     std::string m_address;
