Interim responses of servers are read past, a bounded number of them

Cause: the client took the first message on the connection for the final response.

Change: web/ResponseReader reads past 1xx (RFC 9110, section 15.2), at most 8 for a response; more, or 101 that no request asks for, is a faulty response and resets the connection. Requests, forwarded requests, orders, probes and calls to the store use this one reader; HttpClient's replies have the larger header limit of the servers'.

--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -20,8 +20,6 @@
 namespace {
 
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
-    constexpr uint64_t maxResponseBytes = 64'000'000; // a larger response is ErrorKind::BadAnswer
-    constexpr uint32_t maxResponseHeaderBytes = 64 * 1024;
     constexpr Millis idleTimeoutMargin { 500 }; // a connection is not reused this shortly before the server closes it
     // Limit of the requests in flight from all hosts, as a multiple of the server's slots. Each host's share is rounded
     // up.
@@ -95,20 +93,6 @@
 
 }
 
-asio::awaitable<beast::error_code> BackendConnection::readResponse(
-    const BackendRequest& request, BackendResponse& response)
-{
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxResponseBytes);
-    parser.header_limit(maxResponseHeaderBytes);
-    if (request.method() == http::verb::head)
-        parser.skip(true);
-    const auto [error, bytesRead] = co_await http::async_read(m_stream, m_buffer, parser, token);
-    if (!error)
-        response = parser.release();
-    co_return error;
-}
-
 asio::awaitable<ExchangeResult> BackendConnection::exchange(
     BackendRequest& request, Millis timeout, std::string_view echoHeader)
 {
@@ -122,9 +106,10 @@
     // A server may reject a long request before reading all of it and close the connection. Its response may then be
     // readable although writing the body failed.
     beast::error_code error = writeError == beast::error::timeout ? writeError : beast::error_code {};
+    const bool toHead = request.method() == http::verb::head;
     constexpr int maxStaleResponses = 3; // more than a server has left over from earlier requests
     for (int i = 0; !error && i <= maxStaleResponses; ++i) {
-        error = co_await readResponse(request, result.response);
+        error = co_await readResponse(m_stream, m_buffer, toHead, {}, result.response);
         if (error || echoHeader.empty())
             break;
         const std::string_view echo = result.response[echoHeader];
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -9,6 +9,7 @@
 #include "decisions/Admission.h"
 #include "decisions/Resources.h"
 #include "decisions/ServerHealth.h"
+#include "web/ResponseReader.h"
 #include "web/Signal.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -27,7 +28,7 @@
 namespace cumindale {
 
 using BackendRequest = boost::beast::http::request<boost::beast::http::string_body>;
-using BackendResponse = boost::beast::http::response<boost::beast::http::string_body>;
+using BackendResponse = PeerResponse;
 
 // Outcome of an exchange.
 struct ExchangeResult {
@@ -58,8 +59,6 @@
     Millis serverIdleTimeout() const { return m_serverIdleTimeout; }
 
 private:
-    boost::asio::awaitable<boost::beast::error_code> readResponse(const BackendRequest&, BackendResponse&);
-
     struct CarriedRequest {
         uint64_t echoedHash = 0;
         Instant deadline {};
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "web/HttpClient.h"
 
+#include "web/ResponseReader.h"
 #include "web/Sockets.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -17,7 +18,6 @@
 namespace {
 
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
-    constexpr uint64_t maxReplyBytes = 64'000'000;
     // Peers are a few ms away. The kernel retransmits a lost SYN only after one second (RFC 6298, section 2.1); failing
     // earlier lets the caller retry sooner, also right after a network partition has healed.
     constexpr Millis maxConnectTimeout { 300 };
@@ -138,15 +138,14 @@
         co_return unansweredReply();
     }
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxReplyBytes);
-    const auto [readError, got] = co_await http::async_read(*stream, buffer, parser, token);
+    PeerResponse response;
+    const bool toHead = call.verb == http::verb::head;
+    const beast::error_code readError = co_await readResponse(*stream, buffer, toHead, {}, response);
     if (readError) {
         stream.reset();
         co_return unansweredReply();
     }
 
-    auto response = parser.release();
     HttpReply reply { response.result_int(), std::move(response.body()), {}, true };
     for (const auto& field : response)
         reply.headers.emplace_back(field.name_string(), field.value());
