The memory of responses that are being read from servers is bounded for the host

What callers saw: with servers that send bodies without end, a host took up to 677 MB (figures of the issue), answered requests at sound servers 503 and left some without an answer.

Cause of the memory: the bound of 64 MB was for one response, and a host reads many at a time.

Change: all bodies that a host is reading share a memory of half of that for responses to callers. When it is used up, the largest response is cut off: a proper one is small next to one without end. Its connection is reset and the request answered 502. Responses to orders and probes have 64 kB; trailers and chunk extensions the buffer's 256 kB. `response-cut-off` and `server_responses_over_*` tell which bound it was.

--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -36,6 +36,9 @@
         options.dataCentre = settings.host.dataCentre;
         options.peers = settings.host.peers;
         options.settings = *settings.gateway;
+        // The rest of the memory for responses is for those that callers haven't taken yet. A growing body takes up to
+        // twice its size while it is copied.
+        options.responseMemory = callerLimits(settings).responseMemory / 2;
         return options;
     }
 
--- a/packages/backends/Prober.cpp
+++ b/packages/backends/Prober.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr Millis delayAfterRefusal { 20 }; // a refusal arrives at once: this confirms it soon without a busy loop
+    constexpr size_t maxIdleConnections = 1;
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
 
     asio::awaitable<bool> refusesConnections(std::string address, uint16_t port, Millis timeout)
@@ -35,7 +36,7 @@
     , m_options(options)
     , m_monitor(monitor)
     , m_onChange(std::move(onChange))
-    , m_client(std::make_unique<HttpClient>(m_executor, m_address, m_port))
+    , m_client(std::make_unique<HttpClient>(m_executor, m_address, m_port, maxIdleConnections, shortResponseLimits))
 {
 }
 
--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -29,9 +29,11 @@
 
 // --- One connection
 
-BackendConnection::BackendConnection(asio::any_io_executor executor, const Clock& clock)
+BackendConnection::BackendConnection(
+    asio::any_io_executor executor, const Clock& clock, std::shared_ptr<ResponseMemory> memory)
     : m_clock(clock)
     , m_stream(std::move(executor))
+    , m_memory(std::move(memory))
 {
 }
 
@@ -109,7 +111,9 @@
     const bool toHead = request.method() == http::verb::head;
     constexpr int maxStaleResponses = 3; // more than a server has left over from earlier requests
     for (int i = 0; !error && i <= maxStaleResponses; ++i) {
-        error = co_await readResponse(m_stream, m_buffer, toHead, {}, result.response);
+        const ReadResult read = co_await readResponse(m_stream, m_buffer, toHead, {}, m_memory.get(), result.response);
+        error = read.error;
+        result.bound = read.bound;
         if (error || echoHeader.empty())
             break;
         const std::string_view echo = result.response[echoHeader];
@@ -134,11 +138,13 @@
 // --- Slots
 
 ServerPool::ServerPool(asio::any_io_executor executor, const Clock& clock, ServerResource server,
-    MonitorOptions monitor, std::unique_ptr<SlotQueue> admission, Millis maxIdleNonIdempotent)
+    MonitorOptions monitor, std::shared_ptr<ResponseMemory> memory, std::unique_ptr<SlotQueue> admission,
+    Millis maxIdleNonIdempotent)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_server(std::move(server))
     , m_monitor(monitor)
+    , m_memory(std::move(memory))
     , m_admission(std::move(admission))
     , m_maxIdleNonIdempotent(maxIdleNonIdempotent)
 {
@@ -283,7 +289,7 @@
 
 asio::awaitable<ConnectionPointer> ServerPool::connect(Millis timeout)
 {
-    auto connection = std::make_unique<BackendConnection>(m_executor, m_clock);
+    auto connection = std::make_unique<BackendConnection>(m_executor, m_clock, m_memory);
     if (!co_await connection->connect(m_server, timeout))
         co_return nullptr;
     co_return connection;
--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -35,13 +35,14 @@
     ErrorKind error = ErrorKind::None;
     bool sent = false; // at least one byte may have reached the server
     bool incomplete = false; // no complete response was received
+    ResponseBound bound = ResponseBound::None; // that the response exceeded, with BadAnswer
     unsigned staleResponses = 0; // responses to earlier requests, which were dropped
     BackendResponse response;
 };
 
 class BackendConnection {
 public:
-    BackendConnection(boost::asio::any_io_executor, const Clock&);
+    BackendConnection(boost::asio::any_io_executor, const Clock&, std::shared_ptr<ResponseMemory>);
     boost::asio::awaitable<bool> connect(const ServerResource&, Millis timeout);
     // `echoHeader`: name of a request header that the server repeats in its response. A response with another value
     // belongs to an earlier request and is dropped; the connection is not reused.
@@ -68,7 +69,8 @@
 
     const Clock& m_clock;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    std::shared_ptr<ResponseMemory> m_memory;
+    boost::beast::flat_buffer m_buffer { responseBufferBytes };
     std::vector<CarriedRequest> m_carried; // whose deadlines hadn't passed at the last exchange
     Millis m_serverIdleTimeout { Millis::max() };
     uint16_t m_localPort = 0;
@@ -82,7 +84,7 @@
 public:
     // A non-idempotent request reuses only a connection that has been idle for at most `maxIdleNonIdempotent`.
     ServerPool(boost::asio::any_io_executor, const Clock&, ServerResource, MonitorOptions,
-        std::unique_ptr<SlotQueue> = std::make_unique<Admission>(AdmissionOptions {}),
+        std::shared_ptr<ResponseMemory>, std::unique_ptr<SlotQueue> = std::make_unique<Admission>(AdmissionOptions {}),
         Millis maxIdleNonIdempotent = Millis(1'000));
 
     const ServerResource& server() const { return m_server; }
@@ -132,6 +134,7 @@
     const Clock& m_clock;
     ServerResource m_server;
     ServerMonitor m_monitor;
+    std::shared_ptr<ResponseMemory> m_memory;
     std::unique_ptr<SlotQueue> m_admission;
     Millis m_maxIdleNonIdempotent;
     std::unordered_map<TicketId, Waiter*> m_waiters;
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -319,7 +319,8 @@
     ServerState& state = found->second;
     constexpr size_t maxIdleConnections = 1; // for grants; each release has a connection of its own
     if (!state.client)
-        state.client = std::make_shared<HttpClient>(m_executor, state.address, state.port, maxIdleConnections);
+        state.client = std::make_shared<HttpClient>(
+            m_executor, state.address, state.port, maxIdleConnections, shortResponseLimits);
     return state.client;
 }
 
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -121,13 +121,14 @@
           executor, clock, metrics, { m_options.settings.fingerprintKey, m_options.connectTimeout },
           [this] { reportEarly(); }, [this](std::string server) { return confirmServerGone(std::move(server)); })
     , m_log(clock, metrics, m_crashes)
-    , m_servers(m_executor, clock, m_options.host, m_options.dataCentre,
+    , m_responseMemory(std::make_shared<ResponseMemory>(m_options.responseMemory))
+    , m_servers(m_executor, clock, m_options.host, m_options.dataCentre, m_responseMemory,
           [this](const Upstream& server) { m_crashes.recordServerGone(server, "the server's entry was removed"); })
     , m_slots(m_executor, clock,
           { m_options.host, m_options.dataCentre, m_options.peers, m_options.settings.slotBrokers }, m_servers, metrics)
     , m_reach(m_executor, clock, m_servers, metrics, m_options.connectTimeout,
           [this](bool cutOff) { onReachChange(cutOff); })
-    , m_forwarder(m_executor, clock, m_options.dataCentre, m_options.connectTimeout, metrics)
+    , m_forwarder(m_executor, clock, m_options.dataCentre, m_options.connectTimeout, m_responseMemory, metrics)
     , m_queries(m_executor, clock, m_forwarder, m_options.connectTimeout,
           [this](std::string_view server) { m_reach.recordAnswerElsewhere(server); })
     , m_changed(executor)
@@ -693,6 +694,7 @@
     job.connectionUse = connection->exchanges() + 1;
     ExchangeResult result = co_await connection->exchange(request, timeout, m_names.requestId);
     m_staleResponses.add(result.staleResponses);
+    recordBound(job, id, result);
     m_idempotentExchanges.erase(connection.get());
     held->overdueTimes.erase(overdue);
     job.presence.onDisconnect = nullptr;
@@ -774,6 +776,17 @@
         m_crashes.recordLostResponse(job.fingerprints, server, error);
 }
 
+void Gateway::recordBound(const Job& job, std::string_view server, const ExchangeResult& result)
+{
+    if (result.bound == ResponseBound::None)
+        return;
+    m_metrics.counter("server_responses_over_" + std::string(nameOf(result.bound))).add();
+    if (m_log.mayLog(ErrorKind::BadAnswer))
+        logChange(LogLevel::Warning, "response-cut-off",
+            { { "server", server }, { "request", job.id }, { "bound", nameOf(result.bound) },
+                { "connection", job.connection } });
+}
+
 void Gateway::applyNotice(const Job& job, Upstream& server, const BackendResponse& answer)
 {
     const std::string limit = joinedValues(answer, m_names.limit);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -43,6 +43,7 @@
     Endpoint peers; // where other hosts reach this one
     GatewaySettings settings;
     Millis moveWait { 500 }; // longest wait for a key that is moving; a move takes about half of it
+    size_t responseMemory = 16'000'000; // bytes of the responses that are being read from servers
     Millis connectTimeout { 250 }; // latency between hosts and servers is a few ms at most
 };
 
@@ -114,6 +115,7 @@
     void onReachChange(bool cutOff);
     boost::asio::awaitable<bool> confirmServerGone(std::string server); // that accepts no connection of this host
     boost::asio::awaitable<ErrorKind> exchange(Job&, Upstream&, ConnectionPointer, CallerResponse&);
+    void recordBound(const Job&, std::string_view server, const ExchangeResult&); // that the response exceeded
     void applyNotice(const Job&, Upstream&, const BackendResponse&); // from the response's headers
     void applyAnnouncedLimit(const Job&, Upstream&, std::optional<PerSecond>); // no value: no limit announced
     bool answeredByAnother(const ExchangeResult&, std::string_view server) const;
@@ -150,6 +152,7 @@
     std::shared_ptr<const RouteRules> m_rules; // null until the first rules arrive
     RulesValidity m_rulesValidity;
     bool m_hasReadStore = false; // until then most servers may be unknown
+    std::shared_ptr<ResponseMemory> m_responseMemory;
     UpstreamRegistry m_servers;
     SlotExchange m_slots;
     ServerReachMonitor m_reach;
--- a/packages/gateway/PeerForwarder.cpp
+++ b/packages/gateway/PeerForwarder.cpp
@@ -34,11 +34,12 @@
 
 }
 
-PeerForwarder::PeerForwarder(
-    asio::any_io_executor executor, const Clock& clock, std::string dataCentre, Millis connectTimeout, Metrics& metrics)
+PeerForwarder::PeerForwarder(asio::any_io_executor executor, const Clock& clock, std::string dataCentre,
+    Millis connectTimeout, std::shared_ptr<ResponseMemory> responseMemory, Metrics& metrics)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_connectTimeout(connectTimeout)
+    , m_responseMemory(std::move(responseMemory))
     , m_forwarded(metrics.counter("requests_forwarded"))
     , m_forwardsLost(metrics.counter("requests_forwarded_lost"))
     , m_choice(std::move(dataCentre))
@@ -79,7 +80,7 @@
     resource.connections = connectionsPerHost;
     auto& pool = m_pools[target.host];
     if (!pool)
-        pool = std::make_shared<ServerPool>(m_executor, m_clock, resource, MonitorOptions {});
+        pool = std::make_shared<ServerPool>(m_executor, m_clock, resource, MonitorOptions {}, m_responseMemory);
     constexpr size_t sharingHosts = 1; // the limit of connections is this host's own
     pool->update(resource, sharingHosts);
     return pool;
--- a/packages/gateway/PeerForwarder.h
+++ b/packages/gateway/PeerForwarder.h
@@ -22,7 +22,8 @@
 
 class PeerForwarder {
 public:
-    PeerForwarder(boost::asio::any_io_executor, const Clock&, std::string dataCentre, Millis connectTimeout, Metrics&);
+    PeerForwarder(boost::asio::any_io_executor, const Clock&, std::string dataCentre, Millis connectTimeout,
+        std::shared_ptr<ResponseMemory>, Metrics&);
 
     void setTargets(const std::vector<ForwardTarget>&); // from the coordinator
     bool hasTargets() const { return !m_choice.targets().empty(); }
@@ -50,6 +51,7 @@
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
     Millis m_connectTimeout;
+    std::shared_ptr<ResponseMemory> m_responseMemory;
     Counter& m_forwarded;
     Counter& m_forwardsLost;
     ForwardChoice m_choice;
--- a/packages/gateway/Upstream.cpp
+++ b/packages/gateway/Upstream.cpp
@@ -36,10 +36,10 @@
 }
 
 Upstream::Upstream(boost::asio::any_io_executor executor, const Clock& clock, const RegisteredServer& registered,
-    const RoutedService* service)
+    const RoutedService* service, std::shared_ptr<ResponseMemory> memory)
     : entry(registered)
-    , pool(
-          std::move(executor), clock, resourceOf(registered, service), {}, std::make_unique<DeadlineQueue>(), trustIdle)
+    , pool(std::move(executor), clock, resourceOf(registered, service), {}, std::move(memory),
+          std::make_unique<DeadlineQueue>(), trustIdle)
     , m_localLimiter(static_cast<double>(randomNumber()) / static_cast<double>(std::numeric_limits<uint64_t>::max()))
 {
 }
--- a/packages/gateway/Upstream.h
+++ b/packages/gateway/Upstream.h
@@ -14,7 +14,8 @@
 namespace cumindale {
 
 struct Upstream {
-    Upstream(boost::asio::any_io_executor, const Clock&, const RegisteredServer&, const RoutedService*);
+    Upstream(boost::asio::any_io_executor, const Clock&, const RegisteredServer&, const RoutedService*,
+        std::shared_ptr<ResponseMemory>);
 
     void update(const RegisteredServer&, const RoutedService*, size_t hosts, Instant now);
 
--- a/packages/gateway/UpstreamRegistry.cpp
+++ b/packages/gateway/UpstreamRegistry.cpp
@@ -17,11 +17,12 @@
 }
 
 UpstreamRegistry::UpstreamRegistry(boost::asio::any_io_executor executor, const Clock& clock, std::string host,
-    std::string dataCentre, RemovalHandler onRemoval)
+    std::string dataCentre, std::shared_ptr<ResponseMemory> responseMemory, RemovalHandler onRemoval)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_host(std::move(host))
     , m_dataCentre(std::move(dataCentre))
+    , m_responseMemory(std::move(responseMemory))
     , m_onRemoval(std::move(onRemoval))
 {
 }
@@ -168,7 +169,7 @@
         return nullptr;
     const Instant now = m_clock.now();
     const RegisteredServer& entry = *server->second;
-    auto made = std::make_shared<Upstream>(m_executor, m_clock, entry, rulesOf(entry));
+    auto made = std::make_shared<Upstream>(m_executor, m_clock, entry, rulesOf(entry), m_responseMemory);
     update(*made, entry, now);
     made->lastUsed = now;
     if (m_limits) {
--- a/packages/gateway/UpstreamRegistry.h
+++ b/packages/gateway/UpstreamRegistry.h
@@ -27,8 +27,8 @@
     using RemovalHandler
         = std::function<void(const Upstream&)>; // called for a server in use that is registered no more
 
-    UpstreamRegistry(
-        boost::asio::any_io_executor, const Clock&, std::string host, std::string dataCentre, RemovalHandler);
+    UpstreamRegistry(boost::asio::any_io_executor, const Clock&, std::string host, std::string dataCentre,
+        std::shared_ptr<ResponseMemory>, RemovalHandler);
 
     // --- Changes
     void setRules(std::shared_ptr<const RouteRules>);
@@ -75,6 +75,7 @@
     const Clock& m_clock;
     std::string m_host;
     std::string m_dataCentre;
+    std::shared_ptr<ResponseMemory> m_responseMemory;
     RemovalHandler m_onRemoval;
     std::shared_ptr<const RouteRules> m_rules; // null until the first rules arrive
     size_t m_hosts = 0;
--- a/packages/routing/Router.cpp
+++ b/packages/routing/Router.cpp
@@ -60,6 +60,7 @@
     , m_latency(metrics.distribution("request_total"))
     , m_addedLatency(metrics.distribution("request_added"))
     , m_resources(std::make_shared<Resources>())
+    , m_responseMemory(std::make_shared<ResponseMemory>(m_options.responseMemory))
     , m_routingChanged(executor)
 {
 }
@@ -100,7 +101,7 @@
         const bool addressChanged = server
             && (server->pool.server().address != resource.address || server->pool.server().port != resource.port);
         if (!server || addressChanged) {
-            server = std::make_shared<ServerTarget>(m_executor, m_clock, resource, m_options.monitor);
+            server = std::make_shared<ServerTarget>(m_executor, m_clock, resource, m_options.monitor, m_responseMemory);
             server->prober
                 = std::make_shared<Prober>(m_executor, m_clock, m_options.host, resource.address, resource.port,
                     m_options.monitor, server->pool.monitor(), [this, name = name] { onReachabilityChange(name); });
@@ -444,7 +445,7 @@
         target.name = peer.name;
         target.address = peer.address;
         target.port = peer.callerPort;
-        slot = std::make_shared<ServerPool>(m_executor, m_clock, target, m_options.monitor);
+        slot = std::make_shared<ServerPool>(m_executor, m_clock, target, m_options.monitor, m_responseMemory);
     }
     const auto pool = slot;
     auto connection = co_await pool->acquireConnection(job.rule.idempotent, connectTimeout);
--- a/packages/routing/Router.h
+++ b/packages/routing/Router.h
@@ -26,6 +26,7 @@
     std::string host; // this host's name
     size_t maxKeyBytes = 1'024; // keys above this length are refused
     MonitorOptions monitor;
+    size_t responseMemory = 16'000'000; // bytes of the responses that are being read from servers
 };
 
 class Router final : public RequestHandler {
@@ -104,6 +105,7 @@
     std::map<std::string, std::vector<Member>> m_relays; // hosts that relay, by server that this host can't reach
     std::map<std::string, std::shared_ptr<ServerPool>> m_peerPools; // connections to hosts that relay, by host
     std::map<std::string, RetryBudget> m_budgets; // by service
+    std::shared_ptr<ResponseMemory> m_responseMemory;
     InFlight m_inFlight;
     Signal m_routingChanged; // notified when a table, a routing lease or a server's reachability changes
     Instant m_lastLoadReport {};
--- a/packages/routing/ServiceRoute.cpp
+++ b/packages/routing/ServiceRoute.cpp
@@ -10,9 +10,9 @@
 
 }
 
-ServerTarget::ServerTarget(
-    boost::asio::any_io_executor executor, const Clock& clock, const ServerResource& resource, MonitorOptions monitor)
-    : pool(std::move(executor), clock, resource, monitor)
+ServerTarget::ServerTarget(boost::asio::any_io_executor executor, const Clock& clock, const ServerResource& resource,
+    MonitorOptions monitor, std::shared_ptr<ResponseMemory> memory)
+    : pool(std::move(executor), clock, resource, monitor, std::move(memory))
 {
 }
 
--- a/packages/routing/ServiceRoute.h
+++ b/packages/routing/ServiceRoute.h
@@ -14,7 +14,8 @@
 
 // This host's connections to one backend server, and the prober that watches it.
 struct ServerTarget {
-    ServerTarget(boost::asio::any_io_executor, const Clock&, const ServerResource&, MonitorOptions);
+    ServerTarget(boost::asio::any_io_executor, const Clock&, const ServerResource&, MonitorOptions,
+        std::shared_ptr<ResponseMemory>);
     ~ServerTarget();
 
     // Abandons idempotent dispatches that started before the given time, so that they are retried.
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -51,11 +51,13 @@
     return {};
 }
 
-HttpClient::HttpClient(asio::any_io_executor executor, std::string address, uint16_t port, size_t maxIdleConnections)
+HttpClient::HttpClient(asio::any_io_executor executor, std::string address, uint16_t port, size_t maxIdleConnections,
+    ResponseLimits limits)
     : m_executor(std::move(executor))
     , m_address(std::move(address))
     , m_port(port)
     , m_maxIdleConnections(maxIdleConnections)
+    , m_limits(limits)
 {
 }
 
@@ -137,11 +139,11 @@
         stream.reset();
         co_return unansweredReply();
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(responseBufferBytes);
     PeerResponse response;
     const bool toHead = call.verb == http::verb::head;
-    const beast::error_code readError = co_await readResponse(*stream, buffer, toHead, {}, response);
-    if (readError) {
+    const ReadResult read = co_await readResponse(*stream, buffer, toHead, m_limits, nullptr, response);
+    if (read.error) {
         stream.reset();
         co_return unansweredReply();
     }
--- a/packages/web/HttpClient.h
+++ b/packages/web/HttpClient.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "web/ResponseReader.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -41,7 +42,8 @@
 // failed or timed out is closed and never reused. Not thread-safe.
 class HttpClient {
 public:
-    HttpClient(boost::asio::any_io_executor, std::string address, uint16_t port, size_t maxIdleConnections = 8);
+    HttpClient(boost::asio::any_io_executor, std::string address, uint16_t port, size_t maxIdleConnections = 8,
+        ResponseLimits = {});
     ~HttpClient();
 
     boost::asio::awaitable<HttpReply> send(HttpCall, Millis timeout);
@@ -71,6 +73,7 @@
     std::string m_address;
     uint16_t m_port;
     size_t m_maxIdleConnections;
+    ResponseLimits m_limits;
     std::vector<Stream> m_idle;
 };
 
--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -1,8 +1,11 @@
 #include "web/ResponseReader.h"
 
+#include "web/Sockets.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace cumindale {
 
@@ -10,27 +13,85 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-asio::awaitable<beast::error_code> readResponse(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer, bool toHead, ResponseLimits limits, PeerResponse& response)
+namespace {
+
+    constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+    using Parser = http::response_parser<http::string_body>;
+
+    ReadResult resultOf(beast::error_code error)
+    {
+        if (error == http::error::header_limit)
+            return { error, ResponseBound::Header };
+        if (error == http::error::body_limit)
+            return { error, ResponseBound::Body };
+        if (error == http::error::buffer_overflow)
+            return { error, ResponseBound::Buffer };
+        return { error, ResponseBound::None };
+    }
+
+    asio::awaitable<ReadResult> readBody(
+        beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, ResponseMemory* memory)
+    {
+        std::optional<ResponseMemory::Reader> reader;
+        if (memory)
+            reader.emplace(*memory, [&stream] { resetConnection(stream); });
+        parser.eager(true);
+        while (!parser.is_done()) {
+            const auto [error, bytesRead] = co_await http::async_read_some(stream, buffer, parser, token);
+            const bool cutOff
+                = reader && (reader->isCutOff() || (!error && !reader->grow(parser.get().body().capacity())));
+            if (cutOff)
+                co_return ReadResult { http::error::body_limit, ResponseBound::Memory };
+            if (error)
+                co_return resultOf(error);
+        }
+        co_return ReadResult {};
+    }
+
+}
+
+std::string_view nameOf(ResponseBound bound)
+{
+    switch (bound) {
+    case ResponseBound::None:
+        return "none";
+    case ResponseBound::Header:
+        return "header";
+    case ResponseBound::Body:
+        return "body";
+    case ResponseBound::Memory:
+        return "memory";
+    case ResponseBound::Interim:
+        return "interim";
+    case ResponseBound::Buffer:
+        return "buffer";
+    }
+    return "none";
+}
+
+asio::awaitable<ReadResult> readResponse(beast::tcp_stream& stream, beast::flat_buffer& buffer, bool toHead,
+    ResponseLimits limits, ResponseMemory* memory, PeerResponse& response)
 {
     for (unsigned i = 0; i <= limits.interimResponses; ++i) {
-        http::response_parser<http::string_body> parser;
+        Parser parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         parser.skip(toHead);
-        const auto [error, bytesRead]
-            = co_await http::async_read(stream, buffer, parser, asio::as_tuple(asio::use_awaitable));
+        const auto [error, bytesRead] = co_await http::async_read_header(stream, buffer, parser, token);
         if (error)
-            co_return error;
+            co_return resultOf(error);
         const http::status status = parser.get().result();
         if (status == http::status::switching_protocols)
-            co_return http::error::bad_status;
+            co_return ReadResult { http::error::bad_status };
         if (http::to_status_class(status) == http::status_class::informational)
             continue;
-        response = parser.release();
-        co_return beast::error_code {};
+        const ReadResult result = co_await readBody(stream, buffer, parser, memory);
+        if (!result.error)
+            response = parser.release();
+        co_return result;
     }
-    co_return http::error::bad_status;
+    co_return ReadResult { http::error::bad_status, ResponseBound::Interim };
 }
 
 }
--- a/packages/web/ResponseReader.h
+++ b/packages/web/ResponseReader.h
@@ -1,12 +1,15 @@
 // Reads one HTTP/1.1 response from a peer that may be faulty, within bounds.
 #pragma once
 
+#include "web/ResponseMemory.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
+#include <string_view>
 
 namespace cumindale {
 
@@ -18,11 +21,34 @@
     unsigned interimResponses = 8; // before the final response
 };
 
+// For responses to orders and probes: thousands of servers may answer one host at a time.
+constexpr ResponseLimits shortResponseLimits { 16 * 1024, 64 * 1024, 8 };
+
+// Of a buffer from which responses are read: more than a header, and more than a chunk's extensions or a trailer need.
+constexpr size_t responseBufferBytes = 256 * 1024;
+
+// Which bound a response exceeded.
+enum class ResponseBound : uint8_t {
+    None,
+    Header,
+    Body,
+    Memory, // of all responses that are being read; this was the largest one
+    Interim, // responses before the final one
+    Buffer, // a chunk's extensions or a trailer
+};
+
+std::string_view nameOf(ResponseBound);
+
+struct ReadResult {
+    boost::beast::error_code error;
+    ResponseBound bound = ResponseBound::None; // with an error
+};
+
 // Interim responses (1xx, RFC 9110, section 15.2) are read past. Errors: those of the stream, and those of
-// boost::beast::http for a malformed response or one beyond a limit (header_limit, body_limit; bad_status for too many
-// interim responses and for 101, as no request asks for an upgrade). After an error the connection can't be used.
-// `toHead`: the response is to a HEAD request and has no body. `buffer` keeps what follows the response.
-boost::asio::awaitable<boost::beast::error_code> readResponse(
-    boost::beast::tcp_stream&, boost::beast::flat_buffer&, bool toHead, ResponseLimits, PeerResponse&);
+// boost::beast::http for a malformed response, one beyond a bound, and 101, as no request asks for an upgrade. After an
+// error the connection can't be used. `toHead`: the response is to a HEAD request and has no body. `buffer` keeps what
+// follows the response; its limit is responseBufferBytes. `memory`: counts the body while it is read, or null.
+boost::asio::awaitable<ReadResult> readResponse(boost::beast::tcp_stream&, boost::beast::flat_buffer& buffer,
+    bool toHead, ResponseLimits, ResponseMemory* memory, PeerResponse&);
 
 }
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -31,6 +31,7 @@
     SetClock clock;
     std::vector<std::string> removed;
     UpstreamRegistry registry { context.get_executor(), clock, "host-a", "dc-1",
+        std::make_shared<ResponseMemory>(1'000'000),
         [this](const Upstream& server) { removed.push_back(server.entry.id); } };
 
     void add(size_t servers)
