--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -115,7 +115,6 @@
     , m_added(metrics.distribution("request_added"))
     , m_answered(metrics.counter("requests_answered"))
     , m_retries(metrics.counter("requests_sent_again"))
-    , m_staleResponses(metrics.counter("server_responses_stale"))
     , m_forwardedServed(metrics.counter("requests_forwarded_here"))
     , m_crashes(
           executor, clock, metrics, { m_options.settings.fingerprintKey, m_options.connectTimeout },
@@ -693,8 +692,7 @@
     job.connection = connection->localPort();
     job.connectionUse = connection->exchanges() + 1;
     ExchangeResult result = co_await connection->exchange(request, timeout, m_names.requestId);
-    m_staleResponses.add(result.staleResponses);
-    recordBound(job, id, result);
+    m_log.recordFaults(job, id, result);
     m_idempotentExchanges.erase(connection.get());
     held->overdueTimes.erase(overdue);
     job.presence.onDisconnect = nullptr;
@@ -776,17 +774,6 @@
         m_crashes.recordLostResponse(job.fingerprints, server, error);
 }
 
-void Gateway::recordBound(const Job& job, std::string_view server, const ExchangeResult& result)
-{
-    if (result.bound == ResponseBound::None)
-        return;
-    m_metrics.counter("server_responses_over_" + std::string(nameOf(result.bound))).add();
-    if (m_log.mayLog(ErrorKind::BadAnswer))
-        logChange(LogLevel::Warning, "response-cut-off",
-            { { "server", server }, { "request", job.id }, { "bound", nameOf(result.bound) },
-                { "connection", job.connection } });
-}
-
 void Gateway::applyNotice(const Job& job, Upstream& server, const BackendResponse& answer)
 {
     const std::string limit = joinedValues(answer, m_names.limit);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -115,7 +115,6 @@
     void onReachChange(bool cutOff);
     boost::asio::awaitable<bool> confirmServerGone(std::string server); // that accepts no connection of this host
     boost::asio::awaitable<ErrorKind> exchange(Job&, Upstream&, ConnectionPointer, CallerResponse&);
-    void recordBound(const Job&, std::string_view server, const ExchangeResult&); // that the response exceeded
     void applyNotice(const Job&, Upstream&, const BackendResponse&); // from the response's headers
     void applyAnnouncedLimit(const Job&, Upstream&, std::optional<PerSecond>); // no value: no limit announced
     bool answeredByAnother(const ExchangeResult&, std::string_view server) const;
@@ -144,7 +143,6 @@
     Distribution& m_added;
     Counter& m_answered;
     Counter& m_retries;
-    Counter& m_staleResponses; // responses of servers to earlier requests
     Counter& m_forwardedServed;
 
     RequestCrashes m_crashes;
--- a/packages/gateway/RequestLog.cpp
+++ b/packages/gateway/RequestLog.cpp
@@ -1,5 +1,6 @@
 #include "gateway/RequestLog.h"
 
+#include "backends/ServerPool.h"
 #include "base/Log.h"
 #include "gateway/GatewayJob.h"
 #include "gateway/RequestCrashes.h"
@@ -21,6 +22,7 @@
     : m_clock(clock)
     , m_crashes(crashes)
     , m_metrics(metrics)
+    , m_staleResponses(metrics.counter("server_responses_stale"))
     , m_lines(errorKindCount, linesPerSecond, burst)
 {
 }
@@ -43,6 +45,18 @@
             { "rulesAgeMs", request.rulesAgeMillis }, { "leftOut", std::exchange(m_droppedLines, 0) } });
 }
 
+void RequestLog::recordFaults(const GatewayJob& job, std::string_view server, const ExchangeResult& result)
+{
+    m_staleResponses.add(result.staleResponses);
+    if (result.bound == ResponseBound::None)
+        return;
+    const std::string_view bound = nameOf(result.bound);
+    m_metrics.counter("server_responses_over_" + std::string(bound)).add();
+    if (mayLog(result.error))
+        logChange(LogLevel::Warning, "response-cut-off",
+            { { "server", server }, { "request", job.id }, { "bound", bound }, { "connection", job.connection } });
+}
+
 void RequestLog::write(
     std::string_view event, const GatewayJob& job, ErrorKind error, std::string_view server, const KnownEditions& known)
 {
--- a/packages/gateway/RequestLog.h
+++ b/packages/gateway/RequestLog.h
@@ -14,6 +14,7 @@
 
 namespace cumindale {
 
+struct ExchangeResult;
 struct GatewayJob;
 class RequestCrashes;
 
@@ -41,12 +42,15 @@
     // counts the line as written or as left out. `kind`: of the refusal that the line is about.
     bool mayLog(ErrorKind kind);
     void writeUnhandled(const UnhandledRequest&);
+    // Counts the faults of a server's responses to a request, and logs a response beyond a bound.
+    void recordFaults(const GatewayJob&, std::string_view server, const ExchangeResult&);
     void write(std::string_view event, const GatewayJob&, ErrorKind, std::string_view server, const KnownEditions&);
 
 private:
     const Clock& m_clock;
     const RequestCrashes& m_crashes; // for the fingerprints of requests that may have crashed a server
     Metrics& m_metrics;
+    Counter& m_staleResponses; // responses of servers to earlier requests
     LineBudget m_lines; // by ErrorKind
     uint64_t m_droppedLines = 0; // since the last line that was written
 };
