--- a/packages/web/ResponseReader.h
+++ b/packages/web/ResponseReader.h
@@ -16,16 +16,16 @@
 using PeerResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
 struct ResponseLimits {
-    uint32_t headerBytes = 64 * 1024; // of each header, interim responses' included
+    uint32_t headerBytes = 65'536; // of each header, interim responses' included
     uint64_t bodyBytes = 64'000'000;
     unsigned interimResponses = 8; // before the final response
 };
 
 // For responses to orders and probes: thousands of servers may answer one host at a time.
-constexpr ResponseLimits shortResponseLimits { 16 * 1024, 64 * 1024, 8 };
+constexpr ResponseLimits shortResponseLimits { 16'384, 65'536, 8 };
 
 // Of a buffer from which responses are read: more than a header, and more than a chunk's extensions or a trailer need.
-constexpr size_t responseBufferBytes = 256 * 1024;
+constexpr size_t responseBufferBytes = 262'144;
 
 // Which bound a response exceeded.
 enum class ResponseBound : uint8_t {
