Metrics of how late the loops for requests and for control run

Needed to tell whether one reader of a long response holds the loop: routing_loop_delay and control_loop_delay, each a distribution in microseconds of a timer that is due every 20 ms.

--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -10,6 +10,7 @@
 #include "platform/Dialect.h"
 #include "resources/QuarantineCodec.h"
 #include "web/HttpServer.h"
+#include "web/LoopMonitor.h"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -79,6 +80,8 @@
         {
             m_gateway.start();
             m_controller.start();
+            startLoopMonitor(m_routingContext.get_executor(), m_clock, m_metrics.distribution("routing_loop_delay"));
+            startLoopMonitor(m_controlContext.get_executor(), m_clock, m_metrics.distribution("control_loop_delay"));
             waitForSignal();
             std::thread control([this] { runEventLoop(m_controlContext); });
             std::thread operators([this] { runEventLoop(m_operatorsContext); });
