The memory of a response that is being read includes its copy while it grows

What was seen in the play of responses without end: a host took 66, 63 and 71 MB (64 allowed) and its loop for requests was up to 25, 21 and 29 ms late (20 allowed), for chunks at a share of 0.1 and bytes until the connection closes at 0.1 and 0.6.

Cause: a body's storage doubles, and only the new one was counted, after the copy. A single response of 16 MB thus grew to 32 MB, with the old storage beside it, before it was cut off; the copy and its page faults held the loop.

Change: when the next bytes may not fit, the response counts with three times its storage. The largest body of unknown length is then a third of the memory for reading; one with a Content-Length is counted exactly, as before.

New beside it, and held before: short responses without end are given up at their bound.

--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -2,6 +2,7 @@
 
 #include "web/Sockets.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -30,6 +31,17 @@
         return { error, ResponseBound::None };
     }
 
+    constexpr size_t mostBytesRead = 65'536; // at once, of a body
+
+    // Memory that a body takes until some more of it has been read. While it grows, old and new storage exist.
+    size_t memoryOfNextRead(const Parser& parser)
+    {
+        const std::string& body = parser.get().body();
+        const uint64_t left = parser.content_length_remaining().value_or(mostBytesRead);
+        const bool mayGrow = body.size() + std::min<uint64_t>(left, mostBytesRead) > body.capacity();
+        return mayGrow ? 3 * body.capacity() : body.capacity();
+    }
+
     asio::awaitable<ReadResult> readBody(
         beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, ResponseMemory* memory)
     {
@@ -39,8 +51,7 @@
         parser.eager(true);
         while (!parser.is_done()) {
             const auto [error, bytesRead] = co_await http::async_read_some(stream, buffer, parser, token);
-            const bool cutOff
-                = reader && (reader->isCutOff() || (!error && !reader->grow(parser.get().body().capacity())));
+            const bool cutOff = reader && (reader->isCutOff() || (!error && !reader->grow(memoryOfNextRead(parser))));
             if (cutOff)
                 co_return ReadResult { http::error::body_limit, ResponseBound::Memory };
             if (error)
--- /dev/null
+++ b/tests/response_reader_test.cpp
@@ -0,0 +1,149 @@
+// Reading of responses from peers that send without end.
+#include "web/HttpClient.h"
+#include "web/ResponseReader.h"
+#include "web/Sockets.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <malloc.h>
+#include <new>
+
+using namespace cumindale;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Allocations of at least that many bytes, of which bodies and buffers consist.
+constexpr size_t largeBytes = 65'536;
+std::atomic<size_t> largeInUse { 0 };
+std::atomic<size_t> mostLargeInUse { 0 };
+
+}
+
+void* operator new(size_t bytes)
+{
+    void* memory = std::malloc(bytes);
+    if (!memory)
+        throw std::bad_alloc();
+    const size_t usable = ::malloc_usable_size(memory);
+    if (usable >= largeBytes)
+        mostLargeInUse = std::max<size_t>(mostLargeInUse, largeInUse += usable);
+    return memory;
+}
+
+void operator delete(void* memory) noexcept
+{
+    const size_t usable = ::malloc_usable_size(memory);
+    if (usable >= largeBytes)
+        largeInUse -= usable;
+    std::free(memory);
+}
+
+void operator delete(void* memory, size_t) noexcept { operator delete(memory); }
+
+namespace {
+
+// Accepts one connection and sends a response without end, until the connection is closed.
+class EndlessPeer {
+public:
+    EndlessPeer(asio::io_context& context, std::string begin, std::string repeated)
+        : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        asio::co_spawn(context, send(std::move(begin), std::move(repeated)), asio::detached);
+    }
+
+    uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    size_t sent() const { return m_sent; } // bytes
+    bool closed() const { return m_closed; }
+
+private:
+    asio::awaitable<void> send(std::string begin, std::string repeated)
+    {
+        constexpr auto token = asio::as_tuple(asio::use_awaitable);
+        tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+        for (std::string next = begin;; next = repeated) {
+            const auto [error, bytes] = co_await asio::async_write(socket, asio::buffer(next), token);
+            m_sent += bytes;
+            if (error)
+                break;
+        }
+        m_closed = true;
+    }
+
+    tcp::acceptor m_acceptor;
+    size_t m_sent = 0;
+    bool m_closed = false;
+};
+
+constexpr const char* chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string largeChunk() { return "10000\r\n" + std::string(0x10000, 'x') + "\r\n"; }
+
+}
+
+// Guards against a body that takes twice its bound while it is copied to larger storage.
+TEST_CASE("a body without end never takes more than the memory, its copy while it grows included")
+{
+    constexpr size_t limit = 6'000'000;
+    asio::io_context context;
+    const EndlessPeer peer(context, chunkedHead, largeChunk());
+    ResponseMemory memory(limit);
+    ReadResult result;
+    mostLargeInUse = largeInUse.load();
+    const size_t before = largeInUse;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            boost::beast::tcp_stream stream(context);
+            boost::beast::flat_buffer buffer(responseBufferBytes);
+            PeerResponse response;
+            CHECK(co_await connectTo(stream, "127.0.0.1", peer.port(), Millis(1'000)));
+            result = co_await readResponse(stream, buffer, false, {}, &memory, response);
+            resetConnection(stream);
+        },
+        asio::detached);
+    context.run();
+    CHECK(result.bound == ResponseBound::Memory);
+    CHECK(memory.used() == 0);
+    CHECK(peer.closed());
+    constexpr size_t buffers = 4 * largeBytes + responseBufferBytes; // of the peer and the reader
+    CHECK(mostLargeInUse - before <= limit + buffers);
+}
+
+// Guards against an order or a probe whose response uses up the host's memory.
+TEST_CASE("a short response without end is given up at its bound, and its connection is closed")
+{
+    for (const auto& [begin, repeated] : { std::pair<std::string, std::string> { chunkedHead, largeChunk() },
+             { "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", largeChunk() },
+             { "HTTP/1.1 200 OK\r\nX-Filler: ", largeChunk().substr(7, 8'192) },
+             { chunkedHead, std::string(8'192, ' ') }, { {}, "HTTP/1.1 100 Continue\r\n\r\n" } }) {
+        CAPTURE(begin);
+        asio::io_context context;
+        const EndlessPeer peer(context, begin, repeated);
+        HttpClient client(context.get_executor(), "127.0.0.1", peer.port(), 1, shortResponseLimits);
+        HttpReply reply;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                HttpCall call;
+                reply = co_await client.send(std::move(call), Millis(5'000));
+            },
+            asio::detached);
+        context.run_for(std::chrono::milliseconds(2'000));
+        CHECK_FALSE(reply.hasResponse());
+        CHECK(reply.mayHaveArrived);
+        CHECK(peer.closed());
+        constexpr size_t socketBuffers = 8'000'000; // that the kernel takes from the peer on loopback
+        CHECK(peer.sent() < socketBuffers);
+    }
+}
