--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -16,6 +16,7 @@
 #include <doctest/doctest.h>
 #include <malloc.h>
 #include <new>
+#include <vector>
 
 using namespace cumindale;
 namespace asio = boost::asio;
@@ -123,13 +124,22 @@
 // Guards against an order or a probe whose response uses up the host's memory.
 TEST_CASE("a short response without end is given up at its bound, and its connection is closed")
 {
-    for (const auto& [begin, repeated] : { std::pair<std::string, std::string> { chunkedHead, largeChunk() },
-             { "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", largeChunk() },
-             { "HTTP/1.1 200 OK\r\nX-Filler: ", largeChunk().substr(7, 8'192) },
-             { chunkedHead, std::string(8'192, ' ') }, { {}, "HTTP/1.1 100 Continue\r\n\r\n" } }) {
-        CAPTURE(begin);
+    struct Response {
+        std::string begin;
+        std::string repeated;
+    };
+    constexpr size_t pieceBytes = 8'192;
+    const std::vector<Response> responses {
+        { chunkedHead, largeChunk() },
+        { "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", largeChunk() },
+        { "HTTP/1.1 200 OK\r\nX-Filler: ", std::string(pieceBytes, 'x') },
+        { chunkedHead, std::string(pieceBytes, ' ') },
+        { {}, "HTTP/1.1 100 Continue\r\n\r\n" },
+    };
+    for (const Response& response : responses) {
+        CAPTURE(response.begin);
         asio::io_context context;
-        const EndlessPeer peer(context, begin, repeated);
+        const EndlessPeer peer(context, response.begin, response.repeated);
         HttpClient client(context.get_executor(), "127.0.0.1", peer.port(), 1, shortResponseLimits);
         HttpReply reply;
         asio::co_spawn(
