store-read tells how far a read came and why it failed

The line of a failed read of the store was the same whether the host got no connection, one page of fifty or none, or a refusal. In the record of the common restart 813 of 1,297 failed reads lasted 0.3 s and 376 between 1.6 and 5 s, which tells the first two apart only by their times.

--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -73,8 +73,8 @@
     m_bytesRead.add(bytes);
     logChange(LogLevel::Info, "store-read",
         { { "why", why }, { "answered", reply.status == StoreStatus::Ok },
-            { "tookMs", (m_clock.now() - begun).count() }, { "bytes", bytes }, { "revision", reply.revision },
-            { "lastChange", m_view.lastChange() } });
+            { "tookMs", (m_clock.now() - begun).count() }, { "pages", reply.pages }, { "failure", reply.failure },
+            { "bytes", bytes }, { "revision", reply.revision }, { "lastChange", m_view.lastChange() } });
 }
 
 // Of changes that arrive now. A watch that is pending brings changes at once.
--- a/packages/store/Store.h
+++ b/packages/store/Store.h
@@ -31,8 +31,10 @@
 
 struct RangeReply {
     StoreStatus status = StoreStatus::Unavailable;
-    int64_t revision = 0; // store revision at the time of the response
+    int64_t revision = 0; // store revision at the time of the first response
     std::vector<KeyValue> values;
+    size_t pages = 0; // responses with items, also of a read that failed later
+    std::string failure; // why a read failed: "no-connection", "no-response", "status-429", ...
 };
 
 // Condition of a transaction: the key was last written at `modRevision` (0: the key does not exist).
