A coordinator begins its orders a bounded number at a time

Cause: all orders that are due were begun in one turn of the loop, each with a new connection that has 0.3 s. With 6,689 of them no connection's answer is read before its time limit has passed, and the loop, which also renews the leadership (1.5 s) and answers the hosts' reports, does nothing else meanwhile. The class of fault: work that grows with the fleet, done at once beside time limits that don't grow.

Change: sendGrants() is begun for 64 servers in a turn of the loop; the next ones follow when everything else that is ready has run. The number of orders at work isn't limited, so servers that are gone, whose orders wait for their time limit, delay no others. The section on orders moves to a file of its own.

--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -1,7 +1,6 @@
 #include "gateway/Coordinator.h"
 
 #include "base/Log.h"
-#include "decisions/ServerIdentity.h"
 #include "gateway/CoordinatorWrites.h"
 #include "resources/GrantTableCodec.h"
 #include "resources/QuarantineCodec.h"
@@ -15,7 +14,7 @@
 
 namespace asio = boost::asio;
 
-// Sections: leadership, plans, orders, writes, balance, hosts.
+// Sections: leadership, plans, writes, balance, hosts. Orders: CoordinatorOrders.cpp; reports: CoordinatorReports.cpp.
 
 namespace {
 
@@ -115,6 +114,7 @@
     m_previousCoordinators.clear();
     m_loads.clear();
     m_servers.clear();
+    m_sendersToStart.clear();
     m_knownServersEdition = 0;
     m_reportedLeaving.clear();
     m_shares.clear();
@@ -281,167 +281,6 @@
     }
 }
 
-// --- Orders
-
-void Coordinator::updateServerAddresses()
-{
-    if (std::exchange(m_knownServersEdition, m_view.serversEdition()) == m_view.serversEdition())
-        return;
-    for (const auto& [id, server] : *m_view.servers()) {
-        ServerState& state = m_servers[id];
-        state.address = server.address;
-        state.port = server.port;
-    }
-}
-
-void Coordinator::useAddressOfLaterIncarnation(const std::string& server)
-{
-    const auto servers = m_view.servers();
-    const RegisteredServer* later = registeredIncarnation(*servers, serverNameOf(server));
-    if (!later)
-        return;
-    ServerState& state = m_servers[server];
-    state.address = later->address;
-    state.port = later->port;
-}
-
-std::shared_ptr<HttpClient> Coordinator::clientFor(const std::string& server)
-{
-    const auto known = m_servers.find(server);
-    // Releases for an earlier incarnation of a registered server are sent to the registered incarnation. It doesn't
-    // hold the range and answers so at once. Waiting until the lease of the earlier incarnation has expired would leave
-    // its keys without an owner for three seconds.
-    if (known == m_servers.end() || !known->second.port)
-        useAddressOfLaterIncarnation(server);
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end() || !found->second.port)
-        return nullptr;
-    ServerState& state = found->second;
-    constexpr size_t maxIdleConnections = 1; // for grants; each release has a connection of its own
-    if (!state.client)
-        state.client = std::make_shared<HttpClient>(
-            m_executor, state.address, state.port, maxIdleConnections, shortResponseLimits);
-    return state.client;
-}
-
-void Coordinator::send(GrantOrder order, const std::string& service)
-{
-    // The server answers a release after its requests in progress have ended. Grants for the server must not wait for
-    // that.
-    if (order.kind == GrantOrder::Kind::Release) {
-        asio::co_spawn(m_executor, executeOrder(std::move(order), m_term, service), asio::detached);
-        return;
-    }
-    // Grants for one server are sent one after the other over one connection. Sent concurrently, they would open a
-    // connection for each range, most of which would be closed again.
-    const std::string server = order.server;
-    ServerState& state = m_servers[server];
-    state.grants.emplace_back(std::move(order), service);
-    if (!state.senders)
-        startSender(server, state);
-}
-
-void Coordinator::startSender(const std::string& server, ServerState& state)
-{
-    ++state.senders;
-    state.lastSentAt = m_clock.now();
-    asio::co_spawn(m_executor, sendGrants(server, m_term), asio::detached);
-}
-
-// An order whose answer is lost blocks its connection until the order times out. The orders queued behind it must not
-// wait that long: if half of the answers are lost, the leases of a server's ranges would expire one after the other.
-void Coordinator::addSendersToStalledServers()
-{
-    constexpr Millis stallTimeout { 100 }; // most orders are answered within a few ms
-    constexpr unsigned maxSenders = 6; // limits the connections to a server that doesn't answer at all
-    const Instant now = m_clock.now();
-    for (auto& [server, state] : m_servers) {
-        const bool stalled = state.senders && !state.grants.empty() && now - state.lastSentAt > stallTimeout;
-        if (stalled && state.senders < maxSenders)
-            startSender(server, state);
-    }
-}
-
-asio::awaitable<void> Coordinator::sendGrants(std::string server, int64_t term)
-{
-    while (term == m_term) {
-        ServerState& state = m_servers[server];
-        if (state.grants.empty()) {
-            --state.senders;
-            co_return;
-        }
-        auto next = std::move(state.grants.front());
-        state.grants.pop_front();
-        state.lastSentAt = m_clock.now();
-        co_await executeOrder(std::move(next.first), term, std::move(next.second));
-    }
-}
-
-std::optional<uint64_t> Coordinator::fenceToSend(
-    const GrantOrder& order, const std::string& service, bool newConnection)
-{
-    const auto plan = m_plans.find(service);
-    return plan == m_plans.end() ? std::nullopt : plan->second->fenceToSend(order, newConnection);
-}
-
-asio::awaitable<void> Coordinator::executeOrder(GrantOrder order, int64_t term, std::string service)
-{
-    m_orders.add();
-    OrderAnswer answer { order.range, order.number };
-    // Keeps the client alive: the end of the term clears m_servers while this order may still wait for its answer.
-    const auto client = clientFor(order.server);
-    if (client) {
-        const bool release = order.kind == GrantOrder::Kind::Release;
-        const Millis timeout = release ? m_options.releaseTimeout : m_options.grants.orderTimeout;
-        HttpClient::CallFactory make = [&](bool newConnection) -> std::optional<HttpCall> {
-            const auto fence = term == m_term ? fenceToSend(order, service, newConnection) : std::nullopt;
-            if (!fence)
-                return std::nullopt;
-            order.fence = *fence;
-            return m_adapter.callFor(order);
-        };
-        HttpReply reply;
-        // A late copy of another order's response, taken for that of a release, would give the keys away while their
-        // holder is at work.
-        if (release)
-            reply = co_await client->sendAlone(std::move(make), timeout);
-        else
-            reply = co_await client->send(std::move(make), timeout);
-        if (reply.hasResponse()) {
-            answer.result = m_adapter.resultOf(order, reply);
-            answer.handover = m_adapter.handoverIn(reply);
-        } else {
-            answer.result = reply.mayHaveArrived ? OrderResult::Unanswered : OrderResult::NotSent;
-        }
-    }
-    if (term != m_term)
-        co_return; // the term has ended meanwhile
-    answer.endedAt = m_clock.now();
-    if (answer.result == OrderResult::Unanswered || answer.result == OrderResult::NotSent)
-        m_orderReach.connectFailed(order.server, answer.endedAt);
-    else
-        m_orderReach.connected(order.server, m_servers.size());
-    if (answer.result != OrderResult::Done) {
-        m_ordersFailed.add();
-        logChange(LogLevel::Warning, "grant-order-failed",
-            { { "service", service }, { "server", order.server }, { "first", order.first }, { "last", order.last },
-                { "fence", order.fence }, { "kind", order.kind == GrantOrder::Kind::Grant ? "grant" : "release" },
-                { "result", nameOf(answer.result) } });
-    }
-    const auto plan = m_plans.find(service);
-    if (plan == m_plans.end())
-        co_return;
-    const uint64_t before = plan->second->edition();
-    plan->second->onAnswer(answer);
-    m_needsMaintenance |= answer.result != OrderResult::Done;
-    // The results of a renewal can wait for the next step. A step checks all ranges: run after each renewal, steps
-    // would cost a coordinator of hundreds of hosts more than all its other work.
-    const bool urgent = order.kind == GrantOrder::Kind::Release || plan->second->edition() != before;
-    m_needsMaintenance |= urgent;
-    if (urgent || plan->second->deposed())
-        m_wakeUp.notifyAll();
-}
-
 // --- Writes
 
 std::set<std::string, std::less<>> Coordinator::changedHostList() const
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -23,6 +23,7 @@
 #include "web/HttpClient.h"
 #include "web/Signal.h"
 
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -110,6 +111,7 @@
     std::vector<ServerCapacity> capacities(const GrantPlan&);
     void send(GrantOrder, const std::string& service);
     void startSender(const std::string& server, ServerState&);
+    boost::asio::awaitable<void> startSenders();
     void addSendersToStalledServers();
     boost::asio::awaitable<void> sendGrants(std::string server, int64_t term);
     std::optional<uint64_t> fenceToSend(const GrantOrder&, const std::string& service, bool newConnection);
@@ -154,6 +156,8 @@
     std::map<std::string, Registrations> m_registrations; // by service, of services without a plan
     std::map<std::string, KeyLoad> m_loads; // by service
     std::map<std::string, ServerState, std::less<>> m_servers;
+    std::deque<std::string> m_sendersToStart; // servers, one entry for each sendGrants()
+    bool m_isStartingSenders = false; // startSenders() is running
     std::set<std::string, std::less<>>
         m_reportedLeaving; // servers that hosts report as leaving but that are not registered as leaving
     ServerShares m_shares;
