Hosts that start together get the entries of all servers from the coordinator

What callers saw: after all 984 hosts of the fleet had been killed and were back within 1.5 s, no request was served for 17 s, and 326 of 9,216 from 18 s on.

Cause: each host reads all 10,000 entries at its start, which is some 3 GB in sum on the store's link of 1 Gbit/s; a page has 1.5 s and a connection 0.3 s whatever the number of hosts, and a page that is late costs all pages before it. So the link stays full of pages that nobody awaits any more, and no read ends: of 1,297 reads on the 54 hosts with logs none was answered. And no host could be elected before such a read. The class of fault: all hosts do the same work at the same moment, with time limits that don't grow with their number, and begin anew after a failure.

Why it works: the entries cross the store's link once, whatever the number of hosts, and the hosts' own links in a tree. Small fleets read as before.

--- a/packages/control/ClusterView.h
+++ b/packages/control/ClusterView.h
@@ -51,7 +51,8 @@
     // --- Reading
     // Whether the reply has every resource of this view, with the same text or at least the same revision.
     bool coveredBy(const RangeReply&) const;
-    int64_t revision() const override { return m_revision; }
+    int64_t revision() const { return m_revision; } // highest store revision seen; 0: the store was never read
+    bool knowsLeader() const override { return m_revision > 0; }
     const std::shared_ptr<const Resources>& resources() const { return m_resources; }
     const std::shared_ptr<const Roster>& roster() const { return m_roster; }
     const LeaderView& leader() const override { return m_leader; }
--- a/packages/control/Election.cpp
+++ b/packages/control/Election.cpp
@@ -44,7 +44,7 @@
 asio::awaitable<void> Election::run()
 {
     for (;;) {
-        const bool noLeader = m_view.revision() && m_view.leader().host.empty();
+        const bool noLeader = m_view.knowsLeader() && m_view.leader().host.empty();
         if (m_mayCampaign && noLeader && m_clock.now() >= m_campaignNotBefore && co_await campaign())
             co_await keepLeadership();
         else
--- a/packages/control/LeaderSource.h
+++ b/packages/control/LeaderSource.h
@@ -17,7 +17,7 @@
 class LeaderSource {
 public:
     virtual ~LeaderSource() = default;
-    virtual int64_t revision() const = 0; // highest store revision seen; 0: the store was never read
+    virtual bool knowsLeader() const = 0; // the leader's key has been read; leader() may be out of date
     virtual const LeaderView& leader() const = 0;
 };
 
--- a/packages/gateway/Announcer.h
+++ b/packages/gateway/Announcer.h
@@ -39,6 +39,7 @@
     void onStoreChanges(int64_t afterChange, int64_t lastChange, const std::vector<WatchEvent>&, bool isLeader);
     bool hasPublished(const std::string& service, uint64_t edition) const; // this edition or a later one, in this term
     void publish(const GrantTable&);
+    void publishSnapshot(const wire::News& news) { m_news.publish(news); }
     void publishCrashes(int64_t edition, std::vector<int64_t> suspects, std::vector<int64_t> quarantined);
     void publishCrowded(
         const std::vector<std::string>& servers); // hosts need a permit for each request to these servers from now on
@@ -47,6 +48,8 @@
     // answer may carry whole tables; else they follow with a later one.
     void addMissedChanges(const wire::HostReport&, const Tables&, bool mayBeLarge, wire::HostAdvice&);
 
+    const wire::PackedTable& packed(const GrantTable&); // made once for each edition
+
 private:
     struct RecentChange {
         TableEdition from; // the edition that the change applies to
@@ -57,7 +60,6 @@
         const GrantTable&, const wire::HostReport&, const TableEdition& known, bool mayBeLarge, wire::HostAdvice&);
     void addMissedItems(const std::vector<ItemChange>&, const wire::HostReport&, bool mayBeLarge, wire::HostAdvice&);
     void addMissedDocument(const wire::HostReport&, wire::HostAdvice&);
-    const wire::PackedTable& packed(const GrantTable&); // made once for each edition
     bool addKeptPack(const wire::HostReport&, wire::HostAdvice&); // false: none is kept of what the host has missed
     void keepPack(int64_t knownRevision, const std::vector<wire::StoreItem>&);
 
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -46,6 +46,7 @@
     , m_standbys(m_options.host, m_options.standbys)
     , m_announcer(executor, clock, m_peerBytes,
           [&adapter](std::string_view key) { return adapter.itemOf(key) == StoreItem::Rules; })
+    , m_snapshots(view, m_hosts, m_announcer)
     , m_leadership(m_options.leadership)
 {
 }
@@ -124,6 +125,7 @@
     m_publishedQuarantined.clear();
     m_hosts.clear();
     m_announcer.onTermEnded();
+    m_snapshots.clear();
 }
 
 void Coordinator::step()
@@ -170,6 +172,7 @@
         return;
     }
     publishCrashes(now, {});
+    m_snapshots.publishIfDue(now);
     writeChanges();
     if (now - m_lastBalance >= m_options.balanceInterval)
         balance();
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -18,6 +18,7 @@
 #include "gateway/PlatformView.h"
 #include "gateway/ReportingHosts.h"
 #include "gateway/ServerShares.h"
+#include "gateway/SnapshotAnnouncer.h"
 #include "gateway/StandbyAnnouncer.h"
 #include "peers/Coordination.h"
 #include "web/HttpClient.h"
@@ -176,6 +177,7 @@
     ServerReach m_orderReach; // from orders in this term
     Instant m_steppedDownAt {};
     Announcer m_announcer;
+    SnapshotAnnouncer m_snapshots;
     bool m_writing = false;
     LeadershipRules m_leadership;
     std::map<std::string, std::string>
--- a/packages/gateway/CoordinatorReports.cpp
+++ b/packages/gateway/CoordinatorReports.cpp
@@ -37,6 +37,7 @@
             load.add(static_cast<uint32_t>(use.key), use.busyMicros / 1000.0 / lifetime);
     }
     m_announcer.addMissedChanges(report, m_view.tables(), mayBeLarge, advice);
+    m_snapshots.addSnapshot(report, mayBeLarge, now, advice);
     applyReportedLeaving(report);
     applyRateLimits(report, now, advice);
     applyServerUse(report, now, advice);
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -235,18 +235,39 @@
     m_coordinator.onNews(afterChange, lastChange, events, events.size() == items.size());
 }
 
+// What the coordinator's history says of the changes before a snapshot is not known here.
+void GatewayControl::handleSnapshot(const wire::News& news)
+{
+    std::vector<KeyValue> entries;
+    int32_t age = 0;
+    for (const auto& packed : news.packedItems) {
+        const auto items = unpackItems(packed);
+        if (!items)
+            return; // the next report asks for it again
+        age = std::max(age, packed.ageMillis);
+        for (const auto& item : *items) {
+            if (auto event = decodeStoreItem(item))
+                entries.push_back(std::move(event->value));
+        }
+    }
+    m_follower.takeSnapshot(news.lastChange, entries, Millis(age));
+    m_coordinator.onNews(news.lastChange, news.lastChange, {}, false);
+}
+
 void GatewayControl::handleNews(const wire::News& news)
 {
     std::vector<wire::StoreItem> items = news.items;
     bool complete = true; // all items could be read
-    for (const auto& packed : news.packedItems) {
+    for (const auto& packed : news.isSnapshot ? std::vector<wire::PackedItems>() : news.packedItems) {
         auto unpacked = unpackItems(packed);
         complete = complete && unpacked;
         if (unpacked)
             items.insert(items.end(), unpacked->begin(), unpacked->end());
     }
     // Otherwise this host's next report shows what it has missed.
-    if (!items.empty() && complete)
+    if (news.isSnapshot)
+        handleSnapshot(news);
+    else if (!items.empty() && complete)
         handleItems(news.afterChange, news.lastChange, items);
     if (!news.crowded.empty()) {
         GatewayUpdate update;
@@ -334,6 +355,7 @@
     report.forwardTargetsKnown = m_forwardTargetsChecksum;
     report.standbysKnown = m_standbyReader.standbysChecksum();
     report.answersAwaiting = true;
+    report.needsSnapshot = m_follower.needsSnapshot();
 }
 
 wire::HostReport GatewayControl::makeReport()
@@ -426,6 +448,7 @@
     m_rulesWatcher.setDocumentWait(timing.documentWait);
     m_mostHosts = std::max(m_mostHosts, static_cast<size_t>(std::max(1, advice.hosts)));
     m_follower.setMaxShortOutage(fleetTiming(knownHosts()).maxShortOutage);
+    m_follower.setFleetSize(knownHosts());
     const auto shares = std::make_shared<HostShares>();
     shares->number = m_shares ? m_shares->number + 1 : 1;
     shares->hosts = static_cast<size_t>(std::max(1, advice.hosts));
--- a/packages/gateway/GatewayControlStandby.cpp
+++ b/packages/gateway/GatewayControlStandby.cpp
@@ -46,7 +46,9 @@
     constexpr Millis maxWait { 10'000 };
     const Instant lastHeard = std::max(m_lastAdvice, m_lastStandbyAnswer);
     const bool unreachable = !m_view.leader().host.empty() && m_clock.now() - lastHeard > maxWait;
-    const bool watches = coordinates || m_isStandby || mayWatchAll || unreachable || isAskedByAwaitingHosts();
+    const bool mayRead = !m_follower.awaitsFirstSnapshot();
+    const bool watches
+        = coordinates || (mayRead && (m_isStandby || mayWatchAll || unreachable || isAskedByAwaitingHosts()));
     if (watches)
         m_follower.followStore();
     else
--- a/packages/gateway/NewsQueue.cpp
+++ b/packages/gateway/NewsQueue.cpp
@@ -14,6 +14,8 @@
 
     bool follow(const wire::News& news, const wire::News& more)
     {
+        if (news.isSnapshot || more.isSnapshot)
+            return false;
         if (!hasItems(news) || !hasItems(more))
             return true;
         return more.afterChange <= news.lastChange && news.afterChange <= more.lastChange;
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "base/Random.h"
+#include "decisions/EntryReads.h"
 #include "resources/ResourceCodec.h"
 #include "web/Signal.h"
 
@@ -14,8 +15,7 @@
 
 namespace {
 
-    constexpr Millis initialBackoff { 50 }; // after a failed read; most failures are a single lost connection
-    constexpr Millis maxBackoff { 400 }; // recovery within half a second of the store's return
+    constexpr Millis phaseSteps { 10'000 }; // number of phases, of which each host takes one
     constexpr std::string_view allKeys; // one watch for all keys costs as much as one for a few
 
     size_t bytesOf(const RangeReply& reply)
@@ -42,6 +42,8 @@
     , m_watches(metrics.counter("store_watches"))
     , m_failures(metrics.counter("store_failures"))
     , m_leaderWatchChanged(m_executor)
+    , m_reader(store, clock)
+    , m_readPhase(static_cast<double>(randomUpTo(phaseSteps).count()) / static_cast<double>(phaseSteps.count()))
     , m_modeChanged(m_executor)
 {
 }
@@ -66,13 +68,13 @@
     m_lastAnswer = m_clock.now();
 }
 
-void PlatformFollower::recordRead(std::string_view why, Instant begun, const RangeReply& reply)
+void PlatformFollower::recordRead(std::string_view why, Instant begun, const RangeReply& reply, bool complete)
 {
     m_reads.add();
     const size_t bytes = bytesOf(reply);
     m_bytesRead.add(bytes);
     logChange(LogLevel::Info, "store-read",
-        { { "why", why }, { "answered", reply.status == StoreStatus::Ok },
+        { { "why", why }, { "answered", reply.status == StoreStatus::Ok }, { "complete", complete },
             { "tookMs", (m_clock.now() - begun).count() }, { "pages", reply.pages }, { "failure", reply.failure },
             { "bytes", bytes }, { "revision", reply.revision }, { "lastChange", m_view.lastChange() } });
 }
@@ -98,15 +100,18 @@
     return late;
 }
 
-asio::awaitable<bool> PlatformFollower::readAll(std::string_view why)
+asio::awaitable<bool> PlatformFollower::readAll(std::string_view why, EntryReader& reader, size_t maxEntries)
 {
-    const Instant begun = m_clock.now();
-    RangeReply reply = co_await m_store.range(std::string(allKeys), true, m_options.callTimeout);
-    recordRead(why, begun, reply);
-    if (reply.status != StoreStatus::Ok) {
-        recordAnswer(false);
+    const EntryReader::Result result = co_await reader.read(maxEntries, m_options.callTimeout);
+    const Instant begun = reader.begunAt();
+    recordRead(why, begun, reader.reply(), result == EntryReader::Result::Complete);
+    if (result != EntryReader::Result::Complete) {
+        recordAnswer(result != EntryReader::Result::Failed);
+        if (result == EntryReader::Result::Paused)
+            awaitSnapshot();
         co_return false;
     }
+    RangeReply reply = reader.take();
     const bool afterOutage = m_hasSnapshot && outageWasLong();
     const Millis age = oldestChangeAge();
     for (auto& value : reply.values)
@@ -114,6 +119,7 @@
     recordAnswer(true);
     m_hadOutage = false;
     m_hasSnapshot = true;
+    m_needsSnapshot = false;
     m_changesKnownAt = begun;
     m_polled.onRevision(reply.revision);
     const auto change = m_view.applySnapshot(reply, afterOutage);
@@ -137,7 +143,7 @@
     for (Millis backoff = initialBackoff; !m_view.knows(key, revision); backoff = std::min(maxBackoff, backoff * 2)) {
         const Instant begun = m_clock.now();
         const RangeReply reply = co_await m_store.range(key, false, m_options.callTimeout);
-        recordRead("a large item was missed", begun, reply);
+        recordRead("a large item was missed", begun, reply, reply.status == StoreStatus::Ok);
         if (reply.status == StoreStatus::Ok) {
             // No value: the item has been deleted, which is relayed like any other change.
             if (!reply.values.empty())
@@ -163,20 +169,23 @@
 {
     Millis backoff = initialBackoff;
     bool followedCoordinator = false;
+    co_await planFirstRead();
     for (;;) {
-        if (m_followsCoordinator && m_hasSnapshot) {
-            followedCoordinator = true;
-            co_await m_modeChanged.wait(m_options.modeCheckInterval);
+        const Millis wait = timeToRead();
+        if (wait > Millis(0)) {
+            followedCoordinator = m_hasSnapshot;
+            co_await m_modeChanged.wait(std::min(wait, m_options.modeCheckInterval));
             continue;
         }
         const std::string_view why = m_hasSnapshot ? "the watch ended" : "start";
         bool ready = false;
         const Millis missed = m_clock.now() - m_changesKnownAt;
-        const bool resumes = followedCoordinator && !outageWasLong() && historyIsCheaperThanRead(missed);
+        const bool resumes
+            = followedCoordinator && !m_needsSnapshot && !outageWasLong() && historyIsCheaperThanRead(missed);
         if (resumes)
             ready = co_await readRouterItems();
         else
-            ready = co_await readAll(why);
+            ready = co_await readAll(why, m_reader, m_hasSnapshot || m_needsSnapshot ? SIZE_MAX : m_firstEntries);
         if (!ready) {
             co_await sleepFor(backoff / 2 + randomUpTo(backoff));
             backoff = std::min(maxBackoff, backoff * 2);
@@ -205,7 +214,7 @@
 {
     const Instant begun = m_clock.now();
     const RangeReply reply = co_await m_store.range(std::string(storePrefix), true, m_options.callTimeout);
-    recordRead("the coordinator does not answer", begun, reply);
+    recordRead("the coordinator does not answer", begun, reply, reply.status == StoreStatus::Ok);
     const bool answered = reply.status == StoreStatus::Ok;
     recordAnswer(answered);
     if (answered) {
@@ -273,6 +282,9 @@
     setWatchesLeader(asStandby);
     recordRelayed(storeSilence, coordinatorLastChange <= m_view.lastChange());
     m_hadOutage = false; // the coordinator relays what came of it
+    if (awaitsFirstSnapshot())
+        return;
+    m_needsSnapshot = m_needsSnapshot && coordinatorLastChange > m_view.lastChange();
     if (coordinatorLastChange > m_view.lastChange() && !std::exchange(m_isCatchingUp, true))
         spawnLoop(m_executor, "catch-up", catchUp(coordinatorLastChange));
 }
@@ -342,7 +354,7 @@
 
 void PlatformFollower::awaitCoordinator()
 {
-    if (!m_hasSnapshot) {
+    if (!m_hasSnapshot && !m_needsSnapshot) {
         followStore();
         return;
     }
@@ -365,7 +377,12 @@
     if (coordinatorLastChange > m_view.lastChange()) {
         logChange(LogLevel::Warning, "news-missed",
             { { "lastChange", m_view.lastChange() }, { "coordinators", coordinatorLastChange } });
-        co_await readAll("news missed");
+        if (storeCarriesAllReads(m_hosts, m_view.servers()->size())) {
+            EntryReader reader(m_store, m_clock);
+            co_await readAll("news missed", reader, SIZE_MAX);
+        } else {
+            awaitSnapshot();
+        }
     }
     m_isCatchingUp = false;
 }
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -6,6 +6,7 @@
 #include "base/Metrics.h"
 #include "decisions/FleetTiming.h"
 #include "decisions/PolledChanges.h"
+#include "gateway/EntryReader.h"
 #include "gateway/PlatformView.h"
 #include "store/Store.h"
 #include "web/Signal.h"
@@ -59,6 +60,15 @@
     // No coordinator relays changes, and the store doesn't carry the watches of all hosts: this host waits for the next
     // coordinator, which has recorded the changes, and the standbys tell it of them meanwhile.
     void awaitCoordinator();
+    // --- Snapshots from the coordinator, when the store doesn't carry the reads of all hosts;
+    // PlatformFollowerStart.cpp This host awaits the coordinator's snapshot, since it has none of its own or is too far
+    // behind.
+    bool needsSnapshot() const { return m_needsSnapshot; }
+    bool awaitsFirstSnapshot() const { return m_needsSnapshot && !m_hasSnapshot; }
+    // `items`: as for PlatformView::applyRelayedSnapshot(). `age`: since the coordinator knew of no later change.
+    void takeSnapshot(int64_t revision, const std::vector<KeyValue>& items, Millis age);
+    void setFleetSize(size_t hosts) { m_hosts = hosts; }
+
     // Another host has told this one what it has missed. `storeSilence`: as for followCoordinator(). `complete`: this
     // host has all that the other one knows.
     void recordRelayed(Millis storeSilence, bool complete);
@@ -75,7 +85,15 @@
     bool watchAnsweredWithin(Millis) const; // this host watches the store, not only the leader's key
 
 private:
-    boost::asio::awaitable<bool> readAll(std::string_view why);
+    static constexpr Millis initialBackoff { 50 }; // after a failed read; most failures are a single lost connection
+    static constexpr Millis maxBackoff { 400 }; // recovery within half a second of the store's return
+
+    boost::asio::awaitable<void> planFirstRead();
+    // How long this host leaves the reading of all entries to others; Millis::max(): it needs none.
+    Millis timeToRead() const;
+    void awaitSnapshot();
+    // `maxEntries`: with more, this host awaits the coordinator's snapshot.
+    boost::asio::awaitable<bool> readAll(std::string_view why, EntryReader&, size_t maxEntries);
     boost::asio::awaitable<bool> readRouterItems();
     boost::asio::awaitable<bool> readLeader();
     // Until the coordinator relays changes, or the store must be read again. `longHistory`: the first answer has the
@@ -89,7 +107,7 @@
     boost::asio::awaitable<void> readItem(std::string key, int64_t revision, Millis timeout);
     boost::asio::awaitable<void> removeMissingAfterDelay(uint64_t snapshotNumber);
     void recordAnswer(bool answers);
-    void recordRead(std::string_view why, Instant begun, const RangeReply&);
+    void recordRead(std::string_view why, Instant begun, const RangeReply&, bool complete);
     Millis oldestChangeAge() const;
     std::vector<WatchEvent> lateEvents(const std::vector<WatchEvent>&) const;
 
@@ -118,6 +136,12 @@
     PolledChanges m_leaderPolled; // by watches of the leader's key
     int64_t m_leaderKnownUpTo = 0; // all changes of the leader's key up to this revision are known; 0: none
     Signal m_leaderWatchChanged; // m_watchesLeader was set
+    EntryReader m_reader; // of run()
+    size_t m_hosts = 0; // that share the store; 0: unknown
+    size_t m_firstEntries = 0; // as entriesReadAtStart()
+    double m_readPhase; // the place of this host among the turns of all
+    bool m_needsSnapshot = false;
+    Instant m_turnAt {}; // while m_needsSnapshot: when this host reads all entries itself
     bool m_isCatchingUp = false; // catchUp() is running: the coordinator knows of changes that may still arrive
     Signal m_modeChanged; // m_followsCoordinator was cleared
 };
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -85,29 +85,42 @@
 }
 
 PlatformView::Change PlatformView::applySnapshot(const RangeReply& reply, bool afterOutage)
+{
+    Change change = applyItems(reply.revision, reply.values, afterOutage);
+    const bool hasLeader = std::any_of(
+        reply.values.begin(), reply.values.end(), [](const KeyValue& value) { return value.key == leaderKey(); });
+    if (!hasLeader)
+        applyErased(leaderKey(), reply.revision, change);
+    return change;
+}
+
+PlatformView::Change PlatformView::applyRelayedSnapshot(int64_t revision, const std::vector<KeyValue>& items)
+{
+    return applyItems(revision, items, false);
+}
+
+PlatformView::Change PlatformView::applyItems(int64_t revision, const std::vector<KeyValue>& values, bool afterOutage)
 {
     Change change;
     std::set<std::string> present;
-    for (const auto& value : reply.values) {
+    for (const auto& value : values) {
         present.insert(value.key);
         applyValue(value, change);
     }
     logOmittedRegistrations();
-    if (!present.count(leaderKey()))
-        applyErased(leaderKey(), reply.revision, change);
     std::set<std::string> presentServers;
     for (const auto& key : present) {
         if (m_adapter.itemOf(key) == StoreItem::Server)
             presentServers.insert(m_adapter.serverNameIn(key));
     }
     for (const auto& [name, entry] : m_serverEntries) {
-        if (!entry.id.empty() && !presentServers.count(name) && entry.revision <= reply.revision)
-            m_missing[name] = reply.revision;
+        if (!entry.id.empty() && !presentServers.count(name) && entry.revision <= revision)
+            m_missing[name] = revision;
     }
     for (const auto& [centre, evacuation] : m_evacuations) {
         const std::string key = evacuation.key;
-        if (evacuation.inForce && !present.count(key) && evacuation.revision <= reply.revision)
-            applyEvacuation({ key, {}, reply.revision }, false, change);
+        if (evacuation.inForce && !present.count(key) && evacuation.revision <= revision)
+            applyEvacuation({ key, {}, revision }, false, change);
     }
     for (const auto& [name, snapshotRevision] : m_missing)
         editServer(m_serverEntries.at(name).id, change).unconfirmed = true;
@@ -117,9 +130,9 @@
     }
     // Deletions leave no item behind, so the snapshot is complete up to the store's revision, not only up to the newest
     // item.
-    m_knownChanges.markCompleteUpTo(reply.revision);
-    m_snapshotRevision = std::max(m_snapshotRevision, reply.revision);
-    m_revision = std::max(m_revision, reply.revision);
+    m_knownChanges.markCompleteUpTo(revision);
+    m_snapshotRevision = std::max(m_snapshotRevision, revision);
+    m_revision = std::max(m_revision, revision);
     return change;
 }
 
@@ -152,6 +165,7 @@
 PlatformView::Change PlatformView::applyLeader(const RangeReply& reply)
 {
     Change change;
+    m_hasReadLeader = true;
     if (reply.values.empty())
         applyErased(leaderKey(), reply.revision, change);
     else
@@ -353,6 +367,8 @@
     if (held == m_servers->end() || held->second.leaving != server.leaving)
         logServer(server, value);
     entry.id = server.id;
+    entry.key = value.key;
+    entry.value = value.value;
     editServer(entry.id, change) = std::move(server);
     return true;
 }
@@ -410,6 +426,33 @@
     return centres;
 }
 
+std::vector<KeyValue> PlatformView::platformItems() const
+{
+    std::vector<KeyValue> items;
+    items.reserve(m_serverEntries.size());
+    const Instant now = m_clock.now();
+    for (const auto& [name, entry] : m_serverEntries) {
+        const auto server = m_servers->find(entry.id);
+        if (server == m_servers->end())
+            continue;
+        KeyValue& item = items.emplace_back();
+        item.key = entry.key;
+        item.value = entry.value;
+        item.modRevision = entry.revision;
+        if (server->second.leaving)
+            item.age = now - server->second.leavingSince;
+    }
+    for (const auto& [centre, evacuation] : m_evacuations) {
+        if (!evacuation.inForce)
+            continue;
+        KeyValue& item = items.emplace_back();
+        item.key = evacuation.key;
+        item.modRevision = evacuation.revision;
+        item.age = now - evacuation.since;
+    }
+    return items;
+}
+
 bool PlatformView::applyValue(const KeyValue& value, Change& change)
 {
     if (value.key == leaderKey()) {
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -45,6 +45,8 @@
     // `afterOutage`: entries of live servers may have expired while the store was unavailable. Missing servers are kept
     // until removeMissingServers(), so that live ones can register again.
     Change applySnapshot(const RangeReply&, bool afterOutage);
+    // The coordinator's copy of all items that the platform owns but the rules, as of `revision`; ages as for events.
+    Change applyRelayedSnapshot(int64_t revision, const std::vector<KeyValue>&);
     Change removeMissingServers();
     // From the coordinator: all external writes after `afterChange`, up to `lastChange`. They apply even if earlier
     // writes are still missing, since each item only moves to newer revisions. If they were dropped, a host would stay
@@ -80,7 +82,8 @@
     Change applyTable(GrantTable); // from the coordinator; may be newer than the one in the store
 
     // --- Queries
-    int64_t revision() const override { return m_revision; }
+    int64_t revision() const { return m_revision; } // highest store revision seen; 0: no snapshot yet
+    bool knowsLeader() const override { return m_revision > 0 || m_hasReadLeader; }
     const LeaderView& leader() const override { return m_leader; }
     // All external writes up to this revision that said something new are known.
     int64_t lastChange() const { return m_knownChanges.complete(); }
@@ -97,6 +100,8 @@
     const std::vector<QuarantinedRequest>& quarantine() const { return m_quarantine; } // as in the store
     // Data centre -> when this host learned of its evacuation. Active evacuations only.
     std::map<std::string, Instant> evacuations() const;
+    // What applyRelayedSnapshot() takes, as of lastChange().
+    std::vector<KeyValue> platformItems() const;
     bool hasMissingServers() const { return !m_missing.empty(); }
     std::shared_ptr<const GrantTable> table(std::string_view service) const; // the newest; null: none
     std::shared_ptr<const GrantTable> storedTable(std::string_view service) const; // as in the store
@@ -110,6 +115,8 @@
     void recordListed(std::set<std::string, std::less<>> hosts, int64_t modRevision);
 
 private:
+    // All items of `values` as of `revision`; those that the platform owns and that are missing there are gone.
+    Change applyItems(int64_t revision, const std::vector<KeyValue>& values, bool afterOutage);
     void logServer(const RegisteredServer&, const KeyValue& entry);
     void applyEvacuation(const KeyValue&, bool inForce, Change&);
     void markEvacuated(const std::string& dataCentre, bool evacuated, Change&); // sets the flag of its servers
@@ -142,6 +149,8 @@
         int64_t born = 0; // start time of the newest incarnation that it has named
         int64_t olderBorn = 0; // of an older incarnation in a later write of the entry; 0: none
         std::string id; // of the incarnation in the entry; empty: no server
+        std::string key; // in the store
+        std::string value; // as last written with something new, for hosts that lack it
     };
     std::map<std::string, ServerEntry> m_serverEntries;
     // State of a data centre's evacuation.
@@ -160,6 +169,7 @@
     std::map<std::string, int64_t> m_tableRevisions; // by key
     size_t m_batchRegistrations = 0; // in the current batch
     LeaderView m_leader;
+    bool m_hasReadLeader = false; // apart from a snapshot
     std::set<std::string, std::less<>> m_listedHosts;
     int64_t m_listedRevision = 0;
     std::vector<QuarantinedRequest> m_quarantine;
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -62,6 +62,7 @@
     23: i64 standbysKnown // checksum of the list of standbys that the host has; 0: none
     24: bool answersAwaiting // the host answers reports of hosts that await a coordinator
     25: bool awaitsCoordinator // asks for missed changes alone, also a host that doesn't coordinate
+    26: bool needsSnapshot // the host awaits all items, since the store doesn't carry the reads of all hosts
 }
 
 struct ServerShare {
@@ -115,6 +116,7 @@
     10: list<PackedTable> packedTables // whole tables, for hosts that route by an older one
     11: list<PackedItems> packedItems // further items, for hosts that read them
     12: bool urgent // sent ahead of other news, by relays as well
+    13: bool isSnapshot // packedItems are all items of the store but the operators' document, as of lastChange
 }
 
 // A host that grants slots of backend servers.
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -889,6 +889,10 @@
 void HostReport::__set_awaitsCoordinator(const bool val) {
   this->awaitsCoordinator = val;
 }
+
+void HostReport::__set_needsSnapshot(const bool val) {
+  this->needsSnapshot = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -1185,6 +1189,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsSnapshot);
+          this->__isset.needsSnapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1350,6 +1362,10 @@
   xfer += oprot->writeBool(this->awaitsCoordinator);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("needsSnapshot", ::apache::thrift::protocol::T_BOOL, 26);
+  xfer += oprot->writeBool(this->needsSnapshot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1380,6 +1396,7 @@
   swap(a.standbysKnown, b.standbysKnown);
   swap(a.answersAwaiting, b.answersAwaiting);
   swap(a.awaitsCoordinator, b.awaitsCoordinator);
+  swap(a.needsSnapshot, b.needsSnapshot);
   swap(a.__isset, b.__isset);
 }
 
@@ -1407,6 +1424,7 @@
   standbysKnown = other64.standbysKnown;
   answersAwaiting = other64.answersAwaiting;
   awaitsCoordinator = other64.awaitsCoordinator;
+  needsSnapshot = other64.needsSnapshot;
   __isset = other64.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other65) {
@@ -1433,6 +1451,7 @@
   standbysKnown = other65.standbysKnown;
   answersAwaiting = other65.answersAwaiting;
   awaitsCoordinator = other65.awaitsCoordinator;
+  needsSnapshot = other65.needsSnapshot;
   __isset = other65.__isset;
   return *this;
 }
@@ -1462,6 +1481,7 @@
   out << ", " << "standbysKnown=" << to_string(standbysKnown);
   out << ", " << "answersAwaiting=" << to_string(answersAwaiting);
   out << ", " << "awaitsCoordinator=" << to_string(awaitsCoordinator);
+  out << ", " << "needsSnapshot=" << to_string(needsSnapshot);
   out << ")";
 }
 
@@ -2277,6 +2297,10 @@
 void News::__set_urgent(const bool val) {
   this->urgent = val;
 }
+
+void News::__set_isSnapshot(const bool val) {
+  this->isSnapshot = val;
+}
 std::ostream& operator<<(std::ostream& out, const News& obj)
 {
   obj.printTo(out);
@@ -2497,6 +2521,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isSnapshot);
+          this->__isset.isSnapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2626,6 +2658,10 @@
   xfer += oprot->writeBool(this->urgent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isSnapshot", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->isSnapshot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2645,6 +2681,7 @@
   swap(a.packedTables, b.packedTables);
   swap(a.packedItems, b.packedItems);
   swap(a.urgent, b.urgent);
+  swap(a.isSnapshot, b.isSnapshot);
   swap(a.__isset, b.__isset);
 }
 
@@ -2661,6 +2698,7 @@
   packedTables = other130.packedTables;
   packedItems = other130.packedItems;
   urgent = other130.urgent;
+  isSnapshot = other130.isSnapshot;
   __isset = other130.__isset;
 }
 News& News::operator=(const News& other131) {
@@ -2676,6 +2714,7 @@
   packedTables = other131.packedTables;
   packedItems = other131.packedItems;
   urgent = other131.urgent;
+  isSnapshot = other131.isSnapshot;
   __isset = other131.__isset;
   return *this;
 }
@@ -2694,6 +2733,7 @@
   out << ", " << "packedTables=" << to_string(packedTables);
   out << ", " << "packedItems=" << to_string(packedItems);
   out << ", " << "urgent=" << to_string(urgent);
+  out << ", " << "isSnapshot=" << to_string(isSnapshot);
   out << ")";
 }
 
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -363,7 +363,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerRate& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false), forwardPort(false), forwardTargetsKnown(false), rulesKnown(false), standbysKnown(false), answersAwaiting(false), awaitsCoordinator(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false), forwardPort(false), forwardTargetsKnown(false), rulesKnown(false), standbysKnown(false), answersAwaiting(false), awaitsCoordinator(false), needsSnapshot(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -387,6 +387,7 @@
   bool standbysKnown :1;
   bool answersAwaiting :1;
   bool awaitsCoordinator :1;
+  bool needsSnapshot :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -410,7 +411,8 @@
                rulesKnown(0),
                standbysKnown(0),
                answersAwaiting(0),
-               awaitsCoordinator(0) {
+               awaitsCoordinator(0),
+               needsSnapshot(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -437,6 +439,7 @@
   int64_t standbysKnown;
   bool answersAwaiting;
   bool awaitsCoordinator;
+  bool needsSnapshot;
 
   _HostReport__isset __isset;
 
@@ -486,6 +489,8 @@
 
   void __set_awaitsCoordinator(const bool val);
 
+  void __set_needsSnapshot(const bool val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -534,6 +539,8 @@
       return false;
     if (!(awaitsCoordinator == rhs.awaitsCoordinator))
       return false;
+    if (!(needsSnapshot == rhs.needsSnapshot))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -865,7 +872,7 @@
 std::ostream& operator<<(std::ostream& out, const PackedTable& obj);
 
 typedef struct _News__isset {
-  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false), packedTables(false), packedItems(false), urgent(false) {}
+  _News__isset() : afterChange(false), lastChange(false), items(false), tables(false), forwardTo(false), crowded(false), crashesEdition(false), suspects(false), quarantined(false), packedTables(false), packedItems(false), urgent(false), isSnapshot(false) {}
   bool afterChange :1;
   bool lastChange :1;
   bool items :1;
@@ -878,6 +885,7 @@
   bool packedTables :1;
   bool packedItems :1;
   bool urgent :1;
+  bool isSnapshot :1;
 } _News__isset;
 
 class News : public virtual ::apache::thrift::TBase {
@@ -889,7 +897,8 @@
        : afterChange(0),
          lastChange(0),
          crashesEdition(0),
-         urgent(0) {
+         urgent(0),
+         isSnapshot(0) {
   }
 
   virtual ~News() noexcept;
@@ -905,6 +914,7 @@
   std::vector<PackedTable>  packedTables;
   std::vector<PackedItems>  packedItems;
   bool urgent;
+  bool isSnapshot;
 
   _News__isset __isset;
 
@@ -932,6 +942,8 @@
 
   void __set_urgent(const bool val);
 
+  void __set_isSnapshot(const bool val);
+
   bool operator == (const News & rhs) const
   {
     if (!(afterChange == rhs.afterChange))
@@ -958,6 +970,8 @@
       return false;
     if (!(urgent == rhs.urgent))
       return false;
+    if (!(isSnapshot == rhs.isSnapshot))
+      return false;
     return true;
   }
   bool operator != (const News &rhs) const {
--- a/packages/store/Store.h
+++ b/packages/store/Store.h
@@ -34,6 +34,7 @@
     int64_t revision = 0; // store revision at the time of the first response
     std::vector<KeyValue> values;
     size_t pages = 0; // responses with items, also of a read that failed later
+    bool more = false; // of a page: others follow
     std::string failure; // why a read failed: "no-connection", "no-response", "status-429", ...
 };
 
@@ -87,6 +88,12 @@
     virtual ~Store() = default;
 
     virtual boost::asio::awaitable<RangeReply> range(std::string key, bool prefix, Millis timeout) = 0;
+    // The items with the prefix that follow the key `after`, as many as the store sends at once. A store without pages
+    // sends all items with the first one.
+    virtual boost::asio::awaitable<RangeReply> rangePage(std::string prefix, std::string, Millis timeout)
+    {
+        return range(std::move(prefix), true, timeout);
+    }
     virtual boost::asio::awaitable<TxnReply> txn(
         std::vector<Compare> conditions, std::vector<WriteOperation> writes, Millis timeout)
         = 0;
--- a/tests/election_test.cpp
+++ b/tests/election_test.cpp
@@ -15,7 +15,7 @@
 // The view of a store that has been read and has no leader.
 class NoLeaderSource final : public LeaderSource {
 public:
-    int64_t revision() const override { return 1; }
+    bool knowsLeader() const override { return true; }
     const LeaderView& leader() const override { return m_noLeader; }
 
 private:
