103 Early Hints is an interim response

What callers saw: where a server sends 103 before its response, the caller got an empty response with the status 103, and a response that stopped after it passed for a whole one; a grant or a call of the store likewise.

Cause: Boost.Beast 1.81 has no name for 103, gives it the class of an unknown status, and readResponse() went by the class. Now it goes by the number (RFC 9110, section 15.2).

--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -31,6 +31,8 @@
         return { error, ResponseBound::None };
     }
 
+    bool isInterim(unsigned status) { return status / 100 == 1; } // RFC 9110, section 15.2
+
     constexpr size_t mostBytesRead = 65'536; // at once, of a body
 
     // Memory that a body takes until some more of it has been read. While it grows, old and new storage exist.
@@ -92,10 +94,11 @@
         const auto [error, bytesRead] = co_await http::async_read_header(stream, buffer, parser, token);
         if (error)
             co_return resultOf(error);
-        const http::status status = parser.get().result();
-        if (status == http::status::switching_protocols)
+        // By number: Boost.Beast 1.81 has no name, and so no class, for 103.
+        const unsigned status = parser.get().result_int();
+        if (status == static_cast<unsigned>(http::status::switching_protocols))
             co_return ReadResult { http::error::bad_status };
-        if (http::to_status_class(status) == http::status_class::informational)
+        if (isInterim(status))
             continue;
         const ReadResult result = co_await readBody(stream, buffer, parser, memory);
         if (!result.error)
