Tables that many hosts lack go through the relays; the store knows the fleet's size

Causes, of the same class as before: - Answers to reports carried whole tables, up to 8 MB of them at a time, and the copies for 82 relays were sent at once: 11 MB and 8 MB on a link of 200 Mbit/s are 0.8 s, beside 0.4 s for a report, 1 s for a renewal and 1.5 s of leadership. What came too late was asked for again. - What hosts may read at their start was judged by a list that shrinks when a coordinator is lost.

Changes: large messages pass a window of the link (BulkWindow); answers that wait are bounded to 262 kB; a table that nine hosts and an eighth of all lack goes through the relays. The coordinator leaves the size of the fleet in the store, and lowers the number of hosts only after a minute.

--- a/packages/gateway/Announcer.cpp
+++ b/packages/gateway/Announcer.cpp
@@ -42,6 +42,15 @@
         return static_cast<int32_t>(std::clamp<int64_t>((now - past).count(), 0, INT32_MAX));
     }
 
+    // Of the table by which the host routes.
+    TableEdition knownEdition(const wire::HostReport& report, const std::string& service)
+    {
+        const auto held = std::find_if(report.services.begin(), report.services.end(),
+            [&](const wire::ServiceUse& use) { return use.serviceName == service; });
+        return held == report.services.end() ? TableEdition {}
+                                             : TableEdition { held->term, static_cast<uint64_t>(held->edition) };
+    }
+
     std::vector<wire::StoreItem> itemsOf(const std::vector<ItemChange>& changes, Instant now)
     {
         std::vector<wire::StoreItem> items;
@@ -168,6 +177,24 @@
     return made.table;
 }
 
+bool Announcer::needsWholeTable(const wire::HostReport& report, const Tables& tables) const
+{
+    return std::any_of(tables.begin(), tables.end(), [&](const auto& entry) {
+        const auto& [name, table] = entry;
+        const TableEdition known = knownEdition(report, name);
+        if (!(known < table->edition))
+            return false;
+        const auto recent = m_recentChanges.find(name);
+        return recent == m_recentChanges.end() || changeFrom(recent->second, known) == recent->second.end();
+    });
+}
+
+Announcer::RecentChanges::const_iterator Announcer::changeFrom(const RecentChanges& changes, const TableEdition& known)
+{
+    return std::find_if(
+        changes.begin(), changes.end(), [&](const RecentChange& change) { return change.from == known; });
+}
+
 void Announcer::addMissedChanges(
     const wire::HostReport& report, const Tables& tables, bool mayBeLarge, wire::HostAdvice& advice)
 {
@@ -181,11 +208,7 @@
             addMissedItems(*missed, report, mayBeLarge, advice);
     }
     for (const auto& [name, table] : tables) {
-        const auto held = std::find_if(report.services.begin(), report.services.end(),
-            [&wanted = name](const wire::ServiceUse& service) { return service.serviceName == wanted; });
-        const TableEdition known = held == report.services.end()
-            ? TableEdition {}
-            : TableEdition { held->term, static_cast<uint64_t>(held->edition) };
+        const TableEdition known = knownEdition(report, name);
         if (known < table->edition)
             addTableUpdate(*table, report, known, mayBeLarge, advice);
     }
@@ -258,11 +281,9 @@
 {
     const auto recent = m_recentChanges.find(table.service);
     if (recent != m_recentChanges.end()) {
-        const auto& changes = recent->second;
-        auto change = std::find_if(
-            changes.begin(), changes.end(), [&](const RecentChange& candidate) { return candidate.from == known; });
-        if (change != changes.end()) {
-            for (; change != changes.end(); ++change)
+        auto change = changeFrom(recent->second, known);
+        if (change != recent->second.end()) {
+            for (; change != recent->second.end(); ++change)
                 advice.missed.tables.push_back(change->encoded);
             return;
         }
--- a/packages/gateway/Announcer.h
+++ b/packages/gateway/Announcer.h
@@ -44,6 +44,8 @@
     void publishCrowded(
         const std::vector<std::string>& servers); // hosts need a permit for each request to these servers from now on
 
+    // Whether the host needs a whole table, not the last changes of one.
+    bool needsWholeTable(const wire::HostReport&, const Tables&) const;
     // Adds to the advice the changes and tables that are newer than those that the report names. `mayBeLarge`: the
     // answer may carry whole tables; else they follow with a later one.
     void addMissedChanges(const wire::HostReport&, const Tables&, bool mayBeLarge, wire::HostAdvice&);
@@ -56,6 +58,9 @@
         std::string encoded;
     };
 
+    using RecentChanges = std::deque<RecentChange>; // each applies to the result of the one before
+    // The one that applies to this edition; the end: it is no longer kept.
+    static RecentChanges::const_iterator changeFrom(const RecentChanges&, const TableEdition&);
     void addTableUpdate(
         const GrantTable&, const wire::HostReport&, const TableEdition& known, bool mayBeLarge, wire::HostAdvice&);
     void addMissedItems(const std::vector<ItemChange>&, const wire::HostReport&, bool mayBeLarge, wire::HostAdvice&);
@@ -83,8 +88,7 @@
         wire::PackedTable table;
     };
     std::map<std::string, PackedEdition> m_packed; // by service; the last one that was sent
-    std::map<std::string, std::deque<RecentChange>>
-        m_recentChanges; // of tables, by service; each applies to the result of the one before
+    std::map<std::string, RecentChanges> m_recentChanges; // of tables, by service
 };
 
 }
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -92,6 +92,7 @@
     m_orderReach = ServerReach();
     m_lastBalance = m_clock.now();
     m_hostListCheckedAt = m_clock.now();
+    m_termBegan = m_clock.now();
     m_leadership = LeadershipRules(m_options.leadership);
     m_leadership.setListedHosts(m_view.listedHosts());
     m_brokers.beginTerm(m_term, m_leadership.listedHosts(), m_clock.now());
@@ -306,15 +307,18 @@
     }
     // New hosts report one after the other, so their list is written together with a table, or alone at intervals.
     const bool overdue = now - m_hostListCheckedAt >= m_options.hostListWriteInterval;
-    if (!writing.tables.empty() || overdue)
+    if (!writing.tables.empty() || overdue) {
         writing.hosts = changedHostList();
+        writing.fleetSize = fleetSizeToStore(
+            m_view.storedFleetSize(), { m_hosts.size(), m_view.servers()->size() }, now - m_termBegan);
+    }
     if (overdue)
         m_hostListCheckedAt = now;
     if (m_crashes.edition() != m_writtenQuarantineEdition) {
         writing.quarantine = encodeQuarantine(m_crashes.quarantined(now), now, m_clock.unixMillis());
         writing.quarantineEdition = m_crashes.edition();
     }
-    if (writing.tables.empty() && writing.hosts.empty() && !writing.quarantine)
+    if (writing.tables.empty() && writing.hosts.empty() && !writing.fleetSize && !writing.quarantine)
         return;
     m_writing = true;
     if (!writing.hosts.empty())
@@ -365,6 +369,8 @@
         if (plan != m_plans.end())
             plan->second->onWritten(table.edition.edition, now);
     }
+    if (writing.fleetSize)
+        m_view.recordFleetSize(*writing.fleetSize);
     if (writing.quarantine)
         m_writtenQuarantineEdition = writing.quarantineEdition;
     if (!writing.hosts.empty()) {
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -182,6 +182,7 @@
     LeadershipRules m_leadership;
     std::map<std::string, std::string>
         m_previousCoordinators; // by service: the host whose orders may still arrive at servers
+    Instant m_termBegan {};
     Instant m_hostListCheckedAt {};
     Instant m_lastBalance {};
     bool m_needsMaintenance = true; // something that the plans go by has changed
--- a/packages/gateway/CoordinatorReports.cpp
+++ b/packages/gateway/CoordinatorReports.cpp
@@ -25,6 +25,7 @@
     checkPreviousCoordinators(report.sender);
     if (report.sender != m_options.host)
         m_announcer.updateHost(report);
+    advice.sendsSnapshots = true;
     advice.standsBy = m_hosts.isStandby(report.sender, m_options.host, m_options.standbys);
     advice.reportMillis = static_cast<int32_t>(timing().reportInterval.count());
     advice.hosts = static_cast<int32_t>(m_hosts.size());
@@ -36,8 +37,9 @@
         for (const auto& use : service.keys)
             load.add(static_cast<uint32_t>(use.key), use.busyMicros / 1000.0 / lifetime);
     }
-    m_announcer.addMissedChanges(report, m_view.tables(), mayBeLarge, advice);
-    m_snapshots.addSnapshot(report, mayBeLarge, now, advice);
+    const bool answersLarge = mayBeLarge && !m_snapshots.leavesToRelays(report, now);
+    m_announcer.addMissedChanges(report, m_view.tables(), answersLarge, advice);
+    m_snapshots.addSnapshot(report, answersLarge, now, advice);
     applyReportedLeaving(report);
     applyRateLimits(report, now, advice);
     applyServerUse(report, now, advice);
--- a/packages/gateway/CoordinatorWrites.cpp
+++ b/packages/gateway/CoordinatorWrites.cpp
@@ -1,5 +1,6 @@
 #include "gateway/CoordinatorWrites.h"
 
+#include "resources/FleetSizeCodec.h"
 #include "resources/GrantTableCodec.h"
 #include "resources/QuarantineCodec.h"
 
@@ -25,6 +26,8 @@
         writes.push_back({ grantTableKey(table.service), encodeGrantTable(table) });
     if (!write.hosts.empty())
         writes.push_back({ listedHostsKey(), encodeListedHosts(write.hosts) });
+    if (write.fleetSize)
+        writes.push_back({ fleetSizeKey(), encodeFleetSize(*write.fleetSize) });
     if (write.quarantine)
         writes.push_back({ quarantineKey(), *write.quarantine });
     return writes;
--- a/packages/gateway/CoordinatorWrites.h
+++ b/packages/gateway/CoordinatorWrites.h
@@ -15,6 +15,7 @@
 struct PendingWrite {
     std::vector<GrantTable> tables;
     std::set<std::string, std::less<>> hosts; // empty: the list is not written
+    std::optional<FleetSize> fleetSize; // no value: not written
     std::optional<std::string> quarantine; // encoded; no value: not written
     uint64_t quarantineEdition = 0;
 };
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -20,9 +20,10 @@
     // Fraction of the report interval that must pass before a report that asks for permits.
     constexpr double minReportIntervalFactor = 0.4;
     constexpr Millis connectionErrorTime { 100 }; // a report that fails sooner met a broken connection, not a timeout
-    // Answers that wait for this host's link. With more than this a host's table follows with a later answer: when a
-    // fleet starts, all hosts lack it at once. A strong host's link carries so much in a third of a second.
-    constexpr size_t maxPendingReplyBytes = 8'000'000;
+    // Answers that wait for this host's link. With more than this a host's table follows with a later answer, or
+    // through the relays: when a fleet starts, all hosts lack it at once, and answers that are late are asked for
+    // again. The smallest link, of 10 Mbit/s, carries so much within half of reportTimeout.
+    constexpr size_t maxPendingReplyBytes = 262'144;
     constexpr double centi = 100;
 
     std::string textOf(const Endpoint& endpoint) { return endpoint.address + ":" + std::to_string(endpoint.port); }
@@ -448,7 +449,9 @@
     m_rulesWatcher.setDocumentWait(timing.documentWait);
     m_mostHosts = std::max(m_mostHosts, static_cast<size_t>(std::max(1, advice.hosts)));
     m_follower.setMaxShortOutage(fleetTiming(knownHosts()).maxShortOutage);
-    m_follower.setFleetSize(knownHosts());
+    m_follower.setHosts(knownHosts());
+    if (!advice.sendsSnapshots)
+        m_follower.readWithoutSnapshot();
     const auto shares = std::make_shared<HostShares>();
     shares->number = m_shares ? m_shares->number + 1 : 1;
     shares->hosts = static_cast<size_t>(std::max(1, advice.hosts));
--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+    // A twentieth of a second of a strong host's link of 100 Mbit/s; several copies, so that the link is never idle.
+    constexpr size_t coordinatorsWindow = 524'288;
+    // A tenth of a second of a link of 20 Mbit/s, which also carries responses to callers.
+    constexpr size_t relaysWindow = 262'144;
     constexpr Millis relayRetryDelay { 5'000 }; // after a relay has failed; a restart takes about a second
 
     wire::News packedCopy(const wire::News& news)
@@ -29,9 +33,11 @@
 
 // --- Link to one host
 
-NewsLink::NewsLink(asio::any_io_executor executor, std::unique_ptr<CoordinationLink> link, FailureHandler failure)
+NewsLink::NewsLink(asio::any_io_executor executor, std::unique_ptr<CoordinationLink> link,
+    std::shared_ptr<BulkWindow> window, FailureHandler failure)
     : m_executor(std::move(executor))
     , m_link(std::move(link))
+    , m_window(std::move(window))
     , m_onFailure(std::move(failure))
 {
 }
@@ -49,11 +55,23 @@
     asio::co_spawn(m_executor, sendAll(shared_from_this()), asio::detached);
 }
 
+asio::awaitable<bool> NewsLink::send(const wire::News& news)
+{
+    const size_t bytes = bytesOf(news);
+    const bool isBulk = bytes > maxNewsBytes;
+    if (isBulk)
+        co_await m_window->enter(bytes);
+    const bool arrived = co_await m_link->adopt(news, m_timeout(bytes, m_copies));
+    if (isBulk)
+        m_window->leave(bytes);
+    co_return arrived;
+}
+
 asio::awaitable<void> NewsLink::sendAll(std::shared_ptr<NewsLink>)
 {
     while (!m_unsent.empty()) {
         const wire::News news = m_unsent.takeNext();
-        const bool arrived = co_await m_link->adopt(news, m_timeout(bytesOf(news), m_copies));
+        const bool arrived = co_await send(news);
         if (arrived || !m_onFailure)
             continue;
         m_onFailure(news);
@@ -69,6 +87,7 @@
 NewsRelay::NewsRelay(asio::any_io_executor executor, Counter& bytesSent)
     : m_executor(std::move(executor))
     , m_bytesSent(bytesSent)
+    , m_window(std::make_shared<BulkWindow>(m_executor, relaysWindow))
 {
 }
 
@@ -83,8 +102,8 @@
     for (const auto& address : news.forwardTo) {
         auto& link = m_links[address];
         if (!link)
-            link = std::make_shared<NewsLink>(
-                m_executor, makeCoordinationLink(m_executor, address, m_bytesSent), NewsLink::FailureHandler {});
+            link = std::make_shared<NewsLink>(m_executor, makeCoordinationLink(m_executor, address, m_bytesSent),
+                m_window, NewsLink::FailureHandler {});
         link->enqueue(forwarded, news.forwardTo.size());
     }
 }
@@ -95,6 +114,7 @@
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_bytesSent(bytesSent)
+    , m_window(std::make_shared<BulkWindow>(m_executor, coordinatorsWindow))
 {
 }
 
@@ -139,7 +159,7 @@
             group.readsPacked = group.readsPacked && m_hosts.at(member).readsPacked;
         if (!group.members.empty()) {
             group.link = std::make_shared<NewsLink>(m_executor,
-                makeCoordinationLink(m_executor, m_hosts.at(group.relay).address, m_bytesSent),
+                makeCoordinationLink(m_executor, m_hosts.at(group.relay).address, m_bytesSent), m_window,
                 [this, relay = group.relay, members = group.members](
                     const wire::News& news) { onRelayFailed(relay, members, news); });
         }
@@ -172,7 +192,8 @@
     auto& link = found->second.link;
     if (!link)
         link = std::make_shared<NewsLink>(m_executor,
-            makeCoordinationLink(m_executor, found->second.address, m_bytesSent), NewsLink::FailureHandler {});
+            makeCoordinationLink(m_executor, found->second.address, m_bytesSent), m_window,
+            NewsLink::FailureHandler {});
     link->enqueue(found->second.readsPacked ? packed : news, m_groups.size(), fanoutTimeout);
 }
 
--- a/packages/gateway/NewsFanout.h
+++ b/packages/gateway/NewsFanout.h
@@ -6,6 +6,7 @@
 
 #include "base/Time.h"
 #include "decisions/RelayPlan.h"
+#include "gateway/BulkWindow.h"
 #include "gateway/NewsQueue.h"
 #include "peers/Coordination.h"
 
@@ -22,17 +23,21 @@
 public:
     using FailureHandler = std::function<void(const wire::News&)>; // called with a message that was not answered
 
-    NewsLink(boost::asio::any_io_executor, std::unique_ptr<CoordinationLink>, FailureHandler);
+    // `window`: of all links of this host.
+    NewsLink(boost::asio::any_io_executor, std::unique_ptr<CoordinationLink>, std::shared_ptr<BulkWindow> window,
+        FailureHandler);
     using Timeout = Millis (*)(size_t bytes, size_t copies); // of one message; deliveryTimeout or fanoutTimeout
     // `copies`: links of this host over which the same news are sent.
     void enqueue(const wire::News&, size_t copies = 1, Timeout = deliveryTimeout);
 
 private:
+    boost::asio::awaitable<bool> send(const wire::News&);
     boost::asio::awaitable<void> sendAll(
         std::shared_ptr<NewsLink>); // the argument keeps this object alive until all is sent
 
     boost::asio::any_io_executor m_executor;
     std::unique_ptr<CoordinationLink> m_link;
+    std::shared_ptr<BulkWindow> m_window;
     FailureHandler m_onFailure;
     NewsQueue m_unsent;
     size_t m_copies = 1;
@@ -49,6 +54,7 @@
 private:
     boost::asio::any_io_executor m_executor;
     Counter& m_bytesSent;
+    std::shared_ptr<BulkWindow> m_window;
     std::map<std::string, std::shared_ptr<NewsLink>, std::less<>> m_links; // by address
 };
 
@@ -92,6 +98,7 @@
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
     Counter& m_bytesSent;
+    std::shared_ptr<BulkWindow> m_window;
     std::map<std::string, Host, std::less<>> m_hosts;
     std::vector<Group> m_groups;
     bool m_groupsOutdated = false; // the hosts have changed since m_groups was planned
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -377,7 +377,7 @@
     if (coordinatorLastChange > m_view.lastChange()) {
         logChange(LogLevel::Warning, "news-missed",
             { { "lastChange", m_view.lastChange() }, { "coordinators", coordinatorLastChange } });
-        if (storeCarriesAllReads(m_hosts, m_view.servers()->size())) {
+        if (storeCarriesAllReads(fleetSize())) {
             EntryReader reader(m_store, m_clock);
             co_await readAll("news missed", reader, SIZE_MAX);
         } else {
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/Metrics.h"
+#include "decisions/EntryReads.h"
 #include "decisions/FleetTiming.h"
 #include "decisions/PolledChanges.h"
 #include "gateway/EntryReader.h"
@@ -67,7 +68,8 @@
     bool awaitsFirstSnapshot() const { return m_needsSnapshot && !m_hasSnapshot; }
     // `items`: as for PlatformView::applyRelayedSnapshot(). `age`: since the coordinator knew of no later change.
     void takeSnapshot(int64_t revision, const std::vector<KeyValue>& items, Millis age);
-    void setFleetSize(size_t hosts) { m_hosts = hosts; }
+    void readWithoutSnapshot(); // the coordinator is of a version that sends none
+    void setHosts(size_t hosts) { m_hosts = hosts; } // that share the store
 
     // Another host has told this one what it has missed. `storeSilence`: as for followCoordinator(). `complete`: this
     // host has all that the other one knows.
@@ -89,6 +91,7 @@
     static constexpr Millis maxBackoff { 400 }; // recovery within half a second of the store's return
 
     boost::asio::awaitable<void> planFirstRead();
+    FleetSize fleetSize() const;
     // How long this host leaves the reading of all entries to others; Millis::max(): it needs none.
     Millis timeToRead() const;
     void awaitSnapshot();
@@ -138,6 +141,7 @@
     Signal m_leaderWatchChanged; // m_watchesLeader was set
     EntryReader m_reader; // of run()
     size_t m_hosts = 0; // that share the store; 0: unknown
+    std::optional<FleetSize> m_fleetSize; // as the last coordinator had left it when this host started
     size_t m_firstEntries = 0; // as entriesReadAtStart()
     double m_readPhase; // the place of this host among the turns of all
     bool m_needsSnapshot = false;
--- a/packages/gateway/PlatformFollowerStart.cpp
+++ b/packages/gateway/PlatformFollowerStart.cpp
@@ -5,32 +5,42 @@
 #include "base/Log.h"
 #include "base/Random.h"
 #include "decisions/EntryReads.h"
-#include "resources/GrantTableCodec.h"
+#include "resources/FleetSizeCodec.h"
 
 namespace cumindale {
 
 namespace asio = boost::asio;
 
-// The list of hosts tells how many others may be starting at the same moment.
+// The size of the fleet tells how many others may be starting at the same moment, and how much there is to read.
 asio::awaitable<void> PlatformFollower::planFirstRead()
 {
     Millis backoff = initialBackoff;
     for (;;) {
-        const RangeReply reply = co_await m_store.range(listedHostsKey(), false, m_options.callTimeout);
+        const RangeReply reply = co_await m_store.range(fleetSizeKey(), false, m_options.callTimeout);
         const bool answered = reply.status == StoreStatus::Ok;
         recordAnswer(answered);
         if (answered) {
-            m_hosts = reply.values.empty() ? 0 : decodeListedHosts(reply.values.front().value).size();
+            if (!reply.values.empty())
+                m_fleetSize = decodeFleetSize(reply.values.front().value);
             break;
         }
         co_await sleepFor(backoff / 2 + randomUpTo(backoff));
         backoff = std::min(maxBackoff, backoff * 2);
     }
-    m_firstEntries = entriesReadAtStart(m_hosts);
+    m_firstEntries = entriesReadAtStart(m_fleetSize);
     if (!m_firstEntries)
         awaitSnapshot();
 }
 
+FleetSize PlatformFollower::fleetSize() const
+{
+    FleetSize size = m_fleetSize.value_or(FleetSize());
+    size.hosts = std::max(size.hosts, m_hosts);
+    if (m_hasSnapshot)
+        size.servers = m_view.servers()->size();
+    return size;
+}
+
 Millis PlatformFollower::timeToRead() const
 {
     if (!m_followsCoordinator)
@@ -44,15 +54,24 @@
 {
     if (std::exchange(m_needsSnapshot, true))
         return;
-    const Millis turn = turnToRead(m_hosts, m_view.servers()->size(), m_readPhase);
+    const FleetSize size = fleetSize();
+    const Millis turn = turnToRead(size, m_readPhase);
     m_turnAt = m_clock.now() + turn;
     logChange(LogLevel::Info, "snapshot-awaited",
-        { { "hosts", m_hosts }, { "servers", m_view.servers()->size() }, { "turnInMs", turn.count() },
+        { { "hosts", size.hosts }, { "servers", size.servers }, { "turnInMs", turn.count() },
             { "lastChange", m_view.lastChange() } });
     if (!m_hasSnapshot)
         awaitCoordinator();
 }
 
+void PlatformFollower::readWithoutSnapshot()
+{
+    if (!m_needsSnapshot)
+        return;
+    m_turnAt = m_clock.now();
+    m_modeChanged.notifyAll();
+}
+
 void PlatformFollower::takeSnapshot(int64_t revision, const std::vector<KeyValue>& items, Millis age)
 {
     m_needsSnapshot = false;
--- a/packages/gateway/PlatformView.cpp
+++ b/packages/gateway/PlatformView.cpp
@@ -1,6 +1,7 @@
 #include "gateway/PlatformView.h"
 
 #include "base/Log.h"
+#include "resources/FleetSizeCodec.h"
 #include "resources/GrantTableCodec.h"
 #include "resources/QuarantineCodec.h"
 #include "resources/ResourceCodec.h"
@@ -468,6 +469,10 @@
         recordListed(decodeListedHosts(value.value), value.modRevision);
         return true;
     }
+    if (value.key == fleetSizeKey()) {
+        m_fleetSize = decodeFleetSize(value.value);
+        return true;
+    }
     if (value.key == quarantineKey()) {
         if (value.modRevision <= m_quarantineRevision)
             return true;
--- a/packages/gateway/PlatformView.h
+++ b/packages/gateway/PlatformView.h
@@ -7,6 +7,7 @@
 
 #include "control/LeaderSource.h"
 #include "decisions/CrashEvidence.h"
+#include "decisions/EntryReads.h"
 #include "decisions/GrantTable.h"
 #include "decisions/KnownChanges.h"
 #include "decisions/RulesFreshness.h"
@@ -108,6 +109,8 @@
     const std::map<std::string, std::shared_ptr<const GrantTable>, std::less<>>& tables() const { return m_tables; }
     const std::set<std::string, std::less<>>& listedHosts() const { return m_listedHosts; } // as in the store
     int64_t modRevisionOf(const std::string& key) const; // of a table's key; 0: absent
+    const std::optional<FleetSize>& storedFleetSize() const { return m_fleetSize; }
+    void recordFleetSize(const FleetSize& size) { m_fleetSize = size; } // after a write by this host
     int64_t listedRevision() const { return m_listedRevision; } // of the list of hosts; 0: absent
     void recordWritten(const GrantTable&, int64_t modRevision); // after a write by this host
     void recordStored(const GrantTable&, int64_t modRevision); // after a read of the store
@@ -172,6 +175,7 @@
     bool m_hasReadLeader = false; // apart from a snapshot
     std::set<std::string, std::less<>> m_listedHosts;
     int64_t m_listedRevision = 0;
+    std::optional<FleetSize> m_fleetSize; // as in the store
     std::vector<QuarantinedRequest> m_quarantine;
     int64_t m_quarantineRevision = 0;
 };
--- a/packages/gateway/SnapshotAnnouncer.cpp
+++ b/packages/gateway/SnapshotAnnouncer.cpp
@@ -15,9 +15,10 @@
     // After a common start hosts report within the interval of those that nobody has answered yet.
     constexpr Millis quietPeriod { 250 };
     constexpr Millis longestDelay { 1'000 };
-    constexpr Millis maxAge { 2'000 }; // making a snapshot of 10,000 servers takes a tenth of a second of a core
+    // What has changed since follows with the answer to the next report. Making a snapshot of 10,000 servers takes a
+    // twentieth of a second of a core.
+    constexpr Millis maxAge { 500 };
     constexpr Millis deliveryTime { 5'000 }; // of a publication, over the coordinator's link and then a relay's
-    constexpr int32_t repeatMillis = 500; // between reports of a host whose answer had no room for the snapshot
 
     wire::StoreItem itemOf(const KeyValue& value)
     {
@@ -42,6 +43,7 @@
 {
     m_snapshot = {};
     m_lacking.clear();
+    m_snapshotLacking = false;
     m_sentTo.clear();
 }
 
@@ -74,27 +76,34 @@
     return m_snapshot;
 }
 
-void SnapshotAnnouncer::addSnapshot(
-    const wire::HostReport& report, bool mayBeLarge, Instant now, wire::HostAdvice& advice)
+bool SnapshotAnnouncer::leavesToRelays(const wire::HostReport& report, Instant now)
 {
-    if (!report.needsSnapshot) {
+    if (!report.readsPacked)
+        return false;
+    if (!report.needsSnapshot && !m_announcer.needsWholeTable(report, m_view.tables())) {
         m_lacking.erase(report.sender);
         m_sentTo.erase(report.sender);
-        return;
+        return false;
     }
-    advice.missed.items.clear();
-    advice.missed.packedItems.clear();
-    advice.missedLater = true;
     if (m_sentTo.count(report.sender) && now - m_publishedAt <= deliveryTime)
-        return;
+        return true;
     if (m_lacking.empty())
         m_firstAskedAt = now;
     if (m_lacking.insert(report.sender).second)
         m_lastAskedAt = now;
-    if (isWidespread())
+    m_snapshotLacking |= report.needsSnapshot;
+    return isWidespread();
+}
+
+void SnapshotAnnouncer::addSnapshot(
+    const wire::HostReport& report, bool mayBeLarge, Instant now, wire::HostAdvice& advice)
+{
+    if (!report.needsSnapshot)
         return;
+    advice.missed.items.clear();
+    advice.missed.packedItems.clear();
     if (!mayBeLarge) {
-        advice.reportMillis = std::min(advice.reportMillis, repeatMillis);
+        advice.missedLater = true;
         return;
     }
     const wire::News& snapshot = snapshotAt(now);
@@ -109,14 +118,15 @@
         return;
     if (now - m_lastAskedAt < quietPeriod && now - m_firstAskedAt < longestDelay)
         return;
-    wire::News news = snapshotAt(now);
+    wire::News news = m_snapshotLacking ? snapshotAt(now) : wire::News();
     for (const auto& [service, table] : m_view.tables())
         news.packedTables.push_back(m_announcer.packed(*table));
     logChange(LogLevel::Info, "snapshot-published",
-        { { "lacking", m_lacking.size() }, { "hosts", m_hosts.size() }, { "revision", news.lastChange },
+        { { "lacking", m_lacking.size() }, { "hosts", m_hosts.size() }, { "entries", m_snapshotLacking },
             { "bytes", bytesOf(news) } });
     m_announcer.publishSnapshot(news);
     m_sentTo = std::exchange(m_lacking, {});
+    m_snapshotLacking = false;
     m_publishedAt = now;
 }
 
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -160,6 +160,7 @@
     25: i64 standbysChecksum // of the list that follows; 0: the host keeps what it has
     26: list<string> standbys // "IP:port" of hosts that are asked while no coordinator answers; all of them, unless the host knows this checksum
     28: list<string> answeringHosts // "IP:port" of hosts that are asked when no standby answers; with `standbys`
+    29: bool sendsSnapshots // the coordinator sends snapshots to hosts that need one
     27: bool watchesStore // in answers to awaitsCoordinator: the host that was asked watches the store, which answers it
     10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
 }
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -3110,6 +3110,10 @@
   this->answeringHosts = val;
 }
 
+void HostAdvice::__set_sendsSnapshots(const bool val) {
+  this->sendsSnapshots = val;
+}
+
 void HostAdvice::__set_watchesStore(const bool val) {
   this->watchesStore = val;
 }
@@ -3473,6 +3477,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sendsSnapshots);
+          this->__isset.sendsSnapshots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 27:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->watchesStore);
@@ -3698,6 +3710,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sendsSnapshots", ::apache::thrift::protocol::T_BOOL, 29);
+  xfer += oprot->writeBool(this->sendsSnapshots);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3731,6 +3747,7 @@
   swap(a.standbysChecksum, b.standbysChecksum);
   swap(a.standbys, b.standbys);
   swap(a.answeringHosts, b.answeringHosts);
+  swap(a.sendsSnapshots, b.sendsSnapshots);
   swap(a.watchesStore, b.watchesStore);
   swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
@@ -3763,6 +3780,7 @@
   standbysChecksum = other196.standbysChecksum;
   standbys = other196.standbys;
   answeringHosts = other196.answeringHosts;
+  sendsSnapshots = other196.sendsSnapshots;
   watchesStore = other196.watchesStore;
   missed = other196.missed;
   __isset = other196.__isset;
@@ -3794,6 +3812,7 @@
   standbysChecksum = other197.standbysChecksum;
   standbys = other197.standbys;
   answeringHosts = other197.answeringHosts;
+  sendsSnapshots = other197.sendsSnapshots;
   watchesStore = other197.watchesStore;
   missed = other197.missed;
   __isset = other197.__isset;
@@ -3828,6 +3847,7 @@
   out << ", " << "standbysChecksum=" << to_string(standbysChecksum);
   out << ", " << "standbys=" << to_string(standbys);
   out << ", " << "answeringHosts=" << to_string(answeringHosts);
+  out << ", " << "sendsSnapshots=" << to_string(sendsSnapshots);
   out << ", " << "watchesStore=" << to_string(watchesStore);
   out << ", " << "missed=" << to_string(missed);
   out << ")";
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -1105,7 +1105,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardTarget& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), brokersEdition(false), brokers(false), forwardTargetsChecksum(false), forwardTargets(false), rulesRevision(false), rulesAgeMillis(false), standbysChecksum(false), standbys(false), answeringHosts(false), watchesStore(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), brokersEdition(false), brokers(false), forwardTargetsChecksum(false), forwardTargets(false), rulesRevision(false), rulesAgeMillis(false), standbysChecksum(false), standbys(false), answeringHosts(false), sendsSnapshots(false), watchesStore(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -1132,6 +1132,7 @@
   bool standbysChecksum :1;
   bool standbys :1;
   bool answeringHosts :1;
+  bool sendsSnapshots :1;
   bool watchesStore :1;
   bool missed :1;
 } _HostAdvice__isset;
@@ -1158,6 +1159,7 @@
                rulesRevision(0),
                rulesAgeMillis(0),
                standbysChecksum(0),
+               sendsSnapshots(0),
                watchesStore(0) {
   }
 
@@ -1188,6 +1190,7 @@
   int64_t standbysChecksum;
   std::vector<std::string>  standbys;
   std::vector<std::string>  answeringHosts;
+  bool sendsSnapshots;
   bool watchesStore;
   News missed;
 
@@ -1245,6 +1248,8 @@
 
   void __set_answeringHosts(const std::vector<std::string> & val);
 
+  void __set_sendsSnapshots(const bool val);
+
   void __set_watchesStore(const bool val);
 
   void __set_missed(const News& val);
@@ -1303,6 +1308,8 @@
       return false;
     if (!(answeringHosts == rhs.answeringHosts))
       return false;
+    if (!(sendsSnapshots == rhs.sendsSnapshots))
+      return false;
     if (!(watchesStore == rhs.watchesStore))
       return false;
     if (!(missed == rhs.missed))
--- a/tests/news_fanout_test.cpp
+++ b/tests/news_fanout_test.cpp
@@ -4,6 +4,7 @@
 #include "slow_link.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
 using namespace cumindale;
@@ -165,6 +166,30 @@
     CHECK(fleet.bytes.value() < (groupSize * dataCentres + 1) * tableBytes); // one copy to each host
 }
 
+// Guards against a coordinator whose leadership isn't renewed in time, since a table to all relays fills its link.
+TEST_CASE("a table to many relays is sent to a few at a time")
+{
+    using boost::asio::ip::tcp;
+    constexpr size_t relays = 40;
+    constexpr size_t tableBytes = 130'000;
+    constexpr size_t mostInFlight = 1'000'000; // 80 ms of a link of 100 Mbit/s
+    Fleet fleet(0);
+    std::vector<std::unique_ptr<tcp::acceptor>> silentHosts; // they accept connections and answer nothing
+    for (size_t i = 0; i < relays; ++i) {
+        const tcp::endpoint any(boost::asio::ip::make_address(loopback), 0);
+        const auto& silent = silentHosts.emplace_back(std::make_unique<tcp::acceptor>(fleet.context, any));
+        fleet.fanout.updateHost("host-" + std::to_string(i),
+            loopback + ":" + std::to_string(silent->local_endpoint().port()), "dc-" + std::to_string(i), 0.5, true);
+    }
+    wire::News news;
+    news.packedTables.emplace_back().value = std::string(tableBytes, 'x');
+    fleet.fanout.publish(news);
+    fleet.context.run_for(Millis(200));
+    MESSAGE(fleet.bytes.value(), " bytes in flight");
+    CHECK(fleet.bytes.value() > tableBytes);
+    CHECK(fleet.bytes.value() < mostInFlight);
+}
+
 TEST_CASE("a removed host receives no more news")
 {
     Fleet fleet(2);
