Weak hosts of large fleets leave strong ones the time to be elected

The delay follows the size of the fleet now, as reports do: 1.2 s at 984 hosts, at most; small fleets wait as before.

--- a/packages/decisions/FleetTiming.cpp
+++ b/packages/decisions/FleetTiming.cpp
@@ -13,6 +13,7 @@
     // Of the coordinator's own last answer from the store, and of the first calls to the store.
     constexpr Millis storeAnswerAge { 1'350 };
     constexpr Millis transferTime { 200 }; // of a report, and for the host's own scheduling
+    constexpr Millis maxCandidateDelay { 1'200 }; // keys are without a coordinator meanwhile
     constexpr Millis heartbeatInterval { 5'000 }; // between two writes of a server's entry
     // Entries that hosts watch, in sum: a third of a link of 1 Gbit/s, with entries of 450 bytes and a heartbeat each 5
     // s.
@@ -47,6 +48,8 @@
     timing.reportLifetime = std::max(timing.reportLifetime, 2 * timing.reportInterval + reportTimeout);
     timing.hostTimeout = std::max(timing.hostTimeout, 3 * timing.reportInterval + reportTimeout);
     timing.maxShortOutage = std::max(timing.maxShortOutage, timing.reportInterval + reportTimeout + storeAnswerAge);
+    const double weakDelay = factor * static_cast<double>(timing.weakCandidateDelay.count());
+    timing.weakCandidateDelay = std::min(maxCandidateDelay, Millis(std::llround(weakDelay)));
     timing.serverUseLifetime = std::max(timing.serverUseLifetime, 2 * timing.reportInterval + transferTime);
     return timing;
 }
--- a/packages/decisions/FleetTiming.h
+++ b/packages/decisions/FleetTiming.h
@@ -26,6 +26,9 @@
     // the store this long ago at the most. A longer silence is an outage of the store, in which entries may have
     // expired.
     Millis maxShortOutage { 2'000 };
+    // The weakest hosts are candidates this much later than strong ones, so that most know by then who was elected.
+    // Each candidate costs the store three calls.
+    Millis weakCandidateDelay { 150 };
     Millis serverUseLifetime { 700 }; // a host's report that a server has answered is valid for so long
 };
 
--- a/tests/fleet_timing_test.cpp
+++ b/tests/fleet_timing_test.cpp
@@ -105,3 +105,12 @@
     CHECK(historyIsCheaperThanRead(Millis(10'000)));
     CHECK_FALSE(historyIsCheaperThanRead(Millis(10'001)));
 }
+
+// A third of the fleet were candidates when a coordinator was lost, each with three calls to the store.
+TEST_CASE("weak hosts of large fleets leave strong ones the time to be elected and known")
+{
+    CHECK(fleetTiming(10).weakCandidateDelay == Millis(150));
+    CHECK(fleetTiming(984).weakCandidateDelay >= Millis(1'000));
+    for (const size_t hosts : sizes)
+        CHECK(fleetTiming(hosts).weakCandidateDelay < LeadershipTiming {}.lease);
+}
