Hosts that start together don't go on reporting together

Cause: 984 hosts reported four times a second until a coordinator answered, some 4,000 reports a second for half a core; the loop that renews the leadership fell behind. The store knows the size of the fleet, so that each host now reports once and then at the interval of that size, at a time of its own.

--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -255,21 +255,27 @@
     m_coordinator.onNews(news.lastChange, news.lastChange, {}, false);
 }
 
-void GatewayControl::handleNews(const wire::News& news)
+void GatewayControl::handleChanges(const wire::News& news)
 {
     std::vector<wire::StoreItem> items = news.items;
     bool complete = true; // all items could be read
-    for (const auto& packed : news.isSnapshot ? std::vector<wire::PackedItems>() : news.packedItems) {
+    for (const auto& packed : news.packedItems) {
         auto unpacked = unpackItems(packed);
         complete = complete && unpacked;
         if (unpacked)
             items.insert(items.end(), unpacked->begin(), unpacked->end());
     }
     // Otherwise this host's next report shows what it has missed.
+    if (!items.empty() && complete)
+        handleItems(news.afterChange, news.lastChange, items);
+}
+
+void GatewayControl::handleNews(const wire::News& news)
+{
     if (news.isSnapshot)
         handleSnapshot(news);
-    else if (!items.empty() && complete)
-        handleItems(news.afterChange, news.lastChange, items);
+    else
+        handleChanges(news);
     if (!news.crowded.empty()) {
         GatewayUpdate update;
         update.crowded = news.crowded;
@@ -305,11 +311,11 @@
 Millis GatewayControl::campaignDelay() const
 {
     constexpr double fullStrength = 0.5; // cores
-    constexpr Millis maxWeaknessDelay { 150 };
     constexpr Millis nonStandbyDelay { 250 };
     constexpr Millis maxJitter { 60 };
     const double weakness = std::clamp(1 - m_settings.gateway->strength / fullStrength, 0.0, 1.0);
-    const Millis weaknessDelay(std::llround(weakness * static_cast<double>(maxWeaknessDelay.count())));
+    const Millis longest = fleetTiming(knownHosts()).weakCandidateDelay;
+    const Millis weaknessDelay(std::llround(weakness * static_cast<double>(longest.count())));
     return weaknessDelay + (m_isStandby ? Millis(0) : nonStandbyDelay) + randomUpTo(maxJitter);
 }
 
@@ -617,9 +623,20 @@
         advice->missedLater ? m_view.lastChange() : advice->lastChange, Millis(advice->storeSilentMillis), m_isStandby);
 }
 
+// Hosts of a large fleet that start together must not go on reporting together until one answers: a new coordinator,
+// which has a fraction of a core, would not renew its leadership in time. By the first report the size of the fleet is
+// known.
+asio::awaitable<void> GatewayControl::spreadReports()
+{
+    const Millis interval = fleetTiming(knownHosts()).reportInterval;
+    if (!m_coordinatorAnswers)
+        m_reportInterval = interval;
+    co_await sleepFor(randomUpTo(interval - minReportInterval));
+}
+
 asio::awaitable<void> GatewayControl::reportLoop()
 {
-    for (;;) {
+    for (bool isFirst = true;; isFirst = false) {
         if (!m_awaitsPermit)
             co_await m_permitNeeded.wait(m_reportInterval);
         const auto minInterval = std::chrono::duration_cast<Millis>(m_reportInterval * minReportIntervalFactor);
@@ -628,6 +645,8 @@
             co_await sleepFor(minInterval - elapsed);
         m_coordinator.setTimeSinceStoreAnswer(m_clock.now() - m_follower.lastAnswer());
         co_await reportOnce();
+        if (isFirst)
+            co_await spreadReports();
         if (m_pushFailed)
             pushFullUpdate();
     }
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -57,12 +57,14 @@
     wire::HostReport makeStandbyReport() const;
     void describeHost(wire::HostReport&) const; // without what it has seen of servers
 
+    boost::asio::awaitable<void> spreadReports();
     boost::asio::awaitable<void> reportLoop();
     boost::asio::awaitable<void> reportOnce();
     boost::asio::awaitable<std::optional<wire::HostAdvice>> reportTo(std::string address, wire::HostReport);
     wire::HostReport makeReport();
     void handleNews(const wire::News&);
     void handleSnapshot(const wire::News&);
+    void handleChanges(const wire::News&);
     void handleItems(int64_t afterChange, int64_t lastChange, const std::vector<wire::StoreItem>&);
     // `reportedServers`: ids of the servers in the report that the advice answers.
     void handleAdvice(const wire::HostAdvice&, std::span<const std::string> reportedServers, Instant reportedAt);
--- a/packages/gateway/GatewayControlStandby.cpp
+++ b/packages/gateway/GatewayControlStandby.cpp
@@ -35,7 +35,10 @@
 // --- As a host that awaits a coordinator
 
 // A new coordinator has heard of few hosts at first.
-size_t GatewayControl::knownHosts() const { return std::max(m_mostHosts, m_view.listedHosts().size()); }
+size_t GatewayControl::knownHosts() const
+{
+    return std::max({ m_mostHosts, m_view.listedHosts().size(), m_follower.fleetSize().hosts });
+}
 
 // The coordinator and the standbys, one of which is the next one, need all changes at once.
 void GatewayControl::followWithoutCoordinator()
--- a/packages/gateway/PlatformFollower.cpp
+++ b/packages/gateway/PlatformFollower.cpp
@@ -182,10 +182,11 @@
         const Millis missed = m_clock.now() - m_changesKnownAt;
         const bool resumes
             = followedCoordinator && !m_needsSnapshot && !outageWasLong() && historyIsCheaperThanRead(missed);
+        const size_t maxEntries = m_hasSnapshot || m_needsSnapshot ? SIZE_MAX : m_firstEntries;
         if (resumes)
             ready = co_await readRouterItems();
         else
-            ready = co_await readAll(why, m_reader, m_hasSnapshot || m_needsSnapshot ? SIZE_MAX : m_firstEntries);
+            ready = co_await readAll(why, m_reader, maxEntries);
         if (!ready) {
             co_await sleepFor(backoff / 2 + randomUpTo(backoff));
             backoff = std::min(maxBackoff, backoff * 2);
--- a/packages/gateway/PlatformFollower.h
+++ b/packages/gateway/PlatformFollower.h
@@ -61,15 +61,19 @@
     // No coordinator relays changes, and the store doesn't carry the watches of all hosts: this host waits for the next
     // coordinator, which has recorded the changes, and the standbys tell it of them meanwhile.
     void awaitCoordinator();
-    // --- Snapshots from the coordinator, when the store doesn't carry the reads of all hosts;
-    // PlatformFollowerStart.cpp This host awaits the coordinator's snapshot, since it has none of its own or is too far
-    // behind.
+
+    // --- Snapshots from the coordinator, if the store doesn't carry the reads of all hosts; PlatformFollowerStart.cpp
+
+    // This host awaits the coordinator's snapshot, since it has none of its own or is too far behind.
     bool needsSnapshot() const { return m_needsSnapshot; }
     bool awaitsFirstSnapshot() const { return m_needsSnapshot && !m_hasSnapshot; }
     // `items`: as for PlatformView::applyRelayedSnapshot(). `age`: since the coordinator knew of no later change.
     void takeSnapshot(int64_t revision, const std::vector<KeyValue>& items, Millis age);
     void readWithoutSnapshot(); // the coordinator is of a version that sends none
     void setHosts(size_t hosts) { m_hosts = hosts; } // that share the store
+    FleetSize fleetSize() const; // as far as this host knows; 0 where it doesn't
+
+    // --- While no coordinator answers
 
     // Another host has told this one what it has missed. `storeSilence`: as for followCoordinator(). `complete`: this
     // host has all that the other one knows.
@@ -91,7 +95,6 @@
     static constexpr Millis maxBackoff { 400 }; // recovery within half a second of the store's return
 
     boost::asio::awaitable<void> planFirstRead();
-    FleetSize fleetSize() const;
     // How long this host leaves the reading of all entries to others; Millis::max(): it needs none.
     Millis timeToRead() const;
     void awaitSnapshot();
--- a/packages/gateway/SnapshotAnnouncer.cpp
+++ b/packages/gateway/SnapshotAnnouncer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/SnapshotAnnouncer.h"
 
 #include "base/Log.h"
+#include "decisions/FleetTiming.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,9 +13,8 @@
     // Fewer hosts are answered one by one: all others would be sent what they have.
     constexpr size_t minPublished = 9;
     constexpr size_t hostsPerLacking = 8;
-    // After a common start hosts report within the interval of those that nobody has answered yet.
+    // Without a further host that lacks something, before it is published.
     constexpr Millis quietPeriod { 250 };
-    constexpr Millis longestDelay { 1'000 };
     // What has changed since follows with the answer to the next report. Making a snapshot of 10,000 servers takes a
     // twentieth of a second of a core.
     constexpr Millis maxAge { 500 };
@@ -52,6 +52,14 @@
     return m_lacking.size() >= minPublished && m_lacking.size() * hostsPerLacking >= m_hosts.size();
 }
 
+// By then all hosts of the fleet have reported, if they started together.
+Millis SnapshotAnnouncer::longestDelay() const
+{
+    const auto& stored = m_view.storedFleetSize();
+    const size_t hosts = std::max(m_hosts.size(), stored ? stored->hosts : 0);
+    return fleetTiming(hosts).reportInterval + quietPeriod;
+}
+
 wire::News SnapshotAnnouncer::makeSnapshot() const
 {
     std::vector<wire::StoreItem> items;
@@ -116,7 +124,7 @@
 {
     if (!isWidespread())
         return;
-    if (now - m_lastAskedAt < quietPeriod && now - m_firstAskedAt < longestDelay)
+    if (now - m_lastAskedAt < quietPeriod && now - m_firstAskedAt < longestDelay())
         return;
     wire::News news = m_snapshotLacking ? snapshotAt(now) : wire::News();
     for (const auto& [service, table] : m_view.tables())
--- a/packages/gateway/SnapshotAnnouncer.h
+++ b/packages/gateway/SnapshotAnnouncer.h
@@ -25,6 +25,7 @@
 
 private:
     bool isWidespread() const; // so many hosts lack something that it is sent to all
+    Millis longestDelay() const; // of a publication
     const wire::News& snapshotAt(Instant now);
     wire::News makeSnapshot() const;
 
