Documents pass the window for large messages

The test news_documents failed with the window: copies of a document waited for each other on a relay's link, two at a time beside nine connections with entries, and 9 of 12 hosts had it in time. A document shares the link with whatever is in flight, as before the window.

--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -58,7 +58,7 @@
 asio::awaitable<bool> NewsLink::send(const wire::News& news)
 {
     const size_t bytes = bytesOf(news);
-    const bool isBulk = bytes > maxNewsBytes;
+    const bool isBulk = bytes > maxNewsBytes && !news.urgent; // a document shares the link with what is in flight
     if (isBulk)
         co_await m_window->enter(bytes);
     const bool arrived = co_await m_link->adopt(news, m_timeout(bytes, m_copies));
