--- a/packages/gateway/NewsFanout.cpp
+++ b/packages/gateway/NewsFanout.cpp
@@ -12,10 +12,9 @@
 
 namespace {
 
-    // A twentieth of a second of a strong host's link of 100 Mbit/s; several copies, so that the link is never idle.
-    constexpr size_t coordinatorsWindow = 524'288;
-    // A tenth of a second of a link of 20 Mbit/s, which also carries responses to callers.
-    constexpr size_t relaysWindow = 262'144;
+    // Half of a strong host's link of 200 Mbit/s, and of a relay's of 20 Mbit/s, which carries responses to callers.
+    constexpr size_t coordinatorsBulkRate = 10'000; // bytes per ms
+    constexpr size_t relaysBulkRate = 1'000; // likewise
     constexpr Millis relayRetryDelay { 5'000 }; // after a relay has failed; a restart takes about a second
 
     wire::News packedCopy(const wire::News& news)
@@ -34,10 +33,10 @@
 // --- Link to one host
 
 NewsLink::NewsLink(asio::any_io_executor executor, std::unique_ptr<CoordinationLink> link,
-    std::shared_ptr<BulkWindow> window, FailureHandler failure)
+    std::shared_ptr<BulkPacer> pacer, FailureHandler failure)
     : m_executor(std::move(executor))
     , m_link(std::move(link))
-    , m_window(std::move(window))
+    , m_pacer(std::move(pacer))
     , m_onFailure(std::move(failure))
 {
 }
@@ -60,10 +59,8 @@
     const size_t bytes = bytesOf(news);
     const bool isBulk = bytes > maxNewsBytes && !news.urgent; // a document shares the link with what is in flight
     if (isBulk)
-        co_await m_window->enter(bytes);
+        co_await m_pacer->enter(bytes);
     const bool arrived = co_await m_link->adopt(news, m_timeout(bytes, m_copies));
-    if (isBulk)
-        m_window->leave(bytes);
     co_return arrived;
 }
 
@@ -87,7 +84,7 @@
 NewsRelay::NewsRelay(asio::any_io_executor executor, Counter& bytesSent)
     : m_executor(std::move(executor))
     , m_bytesSent(bytesSent)
-    , m_window(std::make_shared<BulkWindow>(m_executor, relaysWindow))
+    , m_pacer(std::make_shared<BulkPacer>(m_clock, relaysBulkRate))
 {
 }
 
@@ -103,7 +100,7 @@
         auto& link = m_links[address];
         if (!link)
             link = std::make_shared<NewsLink>(m_executor, makeCoordinationLink(m_executor, address, m_bytesSent),
-                m_window, NewsLink::FailureHandler {});
+                m_pacer, NewsLink::FailureHandler {});
         link->enqueue(forwarded, news.forwardTo.size());
     }
 }
@@ -114,7 +111,7 @@
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_bytesSent(bytesSent)
-    , m_window(std::make_shared<BulkWindow>(m_executor, coordinatorsWindow))
+    , m_pacer(std::make_shared<BulkPacer>(clock, coordinatorsBulkRate))
 {
 }
 
@@ -159,7 +156,7 @@
             group.readsPacked = group.readsPacked && m_hosts.at(member).readsPacked;
         if (!group.members.empty()) {
             group.link = std::make_shared<NewsLink>(m_executor,
-                makeCoordinationLink(m_executor, m_hosts.at(group.relay).address, m_bytesSent), m_window,
+                makeCoordinationLink(m_executor, m_hosts.at(group.relay).address, m_bytesSent), m_pacer,
                 [this, relay = group.relay, members = group.members](
                     const wire::News& news) { onRelayFailed(relay, members, news); });
         }
@@ -192,8 +189,7 @@
     auto& link = found->second.link;
     if (!link)
         link = std::make_shared<NewsLink>(m_executor,
-            makeCoordinationLink(m_executor, found->second.address, m_bytesSent), m_window,
-            NewsLink::FailureHandler {});
+            makeCoordinationLink(m_executor, found->second.address, m_bytesSent), m_pacer, NewsLink::FailureHandler {});
     link->enqueue(found->second.readsPacked ? packed : news, m_groups.size(), fanoutTimeout);
 }
 
--- a/packages/gateway/NewsFanout.h
+++ b/packages/gateway/NewsFanout.h
@@ -6,7 +6,7 @@
 
 #include "base/Time.h"
 #include "decisions/RelayPlan.h"
-#include "gateway/BulkWindow.h"
+#include "gateway/BulkPacer.h"
 #include "gateway/NewsQueue.h"
 #include "peers/Coordination.h"
 
@@ -23,8 +23,8 @@
 public:
     using FailureHandler = std::function<void(const wire::News&)>; // called with a message that was not answered
 
-    // `window`: of all links of this host.
-    NewsLink(boost::asio::any_io_executor, std::unique_ptr<CoordinationLink>, std::shared_ptr<BulkWindow> window,
+    // `pacer`: of all links of this host.
+    NewsLink(boost::asio::any_io_executor, std::unique_ptr<CoordinationLink>, std::shared_ptr<BulkPacer> pacer,
         FailureHandler);
     using Timeout = Millis (*)(size_t bytes, size_t copies); // of one message; deliveryTimeout or fanoutTimeout
     // `copies`: links of this host over which the same news are sent.
@@ -37,7 +37,7 @@
 
     boost::asio::any_io_executor m_executor;
     std::unique_ptr<CoordinationLink> m_link;
-    std::shared_ptr<BulkWindow> m_window;
+    std::shared_ptr<BulkPacer> m_pacer;
     FailureHandler m_onFailure;
     NewsQueue m_unsent;
     size_t m_copies = 1;
@@ -54,7 +54,8 @@
 private:
     boost::asio::any_io_executor m_executor;
     Counter& m_bytesSent;
-    std::shared_ptr<BulkWindow> m_window;
+    SystemClock m_clock;
+    std::shared_ptr<BulkPacer> m_pacer;
     std::map<std::string, std::shared_ptr<NewsLink>, std::less<>> m_links; // by address
 };
 
@@ -98,7 +99,7 @@
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
     Counter& m_bytesSent;
-    std::shared_ptr<BulkWindow> m_window;
+    std::shared_ptr<BulkPacer> m_pacer;
     std::map<std::string, Host, std::less<>> m_hosts;
     std::vector<Group> m_groups;
     bool m_groupsOutdated = false; // the hosts have changed since m_groups was planned
