A status out of range is no response

Callers saw: a server in trouble answered with the status 000, and the caller got it as an answer.

Cause: Boost.Beast reads any three digits as a status, and the one reader of responses took what it read. HTTP has 100 to 599 (RFC 9110, section 15). The client for orders, probes and the store took 000 for "no response", as its number is 0, but kept the connection for the next call; 001, 099, 600 and 999 it took for responses.

Change: the reader refuses such a status, before it asks whether the response is an interim one.

Why it works: all responses of servers, hosts and stores pass this reader, but for the stream of the etcd store's watch, which takes 200 alone.

--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -31,6 +31,9 @@
         return { error, ResponseBound::None };
     }
 
+    // RFC 9110, section 15: other numbers are invalid, also those of three digits, which Boost.Beast reads.
+    bool isValidStatus(unsigned status) { return status >= 100 && status <= 599; }
+
     bool isInterim(unsigned status) { return status / 100 == 1; } // RFC 9110, section 15.2
 
     constexpr size_t mostBytesRead = 65'536; // at once, of a body
@@ -96,7 +99,7 @@
             co_return resultOf(error);
         // By number: Boost.Beast 1.81 has no name, and so no class, for 103.
         const unsigned status = parser.get().result_int();
-        if (status == static_cast<unsigned>(http::status::switching_protocols))
+        if (!isValidStatus(status) || status == static_cast<unsigned>(http::status::switching_protocols))
             co_return ReadResult { http::error::bad_status };
         if (isInterim(status))
             continue;
