A reset that the write of a request reports makes its response incomplete

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: a socket reports a reset once. Here the write got it, and was rightly passed over, since a server may answer before it has read all of a request. The read after it found the bytes that had come, and then the end of the stream, which is how a response without a length ends.

With a request that fits into the socket's buffers the read itself got the reset: that held already, and so did orders, probes and the store's calls, which take a failed write as no response at all.

Change: where a write failed, a response that ends with its connection counts as incomplete, as if the stream had been cut: 502, retried only where the route allows.

Why it works: Linux reports EPIPE in place of ECONNRESET when the server had closed its side before the reset, so the end of the stream is real then, and the response is still delivered.

--- a/packages/backends/ServerPool.cpp
+++ b/packages/backends/ServerPool.cpp
@@ -86,6 +86,10 @@
             || error.category() == asio::error::get_system_category();
     }
 
+    // Whether the connection was reset while a request was written. A socket reports a reset once: the next read sees
+    // the end of the stream as if the server had closed the connection in order. If it had, the write fails with EPIPE.
+    bool hidesReset(beast::error_code writeError) { return writeError && writeError != asio::error::broken_pipe; }
+
     ErrorKind responseErrorKind(beast::error_code error)
     {
         if (error == beast::error::timeout)
@@ -113,6 +117,8 @@
     for (int i = 0; !error && i <= maxStaleResponses; ++i) {
         const ReadResult read = co_await readResponse(m_stream, m_buffer, toHead, {}, m_memory.get(), result.response);
         error = read.error;
+        if (!error && read.untilClose && hidesReset(writeError))
+            error = http::error::partial_message;
         result.bound = read.bound;
         if (error || echoHeader.empty())
             break;
--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -103,7 +103,8 @@
             co_return ReadResult { http::error::bad_status };
         if (isInterim(status))
             continue;
-        const ReadResult result = co_await readBody(stream, buffer, parser, memory);
+        ReadResult result = co_await readBody(stream, buffer, parser, memory);
+        result.untilClose = parser.need_eof();
         if (!result.error)
             response = parser.release();
         co_return result;
--- a/packages/web/ResponseReader.h
+++ b/packages/web/ResponseReader.h
@@ -42,6 +42,7 @@
 struct ReadResult {
     boost::beast::error_code error;
     ResponseBound bound = ResponseBound::None; // with an error
+    bool untilClose = false; // the response has no length: it ends where the peer closes the connection
 };
 
 // Interim responses (1xx, RFC 9110, section 15.2) are read past. Errors: those of the stream, and those of
