A response in whose head a line begins with a blank is no response

Callers saw, on systems of this kind: a server in trouble answered with a head in which the name of a field held a blank or a control byte. They got it as an answer, with that line passed on, or with a body that was not the server's.

Cause, for one kind of such lines: a name whose first byte is a blank or a tab. Boost.Beast takes that line for the continuation of the field before it (obs-fold), which earlier versions of HTTP allowed. If it is the field that gives the length or says that the body is in chunks, the body was then read until the connection closed, framing and all.

Held already, since Boost.Beast refuses them: blanks, tabs, control bytes, NUL, DEL, bytes above 127, CR or LF within a name or before its colon, an empty name, a line without a colon, and a leading blank or tab in the first line of fields.

Change: the reader of heads refuses a continued line, as RFC 9112, section 5.2, allows a gateway: 502. The watch of the etcd store reads its head there too.

Why it works: the parser consumes whole lines, so a line that begins with a blank is at the start of a line in the buffer whenever it is there.

--- /dev/null
+++ b/packages/web/HeadReader.cpp
@@ -0,0 +1,78 @@
+#include "web/HeadReader.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+#include <string_view>
+
+namespace cumindale {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+    constexpr auto token = asio::as_tuple(asio::use_awaitable);
+    constexpr size_t mostBytesRead = 65'536; // at once
+
+    std::string_view textOf(const beast::flat_buffer& buffer)
+    {
+        const asio::const_buffer bytes = buffer.data();
+        return { static_cast<const char*>(bytes.data()), bytes.size() };
+    }
+
+    // `head` begins at the start of a line, and may end anywhere.
+    bool hasContinuedLine(std::string_view head)
+    {
+        constexpr std::string_view lineEnd = "\r\n";
+        while (!head.empty() && !head.starts_with(lineEnd)) {
+            if (head.front() == ' ' || head.front() == '\t')
+                return true;
+            const size_t end = head.find(lineEnd);
+            if (end == std::string_view::npos)
+                return false;
+            head.remove_prefix(end + lineEnd.size());
+        }
+        return false;
+    }
+
+    asio::awaitable<beast::error_code> receive(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    {
+        const size_t room = beast::read_size(buffer, mostBytesRead);
+        if (!room)
+            co_return http::error::buffer_overflow;
+        const auto [error, bytesRead] = co_await stream.async_read_some(buffer.prepare(room), token);
+        buffer.commit(bytesRead);
+        co_return error;
+    }
+
+}
+
+asio::awaitable<beast::error_code> readHead(
+    beast::tcp_stream& stream, beast::flat_buffer& buffer, http::basic_parser<false>& parser)
+{
+    for (;;) {
+        beast::error_code error;
+        if (buffer.size()) {
+            // The parser would join such a line to the one before it. It consumes whole lines, so the buffer begins
+            // with one.
+            if (hasContinuedLine(textOf(buffer)))
+                co_return http::error::bad_field;
+            buffer.consume(parser.put(buffer.data(), error));
+            if (error && error != http::error::need_more)
+                co_return error;
+            if (parser.is_header_done())
+                co_return beast::error_code {};
+        }
+        error = co_await receive(stream, buffer);
+        if (error == asio::error::eof)
+            co_return parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
+        if (error)
+            co_return error;
+    }
+}
+
+}
--- /dev/null
+++ b/packages/web/HeadReader.h
@@ -0,0 +1,18 @@
+// Reads the head of an HTTP/1.1 message: its start line and its fields.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace cumindale {
+
+// Leaves what follows the head in the buffer. Errors: those of the stream, and those of boost::beast::http for a
+// malformed head. A field that is continued on a further line (obs-fold, RFC 9112, section 5.2) is malformed: a peer
+// whose bytes are corrupted sends such a line for a field of its own, which may be the one that says where the body
+// ends.
+boost::asio::awaitable<boost::beast::error_code> readHead(
+    boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<false>&);
+
+}
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "web/HttpClient.h"
 
+#include "web/HeadReader.h"
 #include "web/ResponseReader.h"
 #include "web/Sockets.h"
 
@@ -169,8 +170,8 @@
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     stream->expires_after(connectTimeout);
-    const auto [headerError, headerBytes] = co_await http::async_read_header(*stream, buffer, parser, token);
-    if (headerError || parser.get().result() != http::status::ok)
+    const beast::error_code headError = co_await readHead(*stream, buffer, parser);
+    if (headError || parser.get().result() != http::status::ok)
         co_return;
 
     std::string pending;
--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -1,5 +1,6 @@
 #include "web/ResponseReader.h"
 
+#include "web/HeadReader.h"
 #include "web/Sockets.h"
 
 #include <algorithm>
@@ -94,7 +95,7 @@
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         parser.skip(toHead);
-        const auto [error, bytesRead] = co_await http::async_read_header(stream, buffer, parser, token);
+        const beast::error_code error = co_await readHead(stream, buffer, parser);
         if (error)
             co_return resultOf(error);
         // By number: Boost.Beast 1.81 has no name, and so no class, for 103.
