The bound of a head holds for all of its fields together

Callers saw, on systems of this kind: a server sent bytes without end in a head until the host closed; the host kept them all and ran out of memory, and the requests of all other callers on it ended with it.

Cause: the parser of Boost.Beast 1.81 consumes the fields of a head one by one and compares its limit with what it hasn't consumed. If each read ends within three bytes after a line, that is never much, and the fields that were consumed are kept without a bound.

Evidence: the new test sends short fields, each read ending one byte into the next one. One long field, noise, and fields that end elsewhere were given up already, which the tests from before show: from the first read that ends amid a line the parser waits for the whole head, within its limit.

Change: the reader of heads counts what it has passed to the parser. More than the bound is a faulty response: the connection is closed and the caller gets 502.

Why it works: the count never goes down within a head, whatever the pieces.

--- a/packages/web/HeadReader.cpp
+++ b/packages/web/HeadReader.cpp
@@ -52,8 +52,9 @@
 }
 
 asio::awaitable<beast::error_code> readHead(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer, http::basic_parser<false>& parser)
+    beast::tcp_stream& stream, beast::flat_buffer& buffer, http::basic_parser<false>& parser, size_t maxBytes)
 {
+    size_t consumed = 0;
     for (;;) {
         beast::error_code error;
         if (buffer.size()) {
@@ -61,9 +62,14 @@
             // with one.
             if (hasContinuedLine(textOf(buffer)))
                 co_return http::error::bad_field;
-            buffer.consume(parser.put(buffer.data(), error));
+            const size_t parsed = parser.put(buffer.data(), error);
+            buffer.consume(parsed);
+            consumed += parsed;
             if (error && error != http::error::need_more)
                 co_return error;
+            const size_t unparsed = parser.is_header_done() ? 0 : buffer.size();
+            if (consumed + unparsed > maxBytes)
+                co_return http::error::header_limit;
             if (parser.is_header_done())
                 co_return beast::error_code {};
         }
--- a/packages/web/HeadReader.h
+++ b/packages/web/HeadReader.h
@@ -9,10 +9,10 @@
 namespace cumindale {
 
 // Leaves what follows the head in the buffer. Errors: those of the stream, and those of boost::beast::http for a
-// malformed head. A field that is continued on a further line (obs-fold, RFC 9112, section 5.2) is malformed: a peer
-// whose bytes are corrupted sends such a line for a field of its own, which may be the one that says where the body
-// ends.
+// malformed head and for one of more than `maxBytes`: the parser's own limit holds for each read alone. A field that is
+// continued on a further line (obs-fold, RFC 9112, section 5.2) is malformed: a peer whose bytes are corrupted sends
+// such a line for a field of its own, which may be the one that says where the body ends.
 boost::asio::awaitable<boost::beast::error_code> readHead(
-    boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<false>&);
+    boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<false>&, size_t maxBytes);
 
 }
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -170,7 +170,7 @@
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     stream->expires_after(connectTimeout);
-    const beast::error_code headError = co_await readHead(*stream, buffer, parser);
+    const beast::error_code headError = co_await readHead(*stream, buffer, parser, m_limits.headerBytes);
     if (headError || parser.get().result() != http::status::ok)
         co_return;
 
--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -95,7 +95,7 @@
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         parser.skip(toHead);
-        const beast::error_code error = co_await readHead(stream, buffer, parser);
+        const beast::error_code error = co_await readHead(stream, buffer, parser, limits.headerBytes);
         if (error)
             co_return resultOf(error);
         // By number: Boost.Beast 1.81 has no name, and so no class, for 103.
--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -1,6 +1,7 @@
 // Reading of responses from peers that send without end.
 #include "web/HttpClient.h"
 #include "web/ResponseReader.h"
+#include "web/Signal.h"
 #include "web/Sockets.h"
 
 #include <algorithm>
@@ -57,8 +58,10 @@
 // Accepts one connection and sends a response without end, until the connection is closed.
 class EndlessPeer {
 public:
-    EndlessPeer(asio::io_context& context, std::string begin, std::string repeated)
+    // `pause`: between two writes, so that each is read by itself.
+    EndlessPeer(asio::io_context& context, std::string begin, std::string repeated, Millis pause = Millis(0))
         : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_pause(pause)
     {
         asio::co_spawn(context, send(std::move(begin), std::move(repeated)), asio::detached);
     }
@@ -77,11 +80,14 @@
             m_sent += bytes;
             if (error)
                 break;
+            if (m_pause > Millis(0))
+                co_await sleepFor(m_pause);
         }
         m_closed = true;
     }
 
     tcp::acceptor m_acceptor;
+    Millis m_pause;
     size_t m_sent = 0;
     bool m_closed = false;
 };
@@ -157,3 +163,38 @@
         CHECK(peer.sent() < socketBuffers);
     }
 }
+
+namespace {
+
+// Fields that end one byte before each piece does: a reader that consumes whole fields never has a large part left.
+std::string shortFields()
+{
+    constexpr size_t fields = 30;
+    std::string piece;
+    for (size_t i = 0; i < fields; ++i)
+        piece += "-Filler: 1\r\nX";
+    return piece;
+}
+
+}
+
+// Guards against a head that is kept without a bound, since its fields are read one by one and each is short.
+TEST_CASE("a head of short fields without end is given up at its bound")
+{
+    asio::io_context context;
+    const EndlessPeer peer(context, "HTTP/1.1 200 OK\r\nX", shortFields(), Millis(1));
+    HttpClient client(context.get_executor(), "127.0.0.1", peer.port(), 1, shortResponseLimits);
+    HttpReply reply;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            HttpCall call;
+            reply = co_await client.send(std::move(call), Millis(5'000));
+        },
+        asio::detached);
+    context.run_for(std::chrono::milliseconds(2'000));
+    CHECK_FALSE(reply.hasResponse());
+    CHECK(reply.mayHaveArrived);
+    CHECK(peer.closed());
+    CHECK(peer.sent() < 2 * shortResponseLimits.headerBytes);
+}
