A watch that is streamed has bounds in bytes

Callers saw, on systems of this kind: bytes without end were kept until the host ran out of memory.

Cause: the watch of the etcd store was read without a bound: of its buffer, in which a chunk's extension grows, and of a line that doesn't end.

Evidence: the new test sends seven kinds of bytes without end to a watch.

Change: the buffer has the bound of all others, and a line beyond the bound of a body ends the watch, so that its user reads the range again. A line is searched once for its end, not again from its start with each read. Lines that end are passed on as before, however much they are in all; a second test says so.

Why it works: nothing else grows while a watch is read: the body holds only what no line has ended.

--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -166,30 +166,31 @@
     const auto [writeError, written] = co_await http::async_write(*stream, request, token);
     if (writeError)
         co_return;
-    beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
+    beast::flat_buffer buffer(responseBufferBytes);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none); // a watch lasts: only its lines have a bound
     stream->expires_after(connectTimeout);
     const beast::error_code headError = co_await readHead(*stream, buffer, parser, m_limits.headerBytes);
     if (headError || parser.get().result() != http::status::ok)
         co_return;
 
-    std::string pending;
-    std::array<char, 16384> chunk;
+    std::string& pending = parser.get().body(); // what no line has ended yet
+    size_t searched = 0;
     while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
         stream->expires_after(idleTimeout);
         const auto [error, bytes] = co_await http::async_read_some(*stream, buffer, parser, token);
-        if (error && error != http::error::need_buffer)
+        if (error)
             co_return;
-        pending.append(chunk.data(), chunk.size() - parser.get().body().size);
         size_t end = 0;
-        while ((end = pending.find('\n')) != std::string::npos) {
+        while ((end = pending.find('\n', searched)) != std::string::npos) {
             if (!handler(std::string_view(pending).substr(0, end)))
                 co_return;
             pending.erase(0, end + 1);
+            searched = 0;
         }
+        searched = pending.size();
+        if (searched > m_limits.bodyBytes)
+            co_return;
     }
 }
 
--- a/packages/web/HttpClient.h
+++ b/packages/web/HttpClient.h
@@ -58,7 +58,8 @@
     boost::asio::awaitable<HttpReply> sendAlone(CallFactory, Millis timeout);
 
     // Sends the request and passes the response body to the handler line by line as it arrives. Returns when the body
-    // ends, when nothing is received for `idleTimeout`, or when the handler returns false.
+    // ends, when nothing is received for `idleTimeout`, when the handler returns false, or at a line that is longer
+    // than the bound of a body.
     using LineHandler = std::function<bool(std::string_view line)>;
     boost::asio::awaitable<void> stream(HttpCall, Millis connectTimeout, Millis idleTimeout, LineHandler);
 
--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -198,3 +198,69 @@
     CHECK(peer.closed());
     CHECK(peer.sent() < 2 * shortResponseLimits.headerBytes);
 }
+
+// Guards against a watch of the store whose response uses up the host's memory.
+TEST_CASE("a watch whose response never ends a line, a head or a chunk is given up at its bound")
+{
+    struct Response {
+        std::string begin;
+        std::string repeated;
+        Millis pause { 0 };
+    };
+    constexpr size_t pieceBytes = 8'192;
+    const std::vector<Response> responses {
+        { chunkedHead, largeChunk() },
+        { "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", std::string(pieceBytes, 'x') },
+        { chunkedHead, std::string(pieceBytes, ' ') },
+        { std::string(chunkedHead) + "5;", std::string(pieceBytes, 'x') },
+        { "HTTP/1.1 200 OK\r\nX-Filler: ", std::string(pieceBytes, 'x') },
+        { "HTTP/1.1 200 OK\r\nX", shortFields(), Millis(1) },
+        { {}, std::string(pieceBytes, '\a') },
+    };
+    for (const Response& response : responses) {
+        CAPTURE(response.begin);
+        asio::io_context context;
+        const EndlessPeer peer(context, response.begin, response.repeated, response.pause);
+        HttpClient client(context.get_executor(), "127.0.0.1", peer.port(), 1, shortResponseLimits);
+        bool ended = false;
+        size_t lines = 0;
+        mostLargeInUse = largeInUse.load();
+        const size_t before = largeInUse;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                const auto count = [&](std::string_view) { return ++lines > 0; };
+                HttpCall call;
+                co_await client.stream(std::move(call), Millis(5'000), Millis(5'000), count);
+                ended = true;
+            },
+            asio::detached);
+        context.run_for(std::chrono::milliseconds(1'000));
+        CHECK(ended);
+        CHECK(lines == 0);
+        CHECK(peer.closed());
+        constexpr size_t buffers = 4 * largeBytes + 2 * responseBufferBytes; // of the peer and the reader
+        CHECK(mostLargeInUse - before <= 3 * shortResponseLimits.bodyBytes + buffers);
+    }
+}
+
+// A watch may last for as long as it likes if its lines end.
+TEST_CASE("a watch passes on each line, however much it receives in all")
+{
+    constexpr size_t lineBytes = 16'384;
+    asio::io_context context;
+    const EndlessPeer peer(context, chunkedHead, "4001\r\n" + std::string(lineBytes, 'x') + "\n\r\n");
+    HttpClient client(context.get_executor(), "127.0.0.1", peer.port(), 1, shortResponseLimits);
+    size_t lines = 0;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            constexpr size_t enough = 100;
+            const auto count = [&](std::string_view line) { return line.size() == lineBytes && ++lines < enough; };
+            HttpCall call;
+            co_await client.stream(std::move(call), Millis(5'000), Millis(5'000), count);
+        },
+        asio::detached);
+    context.run_for(std::chrono::milliseconds(1'000));
+    CHECK(lines == 100);
+}
