Responses that a client of the store reads at once share a bound

Callers saw, on systems of this kind: bytes without end in a body used up a host's memory, and the requests of all callers on it ended with it.

Cause: each response of the store has a bound of 64 MB, but calls run at once, and a body that grows takes up to three times its size while it is copied. Hosts have 260 MB. Responses of servers share a bound already; those of the store did not.

Evidence: the new test answers four calls at once with chunks without end.

Change: a client counts the bodies that it is reading as the pool of servers does, and the largest one is cut off when their bound is used up: 64 MB for the store, 196,608 bytes for orders or probes to one server.

Why it works: the count includes the copy that a body needs to grow, and is taken before it grows.

--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -59,6 +59,7 @@
     , m_port(port)
     , m_maxIdleConnections(maxIdleConnections)
     , m_limits(limits)
+    , m_memory(std::make_shared<ResponseMemory>(limits.clientBytes))
 {
 }
 
@@ -143,7 +144,8 @@
     beast::flat_buffer buffer(responseBufferBytes);
     PeerResponse response;
     const bool toHead = call.verb == http::verb::head;
-    const ReadResult read = co_await readResponse(*stream, buffer, toHead, m_limits, nullptr, response);
+    const auto memory = m_memory; // the client may end before a call that is never resumed
+    const ReadResult read = co_await readResponse(*stream, buffer, toHead, m_limits, memory.get(), response);
     if (read.error) {
         stream.reset();
         co_return unansweredReply();
--- a/packages/web/HttpClient.h
+++ b/packages/web/HttpClient.h
@@ -75,6 +75,7 @@
     uint16_t m_port;
     size_t m_maxIdleConnections;
     ResponseLimits m_limits;
+    std::shared_ptr<ResponseMemory> m_memory; // calls in progress share it
     std::vector<Stream> m_idle;
 };
 
--- a/packages/web/ResponseReader.h
+++ b/packages/web/ResponseReader.h
@@ -19,10 +19,11 @@
     uint32_t headerBytes = 65'536; // of each header, interim responses' included
     uint64_t bodyBytes = 64'000'000;
     unsigned interimResponses = 8; // before the final response
+    size_t clientBytes = 64'000'000; // of all bodies that a client is reading, copies that they need to grow included
 };
 
 // For responses to orders and probes: thousands of servers may answer one host at a time.
-constexpr ResponseLimits shortResponseLimits { 16'384, 65'536, 8 };
+constexpr ResponseLimits shortResponseLimits { 16'384, 65'536, 8, 196'608 };
 
 // Of a buffer from which responses are read: more than a header, and more than a chunk's extensions or a trailer need.
 constexpr size_t responseBufferBytes = 262'144;
--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -55,41 +55,58 @@
 
 namespace {
 
-// Accepts one connection and sends a response without end, until the connection is closed.
+// Sends a response without end on each of some connections, until the other end closes it.
 class EndlessPeer {
 public:
     // `pause`: between two writes, so that each is read by itself.
-    EndlessPeer(asio::io_context& context, std::string begin, std::string repeated, Millis pause = Millis(0))
+    EndlessPeer(asio::io_context& context, std::string begin, std::string repeated, Millis pause = Millis(0),
+        size_t connections = 1)
         : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_begin(std::move(begin))
+        , m_repeated(std::move(repeated))
         , m_pause(pause)
+        , m_connections(connections)
     {
-        asio::co_spawn(context, send(std::move(begin), std::move(repeated)), asio::detached);
+        asio::co_spawn(context, accept(), asio::detached);
     }
 
     uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     size_t sent() const { return m_sent; } // bytes
-    bool closed() const { return m_closed; }
+    bool closed() const { return m_closed == m_connections; } // all connections
 
 private:
-    asio::awaitable<void> send(std::string begin, std::string repeated)
+    static constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+    asio::awaitable<void> accept()
+    {
+        for (size_t i = 0; i < m_connections; ++i) {
+            auto [error, socket] = co_await m_acceptor.async_accept(token);
+            if (error)
+                co_return;
+            asio::co_spawn(m_acceptor.get_executor(), send(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> send(tcp::socket socket)
     {
-        constexpr auto token = asio::as_tuple(asio::use_awaitable);
-        tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
-        for (std::string next = begin;; next = repeated) {
-            const auto [error, bytes] = co_await asio::async_write(socket, asio::buffer(next), token);
+        for (const std::string* next = &m_begin;; next = &m_repeated) {
+            const auto [error, bytes] = co_await asio::async_write(socket, asio::buffer(*next), token);
             m_sent += bytes;
             if (error)
                 break;
             if (m_pause > Millis(0))
                 co_await sleepFor(m_pause);
         }
-        m_closed = true;
+        ++m_closed;
     }
 
     tcp::acceptor m_acceptor;
+    std::string m_begin;
+    std::string m_repeated;
     Millis m_pause;
+    size_t m_connections;
     size_t m_sent = 0;
-    bool m_closed = false;
+    size_t m_closed = 0;
 };
 
 constexpr const char* chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -199,6 +216,33 @@
     CHECK(peer.sent() < 2 * shortResponseLimits.headerBytes);
 }
 
+// Guards against a store of which several responses together use up the host's memory.
+TEST_CASE("responses without end to calls that run at once share one bound")
+{
+    constexpr size_t calls = 4;
+    asio::io_context context;
+    const EndlessPeer peer(context, chunkedHead, largeChunk(), Millis(0), calls);
+    HttpClient client(context.get_executor(), "127.0.0.1", peer.port());
+    size_t failed = 0;
+    mostLargeInUse = largeInUse.load();
+    const size_t before = largeInUse;
+    for (size_t i = 0; i < calls; ++i)
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                HttpCall call;
+                const HttpReply reply = co_await client.send(std::move(call), Millis(5'000));
+                failed += !reply.hasResponse();
+            },
+            asio::detached);
+    context.run_for(std::chrono::milliseconds(2'000));
+    CHECK(failed == calls);
+    CHECK(peer.closed());
+    constexpr size_t mostBytes = 64'000'000;
+    constexpr size_t buffers = 2 * largeBytes + calls * responseBufferBytes; // of the peer and the reader
+    CHECK(mostLargeInUse - before <= mostBytes + buffers);
+}
+
 // Guards against a watch of the store whose response uses up the host's memory.
 TEST_CASE("a watch whose response never ends a line, a head or a chunk is given up at its bound")
 {
