A stopping host sends no request that may outlast its grace period

Callers saw, on systems of this kind: in a planned stop, in calm, requests that came late in the grace period were taken and passed on. At its end they were cut with no answer, among them claims, which may not be repeated.

Cause: a stopping host stopped accepting connections and closed idle ones, but a request that it had read was treated as always: it could wait in a queue and be sent to a server at any time until the process was killed, with a deadline seconds later. An upload that ends late, a connection on which a caller is slow, and a full queue all bring that about.

Change: a pure decision, ShutdownWindow: a request whose deadline is before the end is sent as always, since it is answered by then, at the latest with a timeout. Any other one is sent only in the first half of the period: a server that needs longer than the other half is failing. What may no longer be sent is refused at once with 503, shutting-down and a Retry-After, from the head of the request on, so that an upload isn't received for nothing. Queued requests wait no longer than they may be sent. A host that forwards asks the next one.

Why it works: 503 is true, as nothing was sent; all other hosts serve the caller when it returns.

The end is the one that the host already kept to for its last log lines, half a second before it is killed.

--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -201,6 +201,7 @@
             // The process is killed when the grace period ends; the last log lines must be written before.
             constexpr Millis killMargin { 500 };
             const Instant until = m_clock.now() + m_settings.gateway->shutdownGrace - killMargin;
+            m_gateway.stopBy(until);
             asio::co_spawn(
                 m_controlContext, m_controller.leave(until), [this](std::exception_ptr) { m_leaveFinished = true; });
             if (m_forwarded)
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -148,6 +148,16 @@
 
 bool Gateway::ready() const { return m_rules && m_hasReadStore; }
 
+// Requests that wait for a server are queued again, until the time up to which they may be sent.
+void Gateway::stopBy(Instant end)
+{
+    m_shutdown.emplace(m_clock.now(), end);
+    for (const auto& [id, server] : m_servers.inUse()) {
+        server->pool.evictQueue();
+        m_slots.evict(id);
+    }
+}
+
 // --- From control
 
 void Gateway::apply(GatewayUpdate update)
@@ -241,6 +251,12 @@
     return std::max(1.0, slackFraction * m_options.settings.retrySlack / static_cast<double>(m_hosts));
 }
 
+Millis Gateway::callerTimeout(const CallerHeader& header, const HostRoute& route) const
+{
+    const auto timeLeft = numberIn(header[m_names.timeLeft], 0);
+    return timeLeft ? Millis(timeLeft) : route.timeout;
+}
+
 ErrorKind Gateway::prepare(Job& job)
 {
     if (!m_rules)
@@ -258,15 +274,14 @@
     if (hasMoved && job.forwardedRules > m_rules->revision)
         return ErrorKind::NotFresh;
     job.priority = classOf(*job.route);
-    const auto timeLeft = numberIn(request[m_names.timeLeft], 0);
-    const Millis callerTimeout = timeLeft ? Millis(timeLeft) : job.route->timeout;
-    job.callerDeadline = job.arrived + callerTimeout;
+    const Millis timeout = callerTimeout(request, *job.route);
+    job.callerDeadline = job.arrived + timeout;
     job.deadline = std::min(job.callerDeadline - callerRoundTrip, job.arrived + job.route->timeout);
     // A caller that retries sends less remaining time than in its first attempt. The target is earlier by the
     // difference to the longest time seen on this route.
     Millis& longest = m_longestCallerTimeout[job.route->name];
-    longest = std::max(longest, callerTimeout);
-    job.target = job.arrived + job.route->target - (longest - callerTimeout) - callerRoundTrip;
+    longest = std::max(longest, timeout);
+    job.target = job.arrived + job.route->target - (longest - timeout) - callerRoundTrip;
     job.service = job.route->hasService(job.forwardedService) ? job.forwardedService : m_splits.next(*job.route);
     const RoutedService* service = m_rules->service(job.service);
     job.keyed = service && service->keyed;
@@ -572,7 +587,8 @@
 
 SlotRequest Gateway::slotRequestOf(const Job& job) const
 {
-    return { 0, job.priority, job.route->priority, job.arrived, job.target, job.deadline };
+    const Instant deadline = m_shutdown ? m_shutdown->latestSend(job.deadline) : job.deadline;
+    return { 0, job.priority, job.route->priority, job.arrived, job.target, deadline };
 }
 
 void Gateway::releaseSlot(Job& job, Upstream& server, Millis took, bool refused)
@@ -584,6 +600,8 @@
 
 asio::awaitable<ErrorKind> Gateway::tryOnce(Job& job, CallerResponse& response)
 {
+    if (!maySend(m_clock.now(), job.deadline))
+        co_return ErrorKind::ShuttingDown;
     Located at = locate(job);
     if (at.error != ErrorKind::None) {
         job.readyAt = at.readyAt;
@@ -642,7 +660,7 @@
         = server->outOfUse() || server->backingOff(connectedAt) || !m_servers.isRegistered(server->entry.id);
     const bool moved = job.keyed ? locate(job).server != server : closed;
     const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
-    const bool late = connectedAt + leastTime >= job.deadline;
+    const bool late = connectedAt + leastTime >= job.deadline || !maySend(connectedAt, job.deadline);
     // Keyed services need no check: a restarted server holds no keys, and refuses requests for them until its entry is
     // known.
     const bool restarted = !job.keyed && !server->recordConnected(connectedAt);
@@ -876,6 +894,7 @@
             std::max(minRetryAfter, at.server ? at.server->pool.expectedWait(job.priority) : minRetryAfter));
     }
     case ErrorKind::Moving:
+    case ErrorKind::ShuttingDown: // another host serves the caller at once
         return withJitter(minRetryAfter);
     case ErrorKind::ServerRefused: {
         // The server had a free slot and refuses single requests: nothing is gained by a later return.
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include "callers/CallerServer.h"
 #include "decisions/RetryBudget.h"
 #include "decisions/RouteRules.h"
+#include "decisions/ShutdownWindow.h"
 #include "decisions/WarmUp.h"
 #include "gateway/ForwardHeaders.h"
 #include "gateway/Messages.h"
@@ -59,6 +60,7 @@
     // --- From control
     void apply(GatewayUpdate);
     void start(); // starts the periodic reports
+    void stopBy(Instant end); // the process ends then; see ShutdownWindow.h
 
     // --- From callers
     RequestPolicy requestPolicy(const CallerHeader&) override;
@@ -86,6 +88,8 @@
     void applyShares(const HostShares&);
     void evictMoved(const GrantTable& before, const GrantTable& after);
     ErrorKind prepare(Job&);
+    Millis callerTimeout(const CallerHeader&, const HostRoute&) const;
+    bool maySend(Instant now, Instant deadline) const { return !m_shutdown || m_shutdown->maySend(now, deadline); }
     // NotFresh in place of an error that is final by rules which may not be the newest.
     ErrorKind confirmedError(ErrorKind, bool forwarded) const;
     CallerResponse refuseUnhandled(ErrorKind, const CallerHeader&);
@@ -150,6 +154,7 @@
     std::shared_ptr<const RouteRules> m_rules; // null until the first rules arrive
     RulesValidity m_rulesValidity;
     bool m_hasReadStore = false; // until then most servers may be unknown
+    std::optional<ShutdownWindow> m_shutdown; // while this host is stopping
     std::shared_ptr<ResponseMemory> m_responseMemory;
     UpstreamRegistry m_servers;
     SlotExchange m_slots;
--- a/packages/gateway/GatewayForwarding.cpp
+++ b/packages/gateway/GatewayForwarding.cpp
@@ -77,7 +77,8 @@
         excluded = m_queries.hostsWithout(server.entry.id);
     bool unreachableElsewhere = !excluded.empty() && !m_forwarder.choose(excluded);
     while (targets < maxTargets && !job.presence.disconnected) {
-        if (m_clock.now() >= job.deadline)
+        const Instant now = m_clock.now();
+        if (now >= job.deadline || !maySend(now, job.deadline))
             co_return ErrorKind::DeadlineBeforeSend;
         const auto target = m_forwarder.choose(excluded);
         if (!target)
@@ -100,8 +101,8 @@
         if (!result)
             continue; // nothing was sent
         const auto [error, sends, servedBy] = recordForwarded(job, *target, *result);
-        // The other host has other rules. One of a former version says so by a final error.
-        if (error == ErrorKind::NotFresh || errorInfo(error).restsOnRules)
+        // The other host has other rules, or is stopping. One of a former version says the first by a final error.
+        if (error == ErrorKind::NotFresh || error == ErrorKind::ShuttingDown || errorInfo(error).restsOnRules)
             continue;
         if (error == ErrorKind::ServerUnreachable) {
             unreachableElsewhere |= servedBy == server.entry.id;
--- a/packages/gateway/GatewayRules.cpp
+++ b/packages/gateway/GatewayRules.cpp
@@ -17,6 +17,10 @@
     const HostRoute* route = m_rules->match(hostOf(header[http::field::host]), pathOf(header.target()));
     if (!route)
         return { ErrorKind::UnknownService, 0 };
+    // Its body may take longer still.
+    const Instant now = m_clock.now();
+    if (!maySend(now, now + std::min(callerTimeout(header, *route), route->timeout)))
+        return { ErrorKind::ShuttingDown, 0 };
     return { ErrorKind::None, m_rules->bounds.bodyBytes, route->idempotent() };
 }
 
