Readers of requests have bounds in bytes like those of responses

Callers saw, on systems of this kind: bytes without end were kept until the host ran out of memory, with the requests of all its other callers.

Cause: the two readers of requests, for callers and other hosts and for operators, read into a buffer without a bound, in which a chunk's extension or a trailer grows, and relied on the parser's limit of a head, which holds for each read alone.

Evidence: the new test sends such requests to both. On the former code 8 of 16 checks failed: the caller was read from until its time limit (408, in place of 400 or 431), operators' requests until the test had sent 32 MB.

Change: both read heads as responses' heads are read, so that all fields count together, and their buffers have a bound; that of callers grows with the operators' limit of a head. Continued lines in requests are joined as before.

Test: 16 of 16 now, and all of the callers' tests (5,198 checks).

--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -282,7 +282,9 @@
     parser.body_limit(boost::none);
     m_requestDeadline = m_context->clock.now() + m_context->limits.headerTimeout;
     m_timedOut = false;
-    const auto [error, bytesRead] = co_await http::async_read_header(m_stream, m_buffer, parser, token);
+    const size_t maxBytes = m_context->limits.headerBytes;
+    m_buffer.max_size(std::max(m_buffer.max_size(), maxBytes + readBufferBytes));
+    const beast::error_code error = co_await readHead(m_stream, m_buffer, parser, maxBytes);
     if (!error)
         co_return ErrorKind::None;
     if (m_timedOut)
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -12,6 +12,7 @@
 #include "base/Metrics.h"
 #include "callers/CallerServer.h"
 #include "decisions/LineBudget.h"
+#include "web/HeadReader.h"
 #include "web/Signal.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -133,7 +134,7 @@
 
     std::shared_ptr<CallerContext> m_context;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { readBufferBytes }; // at the most, or more if a head may be larger
     std::string m_address; // the caller's IP address
     Exchanges m_exchanges; // in the order of the requests
     Signal m_progress; // notified when a response has been written or the connection ends
--- a/packages/web/HeadReader.cpp
+++ b/packages/web/HeadReader.cpp
@@ -51,8 +51,9 @@
 
 }
 
+template <bool isRequest>
 asio::awaitable<beast::error_code> readHead(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer, http::basic_parser<false>& parser, size_t maxBytes)
+    beast::tcp_stream& stream, beast::flat_buffer& buffer, http::basic_parser<isRequest>& parser, size_t maxBytes)
 {
     size_t consumed = 0;
     for (;;) {
@@ -60,7 +61,7 @@
         if (buffer.size()) {
             // The parser would join such a line to the one before it. It consumes whole lines, so the buffer begins
             // with one.
-            if (hasContinuedLine(textOf(buffer)))
+            if (!isRequest && hasContinuedLine(textOf(buffer)))
                 co_return http::error::bad_field;
             const size_t parsed = parser.put(buffer.data(), error);
             buffer.consume(parsed);
@@ -81,4 +82,9 @@
     }
 }
 
+template asio::awaitable<beast::error_code> readHead(
+    beast::tcp_stream&, beast::flat_buffer&, http::basic_parser<true>&, size_t);
+template asio::awaitable<beast::error_code> readHead(
+    beast::tcp_stream&, beast::flat_buffer&, http::basic_parser<false>&, size_t);
+
 }
--- a/packages/web/HeadReader.h
+++ b/packages/web/HeadReader.h
@@ -9,10 +9,22 @@
 namespace cumindale {
 
 // Leaves what follows the head in the buffer. Errors: those of the stream, and those of boost::beast::http for a
-// malformed head and for one of more than `maxBytes`: the parser's own limit holds for each read alone. A field that is
-// continued on a further line (obs-fold, RFC 9112, section 5.2) is malformed: a peer whose bytes are corrupted sends
-// such a line for a field of its own, which may be the one that says where the body ends.
-boost::asio::awaitable<boost::beast::error_code> readHead(
-    boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<false>&, size_t maxBytes);
+// malformed head and for one of more than `maxBytes`: the parser's own limit holds for each read alone.
+//
+// In a response, a field that is continued on a further line (obs-fold, RFC 9112, section 5.2) is malformed: a peer
+// whose bytes are corrupted sends such a line for a field of its own, which may be the one that says where the body
+// ends. In a request, the parser joins the lines.
+template <bool isRequest>
+boost::asio::awaitable<boost::beast::error_code> readHead(boost::beast::tcp_stream&, boost::beast::flat_buffer&,
+    boost::beast::http::basic_parser<isRequest>&, size_t maxBytes);
+
+extern template boost::asio::awaitable<boost::beast::error_code> readHead(
+    boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<true>&, size_t);
+extern template boost::asio::awaitable<boost::beast::error_code> readHead(
+    boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<false>&, size_t);
+
+// Of a buffer from which requests or responses are read, beyond a head: more than a chunk's extensions or a trailer
+// need.
+constexpr size_t readBufferBytes = 262'144;
 
 }
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -1,6 +1,5 @@
 #include "web/HttpClient.h"
 
-#include "web/HeadReader.h"
 #include "web/ResponseReader.h"
 #include "web/Sockets.h"
 
--- a/packages/web/HttpServer.cpp
+++ b/packages/web/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "web/HttpServer.h"
 
+#include "web/HeadReader.h"
 #include "web/Sockets.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -63,12 +64,15 @@
     {
         beast::tcp_stream stream(std::move(socket));
         const OpenConnection openConnection(open, stream);
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxControlHeaderBytes + readBufferBytes);
         for (;;) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(maxControlBodyBytes);
             parser.header_limit(maxControlHeaderBytes);
             stream.expires_after(idleTimeout);
+            const beast::error_code headError = co_await readHead(stream, buffer, parser, maxControlHeaderBytes);
+            if (headError)
+                co_return;
             const auto [readError, got] = co_await http::async_read(stream, buffer, parser, token);
             if (readError)
                 co_return;
--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -1,6 +1,5 @@
 #include "web/ResponseReader.h"
 
-#include "web/HeadReader.h"
 #include "web/Sockets.h"
 
 #include <algorithm>
--- a/packages/web/ResponseReader.h
+++ b/packages/web/ResponseReader.h
@@ -1,6 +1,7 @@
 // Reads one HTTP/1.1 response from a peer that may be faulty, within bounds.
 #pragma once
 
+#include "web/HeadReader.h"
 #include "web/ResponseMemory.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -26,7 +27,7 @@
 constexpr ResponseLimits shortResponseLimits { 16'384, 65'536, 8, 196'608 };
 
 // Of a buffer from which responses are read: more than a header, and more than a chunk's extensions or a trailer need.
-constexpr size_t responseBufferBytes = 262'144;
+constexpr size_t responseBufferBytes = readBufferBytes;
 
 // Which bound a response exceeded.
 enum class ResponseBound : uint8_t {
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -1,5 +1,6 @@
 // Requests that callers send before earlier ones on the same connection are answered, and callers that read slowly.
 #include "callers/CallerServer.h"
+#include "web/HttpServer.h"
 #include "web/Signal.h"
 
 #include <algorithm>
@@ -87,6 +88,19 @@
 
     void send(const std::string& bytes) { asio::write(m_socket, asio::buffer(bytes)); }
 
+    // Until so many bytes are sent or the connection fails. Returns how many were sent. `pause`: so that the server
+    // reads each piece by itself.
+    size_t sendRepeated(const std::string& begin, const std::string& repeated, size_t bytes, Millis pause = Millis(0))
+    {
+        boost::system::error_code error;
+        size_t sent = asio::write(m_socket, asio::buffer(begin), error);
+        while (!error && sent < bytes) {
+            sent += asio::write(m_socket, asio::buffer(repeated), error);
+            std::this_thread::sleep_for(pause);
+        }
+        return sent;
+    }
+
     std::optional<ReceivedResponse> receive()
     {
         http::response<http::string_body> response;
@@ -444,3 +458,49 @@
     CHECK(caller.receive());
     CHECK(fixture.metric("callers_closed_undelivered") == 0);
 }
+
+// Guards against callers that use up the host's memory with a request that never ends, in parts that no limit of the
+// operators is for.
+TEST_CASE("requests without end in short fields or in a chunk's extension are given up at a bound")
+{
+    constexpr size_t pieceBytes = 8'192;
+    constexpr size_t enough = 8'000'000; // more than the bound and the sockets' buffers
+    constexpr size_t fields = 30;
+    std::string shortFields;
+    for (size_t i = 0; i < fields; ++i)
+        shortFields += "-Filler: 1\r\nX";
+    struct Request {
+        std::string begin;
+        std::string repeated;
+        size_t most = enough;
+        Millis pause { 0 };
+        int status = 400;
+    };
+    CallerLimits limits;
+    limits.headerTimeout = limits.bodyIdleTimeout = Millis(2'000);
+    const std::string chunked = "POST /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Request> requests {
+        { chunked + "5;", std::string(pieceBytes, 'x') },
+        { chunked, std::string(pieceBytes, ' ') },
+        { chunked + "0\r\nX-End: ", std::string(pieceBytes, 'x') },
+        { "GET /fields HTTP/1.1\r\nX", shortFields, 4 * limits.headerBytes, Millis(1), 431 },
+    };
+    for (const Request& request : requests) {
+        CAPTURE(request.begin);
+        CallerFixture fixture(limits);
+        TestCaller caller(fixture.port);
+        caller.sendRepeated(request.begin, request.repeated, request.most, request.pause);
+        const auto refusal = caller.receive(); // what follows the response is discarded
+        REQUIRE(refusal);
+        CHECK(refusal->status == request.status);
+        CHECK_FALSE(refusal->keepAlive);
+        HttpServer control(fixture.context.get_executor(), "127.0.0.1", 0,
+            [](const ServedRequest&, boost::beast::tcp_stream&) -> asio::awaitable<std::optional<ServedResponse>> {
+                co_return makeResponse(200, "{}");
+            });
+        constexpr size_t controlFactor = 4; // its bound of a head is larger
+        TestCaller operators(control.port());
+        const size_t most = request.most * controlFactor;
+        CHECK(operators.sendRepeated(request.begin, request.repeated, most, request.pause) < most);
+    }
+}
