A stopping host weighs how long servers usually take for a request

Callers saw, on systems of this kind: requests that had come in the grace period of a planned stop, at servers that took seconds for them, were cut at its end without an answer.

Cause: with a deadline beyond the end, requests were sent in the first half of the period whatever time their servers take, though the host measures it.

Change: such a request is sent only if four times its usual duration fits into what is left, too; the choice of the server knows it, so a refusal comes before the request waits for a slot.

Why it works: few requests take longer than four times the usual time; the rest of the rule is as before, and a request that times out before the end is always sent.

--- a/packages/decisions/ShutdownWindow.h
+++ b/packages/decisions/ShutdownWindow.h
@@ -5,8 +5,8 @@
 // that a server is working on then is cut off without an answer, and its caller can't tell whether it ran.
 //
 // A request whose deadline comes before the end is answered before the end, at the latest with a timeout. Any other one
-// may be sent in the first half of the grace period: a server that needs longer than the second half is failing.
-// Later it is refused, so that its caller can use another host at once.
+// may be sent in the first half of the grace period if several times its usual duration fits into what is left.
+// Otherwise it is refused, so that its caller can use another host at once.
 #pragma once
 
 #include "base/Time.h"
@@ -23,11 +23,21 @@
     {
     }
 
-    // The last time at which a request with this deadline may be sent.
-    Instant latestSend(Instant deadline) const { return deadline <= m_end ? deadline : std::min(deadline, m_half); }
-    bool maySend(Instant now, Instant deadline) const { return now <= latestSend(deadline); }
+    // The last time at which a request with this deadline may be sent. `usual`: time that servers take for such a
+    // request, as far as it is known.
+    Instant latestSend(Instant deadline, Millis usual = Millis(0)) const
+    {
+        return deadline <= m_end ? deadline : std::min(m_half, m_end - usual * usualFactor);
+    }
+    bool maySend(Instant now, Instant deadline, Millis usual = Millis(0)) const
+    {
+        return now <= latestSend(deadline, usual);
+    }
 
 private:
+    // Few requests take longer than this many times the usual duration, unless their server fails.
+    static constexpr int usualFactor = 4;
+
     Instant m_half;
     Instant m_end;
 };
--- a/packages/gateway/Gateway.cpp
+++ b/packages/gateway/Gateway.cpp
@@ -619,9 +619,11 @@
         job.waited = true;
         co_return ErrorKind::Moving;
     }
+    const Instant asked = m_clock.now();
+    if (!maySend(asked, job.deadline, server->pool.admission().meanWork(job.priority)))
+        co_return ErrorKind::ShuttingDown;
     if (mustForward(job, *server))
         co_return co_await forward(job, *server, response);
-    const Instant asked = m_clock.now();
     ErrorKind refused = ErrorKind::None;
     if (m_slots.appliesTo(*server, *job.rules, m_hosts, asked))
         refused = co_await takeGrantedSlot(job, server);
@@ -659,8 +661,8 @@
     const bool closed
         = server->outOfUse() || server->backingOff(connectedAt) || !m_servers.isRegistered(server->entry.id);
     const bool moved = job.keyed ? locate(job).server != server : closed;
-    const Millis leastTime = server->pool.admission().meanWork(job.priority) / 2;
-    const bool late = connectedAt + leastTime >= job.deadline || !maySend(connectedAt, job.deadline);
+    const Millis usual = server->pool.admission().meanWork(job.priority);
+    const bool late = connectedAt + usual / 2 >= job.deadline || !maySend(connectedAt, job.deadline, usual);
     // Keyed services need no check: a restarted server holds no keys, and refuses requests for them until its entry is
     // known.
     const bool restarted = !job.keyed && !server->recordConnected(connectedAt);
--- a/packages/gateway/Gateway.h
+++ b/packages/gateway/Gateway.h
@@ -89,7 +89,11 @@
     void evictMoved(const GrantTable& before, const GrantTable& after);
     ErrorKind prepare(Job&);
     Millis callerTimeout(const CallerHeader&, const HostRoute&) const;
-    bool maySend(Instant now, Instant deadline) const { return !m_shutdown || m_shutdown->maySend(now, deadline); }
+    // False while this host is stopping if there would be no answer before its end. `usual`: see ShutdownWindow.
+    bool maySend(Instant now, Instant deadline, Millis usual = Millis(0)) const
+    {
+        return !m_shutdown || m_shutdown->maySend(now, deadline, usual);
+    }
     // NotFresh in place of an error that is final by rules which may not be the newest.
     ErrorKind confirmedError(ErrorKind, bool forwarded) const;
     CallerResponse refuseUnhandled(ErrorKind, const CallerHeader&);
--- a/tests/shutdown_window_test.cpp
+++ b/tests/shutdown_window_test.cpp
@@ -28,6 +28,17 @@
     }
 }
 
+// Guards against requests that servers usually take seconds for.
+TEST_CASE("a slow request is sent only if several times its usual duration fits into the grace period")
+{
+    const ShutdownWindow window(begin, begin + grace);
+    const Instant never = begin + Millis(60'000);
+    CHECK(window.maySend(begin + Millis(1'500), never, Millis(1'000)));
+    CHECK_FALSE(window.maySend(begin + Millis(1'501), never, Millis(1'000)));
+    CHECK_FALSE(window.maySend(begin, never, Millis(3'500)));
+    CHECK(window.maySend(begin, begin + grace, Millis(3'500))); // it times out before the end
+}
+
 TEST_CASE("a request waits for its server no longer than it may be sent")
 {
     const ShutdownWindow window(begin, begin + grace);
