A response in whose trailer a line begins with a blank is no response

Callers saw, on systems of this kind: a line whose name held a blank was passed on.

Cause: as in heads, the parser joins a line that begins with a blank or a tab to the field before it. The fields of a trailer are passed on too.

Evidence: the test puts its 20 malformed lines into trailers, first and behind another field.

Change: when the parser comes to the last chunk, the rest of the buffer is looked through as heads are.

Why it works: the parser goes on to the last chunk only once the whole trailer is in the buffer.

--- a/packages/web/HeadReader.cpp
+++ b/packages/web/HeadReader.cpp
@@ -24,21 +24,6 @@
         return { static_cast<const char*>(bytes.data()), bytes.size() };
     }
 
-    // `head` begins at the start of a line, and may end anywhere.
-    bool hasContinuedLine(std::string_view head)
-    {
-        constexpr std::string_view lineEnd = "\r\n";
-        while (!head.empty() && !head.starts_with(lineEnd)) {
-            if (head.front() == ' ' || head.front() == '\t')
-                return true;
-            const size_t end = head.find(lineEnd);
-            if (end == std::string_view::npos)
-                return false;
-            head.remove_prefix(end + lineEnd.size());
-        }
-        return false;
-    }
-
     asio::awaitable<beast::error_code> receive(beast::tcp_stream& stream, beast::flat_buffer& buffer)
     {
         const size_t room = beast::read_size(buffer, mostBytesRead);
@@ -51,6 +36,20 @@
 
 }
 
+bool hasContinuedLine(std::string_view text)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    while (!text.empty() && !text.starts_with(lineEnd)) {
+        if (text.front() == ' ' || text.front() == '\t')
+            return true;
+        const size_t end = text.find(lineEnd);
+        if (end == std::string_view::npos)
+            return false;
+        text.remove_prefix(end + lineEnd.size());
+    }
+    return false;
+}
+
 template <bool isRequest>
 asio::awaitable<beast::error_code> readHead(
     beast::tcp_stream& stream, beast::flat_buffer& buffer, http::basic_parser<isRequest>& parser, size_t maxBytes)
--- a/packages/web/HeadReader.h
+++ b/packages/web/HeadReader.h
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <string_view>
 
 namespace cumindale {
 
@@ -23,6 +24,10 @@
 extern template boost::asio::awaitable<boost::beast::error_code> readHead(
     boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<false>&, size_t);
 
+// Whether a line begins with a blank or a tab, up to an empty line. The text begins at the start of a line, and may end
+// anywhere.
+bool hasContinuedLine(std::string_view);
+
 // Of a buffer from which requests or responses are read, beyond a head: more than a chunk's extensions or a trailer
 // need.
 constexpr size_t readBufferBytes = 262'144;
--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -53,6 +53,16 @@
         std::optional<ResponseMemory::Reader> reader;
         if (memory)
             reader.emplace(*memory, [&stream] { resetConnection(stream); });
+        // The whole trailer is in the buffer when the parser comes to the last chunk.
+        auto checkTrailer = [&buffer](uint64_t chunkBytes, std::string_view extensions, beast::error_code& error) {
+            constexpr size_t lineEnd = 2;
+            const auto bytes = buffer.cdata();
+            const char* begin = extensions.data() + extensions.size() + lineEnd;
+            const char* end = static_cast<const char*>(bytes.data()) + bytes.size();
+            if (!chunkBytes && hasContinuedLine({ begin, static_cast<size_t>(end - begin) }))
+                error = http::error::bad_field;
+        };
+        parser.on_chunk_header(checkTrailer);
         parser.eager(true);
         while (!parser.is_done()) {
             const auto [error, bytesRead] = co_await http::async_read_some(stream, buffer, parser, token);
