--- a/packages/backends/ServerPool.h
+++ b/packages/backends/ServerPool.h
@@ -70,7 +70,7 @@
     const Clock& m_clock;
     boost::beast::tcp_stream m_stream;
     std::shared_ptr<ResponseMemory> m_memory;
-    boost::beast::flat_buffer m_buffer { responseBufferBytes };
+    boost::beast::flat_buffer m_buffer { readBufferBytes };
     std::vector<CarriedRequest> m_carried; // whose deadlines hadn't passed at the last exchange
     Millis m_serverIdleTimeout { Millis::max() };
     uint16_t m_localPort = 0;
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -134,7 +134,7 @@
 
     std::shared_ptr<CallerContext> m_context;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer { readBufferBytes }; // at the most, or more if a head may be larger
+    boost::beast::flat_buffer m_buffer { readBufferBytes }; // readHeader() raises the limit to admit larger heads
     std::string m_address; // the caller's IP address
     Exchanges m_exchanges; // in the order of the requests
     Signal m_progress; // notified when a response has been written or the connection ends
--- a/packages/web/HeadReader.h
+++ b/packages/web/HeadReader.h
@@ -28,8 +28,8 @@
 // anywhere.
 bool hasContinuedLine(std::string_view);
 
-// Of a buffer from which requests or responses are read, beyond a head: more than a chunk's extensions or a trailer
-// need.
+// Limit of a buffer from which messages are read: more than a response's head, a chunk's extensions or a trailer need.
+// Where the limit of a head can be set, it is added.
 constexpr size_t readBufferBytes = 262'144;
 
 }
--- a/packages/web/HttpClient.cpp
+++ b/packages/web/HttpClient.cpp
@@ -140,7 +140,7 @@
         stream.reset();
         co_return unansweredReply();
     }
-    beast::flat_buffer buffer(responseBufferBytes);
+    beast::flat_buffer buffer(readBufferBytes);
     PeerResponse response;
     const bool toHead = call.verb == http::verb::head;
     const auto memory = m_memory; // the client may end before a call that is never resumed
@@ -167,7 +167,7 @@
     const auto [writeError, written] = co_await http::async_write(*stream, request, token);
     if (writeError)
         co_return;
-    beast::flat_buffer buffer(responseBufferBytes);
+    beast::flat_buffer buffer(readBufferBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none); // a watch lasts: only its lines have a bound
     stream->expires_after(connectTimeout);
--- a/packages/web/ResponseReader.h
+++ b/packages/web/ResponseReader.h
@@ -26,9 +26,6 @@
 // For responses to orders and probes: thousands of servers may answer one host at a time.
 constexpr ResponseLimits shortResponseLimits { 16'384, 65'536, 8, 196'608 };
 
-// Of a buffer from which responses are read: more than a header, and more than a chunk's extensions or a trailer need.
-constexpr size_t responseBufferBytes = readBufferBytes;
-
 // Which bound a response exceeded.
 enum class ResponseBound : uint8_t {
     None,
@@ -50,7 +47,7 @@
 // Interim responses (1xx, RFC 9110, section 15.2) are read past. Errors: those of the stream, and those of
 // boost::beast::http for a malformed response, one beyond a bound, and 101, as no request asks for an upgrade. After an
 // error the connection can't be used. `toHead`: the response is to a HEAD request and has no body. `buffer` keeps what
-// follows the response; its limit is responseBufferBytes. `memory`: counts the body while it is read, or null.
+// follows the response; its limit is readBufferBytes. `memory`: counts the body while it is read, or null.
 boost::asio::awaitable<ReadResult> readResponse(boost::beast::tcp_stream&, boost::beast::flat_buffer& buffer,
     bool toHead, ResponseLimits, ResponseMemory* memory, PeerResponse&);
 
--- a/tests/response_reader_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -113,6 +113,24 @@
 
 std::string largeChunk() { return "10000\r\n" + std::string(0x10000, 'x') + "\r\n"; }
 
+// Sends one call, to a peer that must not be taken to have responded.
+void checkGivenUp(asio::io_context& context, const EndlessPeer& peer)
+{
+    HttpClient client(context.get_executor(), "127.0.0.1", peer.port(), 1, shortResponseLimits);
+    HttpReply reply;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            HttpCall call;
+            reply = co_await client.send(std::move(call), Millis(5'000));
+        },
+        asio::detached);
+    context.run_for(std::chrono::milliseconds(2'000));
+    CHECK_FALSE(reply.hasResponse());
+    CHECK(reply.mayHaveArrived);
+    CHECK(peer.closed());
+}
+
 }
 
 // Guards against a body that takes twice its bound while it is copied to larger storage.
@@ -129,7 +147,7 @@
         context,
         [&]() -> asio::awaitable<void> {
             boost::beast::tcp_stream stream(context);
-            boost::beast::flat_buffer buffer(responseBufferBytes);
+            boost::beast::flat_buffer buffer(readBufferBytes);
             PeerResponse response;
             CHECK(co_await connectTo(stream, "127.0.0.1", peer.port(), Millis(1'000)));
             result = co_await readResponse(stream, buffer, false, {}, &memory, response);
@@ -140,7 +158,7 @@
     CHECK(result.bound == ResponseBound::Memory);
     CHECK(memory.used() == 0);
     CHECK(peer.closed());
-    constexpr size_t buffers = 4 * largeBytes + responseBufferBytes; // of the peer and the reader
+    constexpr size_t buffers = 4 * largeBytes + readBufferBytes; // of the peer and the reader
     CHECK(mostLargeInUse - before <= limit + buffers);
 }
 
@@ -163,19 +181,7 @@
         CAPTURE(response.begin);
         asio::io_context context;
         const EndlessPeer peer(context, response.begin, response.repeated);
-        HttpClient client(context.get_executor(), "127.0.0.1", peer.port(), 1, shortResponseLimits);
-        HttpReply reply;
-        asio::co_spawn(
-            context,
-            [&]() -> asio::awaitable<void> {
-                HttpCall call;
-                reply = co_await client.send(std::move(call), Millis(5'000));
-            },
-            asio::detached);
-        context.run_for(std::chrono::milliseconds(2'000));
-        CHECK_FALSE(reply.hasResponse());
-        CHECK(reply.mayHaveArrived);
-        CHECK(peer.closed());
+        checkGivenUp(context, peer);
         constexpr size_t socketBuffers = 8'000'000; // that the kernel takes from the peer on loopback
         CHECK(peer.sent() < socketBuffers);
     }
@@ -200,19 +206,7 @@
 {
     asio::io_context context;
     const EndlessPeer peer(context, "HTTP/1.1 200 OK\r\nX", shortFields(), Millis(1));
-    HttpClient client(context.get_executor(), "127.0.0.1", peer.port(), 1, shortResponseLimits);
-    HttpReply reply;
-    asio::co_spawn(
-        context,
-        [&]() -> asio::awaitable<void> {
-            HttpCall call;
-            reply = co_await client.send(std::move(call), Millis(5'000));
-        },
-        asio::detached);
-    context.run_for(std::chrono::milliseconds(2'000));
-    CHECK_FALSE(reply.hasResponse());
-    CHECK(reply.mayHaveArrived);
-    CHECK(peer.closed());
+    checkGivenUp(context, peer);
     CHECK(peer.sent() < 2 * shortResponseLimits.headerBytes);
 }
 
@@ -239,7 +233,7 @@
     CHECK(failed == calls);
     CHECK(peer.closed());
     constexpr size_t mostBytes = 64'000'000;
-    constexpr size_t buffers = 2 * largeBytes + calls * responseBufferBytes; // of the peer and the reader
+    constexpr size_t buffers = 2 * largeBytes + calls * readBufferBytes; // of the peer and the reader
     CHECK(mostLargeInUse - before <= mostBytes + buffers);
 }
 
@@ -283,7 +277,7 @@
         CHECK(ended);
         CHECK(lines == 0);
         CHECK(peer.closed());
-        constexpr size_t buffers = 4 * largeBytes + 2 * responseBufferBytes; // of the peer and the reader
+        constexpr size_t buffers = 4 * largeBytes + 2 * readBufferBytes; // of the peer and the reader
         CHECK(mostLargeInUse - before <= 3 * shortResponseLimits.bodyBytes + buffers);
     }
 }
