--- a/standins/lib.sh
+++ b/standins/lib.sh
@@ -36,7 +36,7 @@
 server_port() { echo $((BASE + 600 + $1)); }
 store_url() { echo "http://127.0.0.1:$BASE"; }
 
-host_settings() { # N DATA-CENTRE
+host_settings() { # N DATA-CENTRE; LIMITS: further members of the settings
     cat <<SETTINGS
 { "host": { "name": "host-$1", "dataCentre": "$2",
     "callers": { "address": "127.0.0.1", "port": $(host_port $1 1) },
@@ -44,7 +44,7 @@
     "operators": { "address": "127.0.0.1", "port": $(host_port $1 3) },
     "operatorToken": "$token",
     "store": { "address": "127.0.0.1", "port": $BASE },
-    "hostList": { "address": "127.0.0.1", "port": $BASE } } }
+    "hostList": { "address": "127.0.0.1", "port": $BASE } }${LIMITS:-} }
 SETTINGS
 }
 
