One budget for what callers' connections hold; heads count

What callers saw: a host whose callers sent heads of many short fields, all inside the limits, ran out of memory. Cause: only bodies and responses had a bound over all connections. A connection also kept its buffer at the size of its largest head for as long as it stayed open. Change: CallerBudget adds up what all connections hold, heads with the memory of their fields, and decides who gives way when it is used up: the unfinished request or the unread response that has held most for longest, at least a second, and otherwise the newcomer, with 503. While a head is incomplete, the most that its fields can take is held. Idle connections give their buffers back. Responses are counted by the same budget: all of them together with all requests stay below the sum of both limits, also if many become ready at the same moment. Why it works: every byte that grows with the number of connections is compared with one limit before it is taken, and what is taken away belongs to a request that can still be refused truthfully.

--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -20,8 +20,6 @@
 namespace {
 
     constexpr Millis sessionCheckInterval { 50 };
-    // A caller that has taken part of its response this recently isn't slow.
-    constexpr Millis minSlowReaderStall { 1'000 };
 
 }
 
@@ -36,7 +34,6 @@
     static asio::awaitable<void> acceptCallers(std::shared_ptr<Shared>);
     static asio::awaitable<void> monitorSessions(std::shared_ptr<Shared>);
     static asio::awaitable<void> serve(std::shared_ptr<Shared>, Sessions::iterator);
-    void closeSlowestReader();
 };
 
 // Detects disconnected callers and ends operations whose deadline has passed. One loop checks all sessions, in place of
@@ -47,20 +44,9 @@
         co_await sleepFor(sessionCheckInterval);
         for (const auto& session : shared->sessions)
             session->check();
-        if (shared->context->responseMemory >= shared->context->limits.responseMemory)
-            shared->closeSlowestReader();
     }
 }
 
-// Without this, callers that don't read their responses would keep all others from being served.
-void CallerServer::Shared::closeSlowestReader()
-{
-    const auto slowest = std::max_element(sessions.begin(), sessions.end(),
-        [](const auto& a, const auto& b) { return a->stalledFor() < b->stalledFor(); });
-    if (slowest != sessions.end() && (*slowest)->stalledFor() >= minSlowReaderStall)
-        (*slowest)->closeAsSlowReader();
-}
-
 asio::awaitable<void> CallerServer::Shared::serve(std::shared_ptr<Shared> shared, Sessions::iterator session)
 {
     const std::shared_ptr<CallerSession> held = *session;
@@ -101,7 +87,11 @@
     m_shared->acceptor.close(ignored);
 }
 
-void CallerServer::setLimits(const CallerLimits& limits) { m_shared->context->limits = limits; }
+void CallerServer::setLimits(const CallerLimits& limits)
+{
+    m_shared->context->limits = limits;
+    m_shared->context->budget.setLimits(budgetLimits(limits));
+}
 
 void CallerServer::startDraining() { m_shared->context->draining = true; }
 
--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -33,6 +33,8 @@
     constexpr double undeliveredLinesPerSecond = 20;
     // Memory reserved ahead of the bytes received, for a body of unknown length.
     constexpr uint64_t chunkedReservationBytes = 1'000'000;
+    constexpr size_t fieldBytes = 96; // of the parser, for each field of a head
+    constexpr size_t requestBytes = 4'096; // that a request takes apart from its head and its body
 
     ErrorKind readErrorKind(beast::error_code error)
     {
@@ -76,6 +78,24 @@
         return error ? std::string() : endpoint.address().to_string(); // empty: the caller has disconnected already
     }
 
+    // Memory that the fields of a head take, apart from their text.
+    size_t memoryOfFields(const CallerHeader& header)
+    {
+        return static_cast<size_t>(std::distance(header.begin(), header.end())) * fieldBytes;
+    }
+
+    // The most memory that so many bytes of fields can take. The shortest field is "a:" and a line end.
+    size_t mostMemoryOfFields(size_t bytes)
+    {
+        constexpr size_t shortestField = 4;
+        return bytes + bytes / shortestField * fieldBytes;
+    }
+
+}
+
+CallerBudgetLimits budgetLimits(const CallerLimits& limits)
+{
+    return { limits.connections, limits.bodyMemory, limits.responseMemory };
 }
 
 CallerContext::CallerContext(
@@ -89,32 +109,23 @@
     , slowReadersClosed(metrics.counter("callers_slow_readers_closed"))
     , closedUndelivered(metrics.counter("callers_closed_undelivered"))
     , undeliveredLines(1, undeliveredLinesPerSecond, undeliveredLinesPerSecond)
+    , budget(budgetLimits(limits))
 {
 }
 
-bool BodyReservation::grow(size_t bytes, size_t limit)
-{
-    if (bytes <= m_reserved)
-        return true;
-    if (m_used + (bytes - m_reserved) > limit)
-        return false;
-    m_used += bytes - m_reserved;
-    m_reserved = bytes;
-    return true;
-}
-
 // --- Connection
 
 CallerSession::CallerSession(std::shared_ptr<CallerContext> context, beast::tcp_stream stream)
     : m_context(std::move(context))
     , m_stream(std::move(stream))
     , m_address(addressOf(m_stream))
+    , m_account(m_context->budget, *this, m_context->clock.now())
     , m_progress(m_stream.get_executor())
     , m_idleSince(m_context->clock.now())
 {
 }
 
-CallerSession::~CallerSession() { m_context->responseMemory -= m_unwrittenBytes; }
+CallerSession::~CallerSession() = default;
 
 asio::awaitable<void> CallerSession::run()
 {
@@ -142,8 +153,10 @@
     beast::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_buffer.clear();
+    shrinkBuffer();
     m_unacknowledged = unacknowledgedBytes(m_stream);
     m_lingerProgress = m_context->clock.now();
+    m_account.waitIdle(m_lingerProgress);
     m_readState = ReadState::Lingering;
     m_callerGone |= co_await discardInput(m_stream);
     m_readState = ReadState::None;
@@ -265,6 +278,7 @@
         co_return false;
     if (m_buffer.size())
         co_return true; // received together with the previous request
+    shrinkBuffer();
     m_readState = ReadState::Waiting;
     const auto [error, bytesRead] = co_await m_stream.async_read_some(m_buffer.prepare(readChunkBytes), token);
     m_readState = ReadState::None;
@@ -274,6 +288,39 @@
     co_return !error && !ended() && !isLastRead();
 }
 
+// A client that goes on sending leaves no read pending that check() could cancel.
+beast::error_code CallerSession::checkPartialHead(size_t bytes)
+{
+    if (m_timedOut || m_givenUp)
+        return asio::error::operation_aborted;
+    const bool held = m_account.holdRequest(m_buffer.capacity() + mostMemoryOfFields(bytes), m_context->clock.now());
+    return held ? beast::error_code() : asio::error::no_memory;
+}
+
+bool CallerSession::holdRequest(const CallerHeader& header, size_t body)
+{
+    const size_t bytes = requestBytes + memoryOfFields(header) + m_buffer.capacity() + body;
+    return m_account.holdRequest(bytes, m_context->clock.now());
+}
+
+// Why no memory is held: the request was given up for another one, or there is none.
+ErrorKind CallerSession::memoryError() const { return m_givenUp ? ErrorKind::RequestTimeout : ErrorKind::MemoryBudget; }
+
+// The request takes as long as other requests take to be received.
+void CallerSession::giveUpRequest()
+{
+    m_givenUp = true;
+    m_requestDeadline = Instant::min();
+    if (!m_writing)
+        m_stream.cancel(); // otherwise check() does it, once the response is written
+}
+
+void CallerSession::shrinkBuffer()
+{
+    if (!m_buffer.size() && m_buffer.capacity() > readChunkBytes)
+        m_buffer.shrink_to_fit();
+}
+
 asio::awaitable<ErrorKind> CallerSession::readHeader(Parser& parser)
 {
     m_limitsRevision = m_context->limits.rulesRevision;
@@ -284,11 +331,14 @@
     m_timedOut = false;
     const size_t maxBytes = m_context->limits.headerBytes;
     m_buffer.max_size(std::max(m_buffer.max_size(), maxBytes + readBufferBytes));
-    const beast::error_code error = co_await readHead(m_stream, m_buffer, parser, maxBytes);
+    const auto check = [this](size_t bytes) { return checkPartialHead(bytes); };
+    const beast::error_code error = co_await readHead(m_stream, m_buffer, parser, maxBytes, check);
     if (!error)
-        co_return ErrorKind::None;
-    if (m_timedOut)
+        co_return holdRequest(parser.get().base(), 0) ? ErrorKind::None : memoryError();
+    if (m_timedOut || m_givenUp)
         co_return ErrorKind::RequestTimeout;
+    if (error == asio::error::no_memory)
+        co_return ErrorKind::MemoryBudget;
     co_return isParseError(error) ? sizeError(readErrorKind(error)) : ErrorKind::ConnectionLost;
 }
 
@@ -312,7 +362,7 @@
     if (parser.content_length() && *parser.content_length() > policy.maxBodyBytes)
         return ErrorKind::BodyTooLarge;
     // Callers that don't read their responses must not use up the memory of the host.
-    if (m_context->responseMemory >= m_context->limits.responseMemory)
+    if (!m_context->budget.admitResponse(m_context->clock.now()))
         return ErrorKind::MemoryBudget;
     parser.body_limit(policy.maxBodyBytes);
     exchange.mayOverlap = policy.mayOverlap;
@@ -320,18 +370,20 @@
 }
 
 // Reads the body in chunks and checks the memory limit and the timeout for each.
-asio::awaitable<ErrorKind> CallerSession::readBody(Parser& parser, BodyReservation& reservation)
+asio::awaitable<ErrorKind> CallerSession::readBody(Parser& parser)
 {
-    const size_t limit = m_context->limits.bodyMemory;
+    const CallerHeader& header = parser.get().base();
     const auto length = parser.content_length();
-    if (!reservation.grow(length ? *length : 0, limit))
-        co_return ErrorKind::MemoryBudget;
+    if (!holdRequest(header, length.value_or(0)))
+        co_return memoryError();
     while (!parser.is_done()) {
-        if (!length && !reservation.grow(parser.get().body().size() + chunkedReservationBytes, limit))
-            co_return ErrorKind::MemoryBudget;
+        if (!length && !holdRequest(header, parser.get().body().size() + chunkedReservationBytes))
+            co_return memoryError();
         m_requestDeadline = m_context->clock.now() + m_context->limits.bodyIdleTimeout;
         m_timedOut = false;
         const auto [error, bytesRead] = co_await http::async_read_some(m_stream, m_buffer, parser, token);
+        if (m_givenUp)
+            co_return ErrorKind::RequestTimeout;
         if (error)
             co_return m_timedOut      ? ErrorKind::RequestTimeout
                 : isParseError(error) ? sizeError(readErrorKind(error))
@@ -359,8 +411,10 @@
     if (!arrived)
         co_return false;
     m_readState = ReadState::Request;
+    m_account.beginRequest(m_context->clock.now());
+    m_givenUp = false;
     Parser parser;
-    auto exchange = std::make_unique<Exchange>(m_context->bodyMemory);
+    auto exchange = std::make_unique<Exchange>();
     ErrorKind requestError = co_await readHeader(parser);
     const bool healthCheck = requestError == ErrorKind::None && parser.get().target() == healthPath;
     if (!healthCheck && requestError == ErrorKind::None)
@@ -371,8 +425,9 @@
         requestError = sent ? ErrorKind::None : ErrorKind::ConnectionLost;
     }
     if (!healthCheck && requestError == ErrorKind::None)
-        requestError = co_await readBody(parser, exchange->bodyReservation);
+        requestError = co_await readBody(parser);
     if (requestError == ErrorKind::ConnectionLost) {
+        m_account.dropRequest();
         onCallerGone();
         co_return false;
     }
@@ -382,12 +437,14 @@
     exchange->keepAlive = keepAlive;
     const bool answerHere = healthCheck || requestError != ErrorKind::None;
     if (answerHere) {
+        m_account.dropRequest();
         const bool head = parser.get().method() == http::verb::head;
         answer(std::move(exchange), head,
             healthCheck ? healthResponse(m_context->handler.ready() && !m_context->draining)
                         : m_context->handler.errorResponse(requestError, parser.get().base()));
     } else {
         exchange->request = parser.release();
+        exchange->held.take(m_account);
         const bool started = co_await startInTurn(std::move(exchange));
         if (!started)
             co_return false;
@@ -426,7 +483,7 @@
     exchange.response = std::move(response);
     exchange.answered = true;
     m_unwrittenBytes += exchange.response.body().size();
-    m_context->responseMemory += exchange.response.body().size();
+    m_account.addResponse(exchange.response.body().size(), m_context->clock.now());
 }
 
 asio::awaitable<void> CallerSession::runExchange(std::shared_ptr<CallerSession> self, Exchange& exchange)
@@ -457,9 +514,12 @@
             m_broken |= !written;
         }
         m_unwrittenBytes -= bytes;
-        m_context->responseMemory -= bytes;
+        m_account.removeResponse(bytes);
+        m_account.stopWaitingForReader();
         m_exchanges.pop_front();
         m_idleSince = m_context->clock.now();
+        if (m_exchanges.empty() && (m_readState == ReadState::None || m_readState == ReadState::Waiting))
+            m_account.waitIdle(m_idleSince);
         m_progress.notifyAll();
     }
     m_writing = false;
@@ -482,6 +542,7 @@
     response.prepare_payload();
     http::response_serializer<http::string_body> serializer(response);
     m_writeProgress = m_context->clock.now();
+    m_account.waitForReader(m_writeProgress);
     while (!serializer.is_done()) {
         const auto [error, bytesWritten] = co_await http::async_write_some(m_stream, serializer, token);
         if (error)
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -11,6 +11,7 @@
 
 #include "base/Metrics.h"
 #include "callers/CallerServer.h"
+#include "decisions/CallerBudget.h"
 #include "decisions/LineBudget.h"
 #include "web/HeadReader.h"
 #include "web/Signal.h"
@@ -24,6 +25,8 @@
 
 namespace cumindale {
 
+CallerBudgetLimits budgetLimits(const CallerLimits&);
+
 // What all connections of a server share.
 struct CallerContext {
     CallerContext(const Clock&, CallerLimits, RequestHandler&, Metrics&);
@@ -37,33 +40,37 @@
     Counter& slowReadersClosed;
     Counter& closedUndelivered; // connections that this host closed before the caller had received the last response
     LineBudget undeliveredLines; // of the log, about such connections
-    size_t bodyMemory = 0; // bytes reserved for bodies of requests
-    size_t responseMemory = 0; // bytes of responses that aren't completely written
+    CallerBudget budget;
     bool draining = false; // each connection is closed after its next response
 };
 
-// Reserves memory for the body of one request and releases it on destruction.
-class BodyReservation {
+// Memory of one received request, released on destruction.
+class HeldRequest {
 public:
-    explicit BodyReservation(size_t& used)
-        : m_used(used)
+    HeldRequest() = default;
+    ~HeldRequest()
     {
+        if (m_account)
+            m_account->release(m_bytes);
     }
-    ~BodyReservation() { m_used -= m_reserved; }
-    BodyReservation(const BodyReservation&) = delete;
-    BodyReservation& operator=(const BodyReservation&) = delete;
+    HeldRequest(const HeldRequest&) = delete;
+    HeldRequest& operator=(const HeldRequest&) = delete;
 
-    bool grow(size_t bytes, size_t limit); // to `bytes` in all; false if that would exceed the limit
+    void take(CallerBudget::Account& account) // what the account holds for the request that it has received
+    {
+        m_account = &account;
+        m_bytes = account.finishRequest();
+    }
 
 private:
-    size_t& m_used;
-    size_t m_reserved = 0;
+    CallerBudget::Account* m_account = nullptr;
+    size_t m_bytes = 0;
 };
 
-class CallerSession : public std::enable_shared_from_this<CallerSession> {
+class CallerSession : public std::enable_shared_from_this<CallerSession>, private CallerBudget::Owner {
 public:
     CallerSession(std::shared_ptr<CallerContext>, boost::beast::tcp_stream);
-    ~CallerSession();
+    ~CallerSession() override;
 
     boost::asio::awaitable<void> run(); // until the connection has ended
     // To be called regularly: detects callers that have disconnected, and ends operations whose time is over.
@@ -78,12 +85,7 @@
 
     // One request and its response.
     struct Exchange {
-        explicit Exchange(size_t& bodyMemory)
-            : bodyReservation(bodyMemory)
-        {
-        }
-
-        BodyReservation bodyReservation;
+        HeldRequest held;
         CallerRequest request;
         CallerConnection caller;
         CallerResponse response;
@@ -107,10 +109,15 @@
     boost::asio::awaitable<bool> sendContinue();
     // These return the error of the request. ConnectionLost: no response can be sent.
     boost::asio::awaitable<ErrorKind> readHeader(Parser&);
-    boost::asio::awaitable<ErrorKind> readBody(Parser&, BodyReservation&);
+    boost::asio::awaitable<ErrorKind> readBody(Parser&);
     ErrorKind admit(Parser&, Exchange&);
     // NotFresh in place of a request that is too large by a limit that has been replaced since.
     ErrorKind sizeError(ErrorKind) const;
+    boost::beast::error_code checkPartialHead(size_t bytes);
+    // The memory of the request that is being read. False: see memoryError().
+    bool holdRequest(const CallerHeader&, size_t body);
+    ErrorKind memoryError() const;
+    void shrinkBuffer(); // of an idle connection
     boost::asio::awaitable<void> linger();
     void checkLinger(Instant now);
     bool mayReadOn() const;
@@ -120,6 +127,10 @@
     bool ended() const { return m_broken || m_closing; } // no further response is written
     bool stopsReading() const { return ended() || m_callerGone; }
 
+    // --- CallerBudget::Owner
+    void giveUpRequest() override;
+    void closeForOthers() override { closeAsSlowReader(); }
+
     // --- Running and writing
     // Returns false if the request is not to be run, because the connection has ended before its turn.
     boost::asio::awaitable<bool> startInTurn(std::unique_ptr<Exchange>);
@@ -136,12 +147,14 @@
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer { readBufferBytes }; // readHeader() raises the limit to admit larger heads
     std::string m_address; // the caller's IP address
+    CallerBudget::Account m_account;
     Exchanges m_exchanges; // in the order of the requests
     Signal m_progress; // notified when a response has been written or the connection ends
     ReadState m_readState = ReadState::None;
     int64_t m_limitsRevision = 0; // CallerLimits::rulesRevision, of the limit for the part that is being read
     Instant m_requestDeadline {}; // for the next part of the request that is being read
     bool m_timedOut = false; // the read in progress was ended at its deadline
+    bool m_givenUp = false; // the request that is being read, for its memory
     bool m_writing = false;
     Instant m_writeProgress {}; // while writing: when the caller last took part of the response
     size_t m_unwrittenBytes = 0; // of responses
--- a/packages/web/HeadReader.cpp
+++ b/packages/web/HeadReader.cpp
@@ -51,8 +51,8 @@
 }
 
 template <bool isRequest>
-asio::awaitable<beast::error_code> readHead(
-    beast::tcp_stream& stream, beast::flat_buffer& buffer, http::basic_parser<isRequest>& parser, size_t maxBytes)
+asio::awaitable<beast::error_code> readHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    http::basic_parser<isRequest>& parser, size_t maxBytes, PartialHeadCheck check)
 {
     size_t consumed = 0;
     for (;;) {
@@ -72,6 +72,10 @@
                 co_return http::error::header_limit;
             if (parser.is_header_done())
                 co_return beast::error_code {};
+            if (check)
+                error = check(consumed + unparsed);
+            if (check && error)
+                co_return error;
         }
         error = co_await receive(stream, buffer);
         if (error == asio::error::eof)
@@ -82,8 +86,8 @@
 }
 
 template asio::awaitable<beast::error_code> readHead(
-    beast::tcp_stream&, beast::flat_buffer&, http::basic_parser<true>&, size_t);
+    beast::tcp_stream&, beast::flat_buffer&, http::basic_parser<true>&, size_t, PartialHeadCheck);
 template asio::awaitable<beast::error_code> readHead(
-    beast::tcp_stream&, beast::flat_buffer&, http::basic_parser<false>&, size_t);
+    beast::tcp_stream&, beast::flat_buffer&, http::basic_parser<false>&, size_t, PartialHeadCheck);
 
 }
--- a/packages/web/HeadReader.h
+++ b/packages/web/HeadReader.h
@@ -5,10 +5,14 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <functional>
 #include <string_view>
 
 namespace cumindale {
 
+// Called before a further read with the bytes of the head so far. An error ends the reading.
+using PartialHeadCheck = std::function<boost::beast::error_code(size_t bytes)>;
+
 // Leaves what follows the head in the buffer. Errors: those of the stream, and those of boost::beast::http for a
 // malformed head and for one of more than `maxBytes`: the parser's own limit holds for each read alone.
 //
@@ -17,12 +21,12 @@
 // ends. In a request, the parser joins the lines.
 template <bool isRequest>
 boost::asio::awaitable<boost::beast::error_code> readHead(boost::beast::tcp_stream&, boost::beast::flat_buffer&,
-    boost::beast::http::basic_parser<isRequest>&, size_t maxBytes);
+    boost::beast::http::basic_parser<isRequest>&, size_t maxBytes, PartialHeadCheck = nullptr);
 
-extern template boost::asio::awaitable<boost::beast::error_code> readHead(
-    boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<true>&, size_t);
-extern template boost::asio::awaitable<boost::beast::error_code> readHead(
-    boost::beast::tcp_stream&, boost::beast::flat_buffer&, boost::beast::http::basic_parser<false>&, size_t);
+extern template boost::asio::awaitable<boost::beast::error_code> readHead(boost::beast::tcp_stream&,
+    boost::beast::flat_buffer&, boost::beast::http::basic_parser<true>&, size_t, PartialHeadCheck);
+extern template boost::asio::awaitable<boost::beast::error_code> readHead(boost::beast::tcp_stream&,
+    boost::beast::flat_buffer&, boost::beast::http::basic_parser<false>&, size_t, PartialHeadCheck);
 
 // Whether a line begins with a blank or a tab, up to an empty line. The text begins at the start of a line, and may end
 // anywhere.
