Trailers and extensions of chunks count as part of a request's head

What callers saw: a host ran out of memory by chunked bodies with long trailers of short fields; and callers that sent chunks of one byte with long extensions kept a host reading without end. Cause: the fields of a trailer are added to the request, 240 kB of them with 4.8 MB of memory that nothing counted. The limit of a body counts its bytes alone, so 1 MB of body could come with 15 GB of extensions. Change: extensions and the trailer of one body together may have as many bytes as a head, 431 beyond; the memory of a trailer's fields is held before the parser makes them; the buffer of a connection takes a head and one read more.

--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -297,10 +297,10 @@
     return held ? beast::error_code() : asio::error::no_memory;
 }
 
-bool CallerSession::holdRequest(const CallerHeader& header, size_t body)
+bool CallerSession::holdRequest(size_t bodyMemory)
 {
-    const size_t bytes = requestBytes + memoryOfFields(header) + m_buffer.capacity() + body;
-    return m_account.holdRequest(bytes, m_context->clock.now());
+    m_bodyMemory = bodyMemory;
+    return m_account.holdRequest(m_headMemory + m_buffer.capacity() + bodyMemory, m_context->clock.now());
 }
 
 // Why no memory is held: the request was given up for another one, or there is none.
@@ -330,11 +330,13 @@
     m_requestDeadline = m_context->clock.now() + m_context->limits.headerTimeout;
     m_timedOut = false;
     const size_t maxBytes = m_context->limits.headerBytes;
-    m_buffer.max_size(std::max(m_buffer.max_size(), maxBytes + readBufferBytes));
+    m_buffer.max_size(std::max(m_buffer.size(), maxBytes) + readChunkBytes);
     const auto check = [this](size_t bytes) { return checkPartialHead(bytes); };
     const beast::error_code error = co_await readHead(m_stream, m_buffer, parser, maxBytes, check);
-    if (!error)
-        co_return holdRequest(parser.get().base(), 0) ? ErrorKind::None : memoryError();
+    if (!error) {
+        m_headMemory = requestBytes + memoryOfFields(parser.get().base());
+        co_return holdRequest(0) ? ErrorKind::None : memoryError();
+    }
     if (m_timedOut || m_givenUp)
         co_return ErrorKind::RequestTimeout;
     if (error == asio::error::no_memory)
@@ -369,21 +371,42 @@
     return ErrorKind::None;
 }
 
+// What a chunked body has besides its bytes counts as part of the head: otherwise a body of small chunks could come
+// with extensions without end.
+beast::error_code CallerSession::checkChunk(uint64_t chunkBytes, std::string_view extensions)
+{
+    m_framingBytes += extensions.size();
+    if (!chunkBytes) {
+        const size_t trailerBytes = trailerAfter(extensions, m_buffer).size();
+        m_framingBytes += trailerBytes;
+        m_headMemory += mostMemoryOfFields(trailerBytes);
+    }
+    if (m_framingBytes > m_context->limits.headerBytes)
+        return http::error::header_limit;
+    return chunkBytes || holdRequest(m_bodyMemory) ? beast::error_code() : asio::error::no_memory;
+}
+
 // Reads the body in chunks and checks the memory limit and the timeout for each.
 asio::awaitable<ErrorKind> CallerSession::readBody(Parser& parser)
 {
-    const CallerHeader& header = parser.get().base();
     const auto length = parser.content_length();
-    if (!holdRequest(header, length.value_or(0)))
+    if (!holdRequest(length.value_or(0)))
         co_return memoryError();
+    m_framingBytes = 0;
+    auto onChunk = [this](uint64_t chunkBytes, std::string_view extensions, beast::error_code& error) {
+        error = checkChunk(chunkBytes, extensions);
+    };
+    parser.on_chunk_header(onChunk);
     while (!parser.is_done()) {
-        if (!length && !holdRequest(header, parser.get().body().size() + chunkedReservationBytes))
+        if (!length && !holdRequest(parser.get().body().size() + chunkedReservationBytes))
             co_return memoryError();
         m_requestDeadline = m_context->clock.now() + m_context->limits.bodyIdleTimeout;
         m_timedOut = false;
         const auto [error, bytesRead] = co_await http::async_read_some(m_stream, m_buffer, parser, token);
         if (m_givenUp)
             co_return ErrorKind::RequestTimeout;
+        if (error == asio::error::no_memory)
+            co_return ErrorKind::MemoryBudget;
         if (error)
             co_return m_timedOut      ? ErrorKind::RequestTimeout
                 : isParseError(error) ? sizeError(readErrorKind(error))
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -22,6 +22,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace cumindale {
 
@@ -115,7 +116,8 @@
     ErrorKind sizeError(ErrorKind) const;
     boost::beast::error_code checkPartialHead(size_t bytes);
     // The memory of the request that is being read. False: see memoryError().
-    bool holdRequest(const CallerHeader&, size_t body);
+    bool holdRequest(size_t bodyMemory);
+    boost::beast::error_code checkChunk(uint64_t chunkBytes, std::string_view extensions);
     ErrorKind memoryError() const;
     void shrinkBuffer(); // of an idle connection
     boost::asio::awaitable<void> linger();
@@ -145,10 +147,13 @@
 
     std::shared_ptr<CallerContext> m_context;
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer { readBufferBytes }; // readHeader() raises the limit to admit larger heads
+    boost::beast::flat_buffer m_buffer; // readHeader() sets its limit
     std::string m_address; // the caller's IP address
     CallerBudget::Account m_account;
     Exchanges m_exchanges; // in the order of the requests
+    size_t m_headMemory = 0; // of the request that is being read, apart from its body
+    size_t m_bodyMemory = 0;
+    size_t m_framingBytes = 0; // of its body: extensions of chunks, and the trailer
     Signal m_progress; // notified when a response has been written or the connection ends
     ReadState m_readState = ReadState::None;
     int64_t m_limitsRevision = 0; // CallerLimits::rulesRevision, of the limit for the part that is being read
--- a/packages/web/HeadReader.cpp
+++ b/packages/web/HeadReader.cpp
@@ -50,6 +50,17 @@
     return false;
 }
 
+std::string_view trailerAfter(std::string_view extensions, const beast::flat_buffer& buffer)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    constexpr std::string_view emptyLine = "\r\n\r\n";
+    const std::string_view text = textOf(buffer);
+    const std::string_view trailer = text.substr(extensions.data() + extensions.size() + lineEnd.size() - text.data());
+    if (trailer.starts_with(lineEnd))
+        return trailer.substr(0, lineEnd.size());
+    return trailer.substr(0, trailer.find(emptyLine) + emptyLine.size());
+}
+
 template <bool isRequest>
 asio::awaitable<beast::error_code> readHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
     http::basic_parser<isRequest>& parser, size_t maxBytes, PartialHeadCheck check)
--- a/packages/web/HeadReader.h
+++ b/packages/web/HeadReader.h
@@ -32,6 +32,10 @@
 // anywhere.
 bool hasContinuedLine(std::string_view);
 
+// The trailer of a chunked body, with the line end behind it. `extensions`: of the last chunk. For a callback that the
+// parser calls about that chunk: then the whole trailer is in the buffer.
+std::string_view trailerAfter(std::string_view extensions, const boost::beast::flat_buffer&);
+
 // Limit of a buffer from which messages are read: more than a response's head, a chunk's extensions or a trailer need.
 // Where the limit of a head can be set, it is added.
 constexpr size_t readBufferBytes = 262'144;
--- a/packages/web/ResponseReader.cpp
+++ b/packages/web/ResponseReader.cpp
@@ -47,16 +47,6 @@
         return mayGrow ? 3 * body.capacity() : body.capacity();
     }
 
-    // The parser comes to the last chunk, which has these extensions, once the whole trailer is in the buffer.
-    std::string_view trailerAfter(std::string_view extensions, const beast::flat_buffer& buffer)
-    {
-        constexpr size_t lineEndBytes = 2;
-        const asio::const_buffer bytes = buffer.cdata();
-        const char* begin = extensions.data() + extensions.size() + lineEndBytes;
-        const char* end = static_cast<const char*>(bytes.data()) + bytes.size();
-        return { begin, static_cast<size_t>(end - begin) };
-    }
-
     asio::awaitable<ReadResult> readBody(
         beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, ResponseMemory* memory)
     {
