An unfinished request without progress gives way to others; the largest body fits

What callers saw: a few dozen connections that announced a body, or began a chunked one, and sent a byte now and then had every upload of other callers refused with 503 for as long as they liked. And a single body of the size that the operators' document allows was refused when nobody else asked anything. Cause: a chunked body reserved 1,000,000 bytes more than it had, a stated length all of it, and nothing took that back as long as a byte came within the idle timeout. The memory for bodies is at most a quarter of the machine's, whatever the document allows: 64,000,000 bytes for bodies of 67,108,864. Change: a request that has not received an eighth of what it holds for a second may be given up, with 408, for one that needs its memory, the most costly first: bytes times time. A chunked body holds what it has and one read more; beyond 262,144 bytes the largest allowed body is reserved in one piece, of which only the filled part takes memory, so that it is not copied as it grows. The memory for requests has room for one request at all limits, up to half of the machine's. Why it works: a caller that only announces or drips makes no progress, so it has its memory for a second at most once others need it; a slow upload fills an eighth of its size again and again.

--- a/apps/cumindaled/Duties.cpp
+++ b/apps/cumindaled/Duties.cpp
@@ -13,6 +13,14 @@
 
     constexpr Millis drainPollInterval { 50 };
 
+    // Bytes; the largest number if it isn't limited.
+    size_t machineMemory(const Settings& settings)
+    {
+        constexpr size_t bytesPerMegabyte = 1'000'000;
+        const bool isLimited = settings.gateway && settings.gateway->memoryMegabytes;
+        return isLimited ? settings.gateway->memoryMegabytes * bytesPerMegabyte : SIZE_MAX;
+    }
+
 }
 
 void runEventLoop(asio::io_context& context)
@@ -27,16 +35,27 @@
     CallerLimits applied { limits.callerConnections, limits.bodyMemory, limits.headerBytes, limits.headerTimeout,
         limits.bodyIdleTimeout, limits.idleTimeout, limits.responseMemory, limits.connectionResponseBytes,
         limits.pipelinedRequests };
-    if (settings.gateway && settings.gateway->memoryMegabytes) {
-        // The rest is for what the host knows of the fleet, and for its connections.
-        constexpr size_t bytesPerMegabyte = 1'000'000;
-        const size_t memory = settings.gateway->memoryMegabytes * bytesPerMegabyte;
-        applied.bodyMemory = std::min(applied.bodyMemory, memory / 4);
-        applied.responseMemory = std::min(applied.responseMemory, memory / 8);
-    }
+    // The rest is for what the host knows of the fleet, and for its connections.
+    const size_t memory = machineMemory(settings);
+    applied.bodyMemory = std::min(applied.bodyMemory, memory / 4);
+    applied.responseMemory = std::min(applied.responseMemory, memory / 8);
     return applied;
 }
 
+CallerLimits callerLimits(const Settings& settings, const CallerBounds& bounds)
+{
+    CallerLimits limits = callerLimits(settings);
+    limits.rulesRevision = bounds.revision;
+    limits.headerBytes = bounds.headerBytes;
+    limits.headerTimeout = bounds.headerTimeout;
+    // Callers may send a request until the idle limit. Closing the connection exactly then could race with one.
+    constexpr Millis idleTimeoutMargin { 1'000 };
+    limits.idleTimeout = bounds.idleTimeout + idleTimeoutMargin;
+    const size_t largest = memoryOfLargestRequest(bounds.headerBytes, bounds.bodyBytes);
+    limits.bodyMemory = std::max(limits.bodyMemory, std::min(largest, machineMemory(settings) / 2));
+    return limits;
+}
+
 asio::awaitable<void> drainForwarded(CallerServer& server)
 {
     constexpr Millis idleBeforeClose { 200 };
--- a/apps/cumindaled/Duties.h
+++ b/apps/cumindaled/Duties.h
@@ -3,6 +3,7 @@
 
 #include "base/Metrics.h"
 #include "callers/CallerServer.h"
+#include "decisions/RouteRules.h"
 #include "resources/Settings.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -15,6 +16,8 @@
 
 void runEventLoop(boost::asio::io_context&); // returns when the context is stopped
 CallerLimits callerLimits(const Settings&);
+// With room for one request at all limits of the operators' document, up to half of the machine's memory.
+CallerLimits callerLimits(const Settings&, const CallerBounds&);
 
 struct DrainTiming {
     Millis balancerDelay { 2'000 }; // how long new connections may arrive after the health check fails
--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -164,13 +164,7 @@
 
         void applyBounds(const CallerBounds& bounds)
         {
-            CallerLimits limits = callerLimits(m_settings);
-            limits.rulesRevision = bounds.revision;
-            limits.headerBytes = bounds.headerBytes;
-            limits.headerTimeout = bounds.headerTimeout;
-            // Callers may send a request until the idle limit. Closing the connection exactly then could race with one.
-            constexpr Millis idleTimeoutMargin { 1'000 };
-            limits.idleTimeout = bounds.idleTimeout + idleTimeoutMargin;
+            const CallerLimits limits = callerLimits(m_settings, bounds);
             m_callers.setLimits(limits);
             if (m_forwarded)
                 m_forwarded->setLimits(forwardLimits(limits));
--- a/packages/callers/CallerServer.h
+++ b/packages/callers/CallerServer.h
@@ -63,6 +63,9 @@
     int64_t rulesRevision = 0; // of the operators' document that the limits are from; 0: none
 };
 
+// Bytes that one request takes at most, at all limits.
+size_t memoryOfLargestRequest(size_t headerBytes, size_t bodyBytes);
+
 class CallerServer {
 public:
     CallerServer(boost::asio::any_io_executor, const Clock&, std::string address, uint16_t port, CallerLimits,
--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -31,8 +31,8 @@
     constexpr Millis progressCheckInterval { 60'000 }; // waits end earlier, by a notification
     constexpr size_t readChunkBytes = 4'096;
     constexpr double undeliveredLinesPerSecond = 20;
-    // Memory reserved ahead of the bytes received, for a body of unknown length.
-    constexpr uint64_t chunkedReservationBytes = 1'000'000;
+    constexpr size_t readAheadBytes = 65'536; // that one read of a body takes at most
+    constexpr size_t copiedBodyBytes = 262'144; // a body of unknown length is copied as it grows, up to this size
     constexpr size_t fieldBytes = 96; // of the parser, for each field of a head
     constexpr size_t requestBytes = 4'096; // that a request takes apart from its head and its body
 
@@ -93,6 +93,14 @@
 
 }
 
+size_t memoryOfLargestRequest(size_t headerBytes, size_t bodyBytes)
+{
+    const size_t buffer = 2 * (headerBytes + readChunkBytes); // its storage grows by doubling
+    const size_t trailer = headerBytes;
+    return requestBytes + buffer + mostMemoryOfFields(headerBytes + trailer)
+        + std::max(2 * copiedBodyBytes, bodyBytes + readAheadBytes);
+}
+
 CallerBudgetLimits budgetLimits(const CallerLimits& limits)
 {
     return { limits.connections, limits.bodyMemory, limits.responseMemory };
@@ -367,6 +375,7 @@
     if (!m_context->budget.admitResponse(m_context->clock.now()))
         return ErrorKind::MemoryBudget;
     parser.body_limit(policy.maxBodyBytes);
+    m_maxBodyBytes = policy.maxBodyBytes;
     exchange.mayOverlap = policy.mayOverlap;
     return ErrorKind::None;
 }
@@ -386,11 +395,24 @@
     return chunkBytes || holdRequest(m_bodyMemory) ? beast::error_code() : asio::error::no_memory;
 }
 
-// Reads the body in chunks and checks the memory limit and the timeout for each.
+// Before a read that may take a body of unknown length to so many bytes.
+bool CallerSession::growBody(std::string& body, size_t bytes)
+{
+    if (bytes > body.capacity()) {
+        const bool held = holdRequest(body.size() + bytes); // the former storage and the new one
+        if (!held)
+            return false;
+        // The largest allowed is reserved before a large body would be copied. What isn't filled takes no memory.
+        body.reserve(bytes > copiedBodyBytes ? m_maxBodyBytes + readAheadBytes : bytes * 2);
+    }
+    return holdRequest(bytes);
+}
+
+// Reads the body in pieces and checks the memory limit and the timeout for each.
 asio::awaitable<ErrorKind> CallerSession::readBody(Parser& parser)
 {
     const auto length = parser.content_length();
-    if (!holdRequest(length.value_or(0)))
+    if (length && !holdRequest(*length))
         co_return memoryError();
     m_framingBytes = 0;
     auto onChunk = [this](uint64_t chunkBytes, std::string_view extensions, beast::error_code& error) {
@@ -398,7 +420,8 @@
     };
     parser.on_chunk_header(onChunk);
     while (!parser.is_done()) {
-        if (!length && !holdRequest(parser.get().body().size() + chunkedReservationBytes))
+        std::string& body = parser.get().body();
+        if (!length && !growBody(body, body.size() + readAheadBytes))
             co_return memoryError();
         m_requestDeadline = m_context->clock.now() + m_context->limits.bodyIdleTimeout;
         m_timedOut = false;
@@ -411,6 +434,7 @@
             co_return m_timedOut      ? ErrorKind::RequestTimeout
                 : isParseError(error) ? sizeError(readErrorKind(error))
                                       : ErrorKind::ConnectionLost;
+        m_account.noteReceived(body.size(), m_context->clock.now());
     }
     m_context->bodyBytes.add(parser.get().body().size());
     co_return ErrorKind::None;
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -117,6 +117,7 @@
     boost::beast::error_code checkPartialHead(size_t bytes);
     // The memory of the request that is being read. False: see memoryError().
     bool holdRequest(size_t bodyMemory);
+    bool growBody(std::string& body, size_t bytes);
     boost::beast::error_code checkChunk(uint64_t chunkBytes, std::string_view extensions);
     ErrorKind memoryError() const;
     void shrinkBuffer(); // of an idle connection
@@ -153,6 +154,7 @@
     Exchanges m_exchanges; // in the order of the requests
     size_t m_headMemory = 0; // of the request that is being read, apart from its body
     size_t m_bodyMemory = 0;
+    size_t m_maxBodyBytes = 0; // of the request that is being read
     size_t m_framingBytes = 0; // of its body: extensions of chunks, and the trailer
     Signal m_progress; // notified when a response has been written or the connection ends
     ReadState m_readState = ReadState::None;
--- a/packages/decisions/CallerBudget.cpp
+++ b/packages/decisions/CallerBudget.cpp
@@ -9,6 +9,8 @@
     // An ordinary caller sends its request and takes its response within this time, in most cases.
     constexpr Millis minWait { 1'000 };
 
+    constexpr size_t progressParts = 8; // of what a request holds, one is progress
+
     double costOf(size_t bytes, Instant since, Instant now)
     {
         const bool waits = since != Instant::max() && now - since >= minWait;
@@ -38,6 +40,7 @@
 {
     m_idleSince = notWaiting;
     m_receivingSince = now;
+    m_progress = 0;
     m_isGivenUp = false;
 }
 
@@ -52,6 +55,14 @@
     return true;
 }
 
+void CallerBudget::Account::noteReceived(size_t bytes, Instant now)
+{
+    if (bytes - m_progress < m_receiving / progressParts)
+        return;
+    m_progress = bytes;
+    m_receivingSince = now;
+}
+
 size_t CallerBudget::Account::finishRequest()
 {
     const size_t bytes = m_receiving;
--- a/packages/decisions/CallerBudget.h
+++ b/packages/decisions/CallerBudget.h
@@ -42,6 +42,9 @@
         // Of the request that is being received, in all. False: there is too little memory, or the request was given
         // up.
         bool holdRequest(size_t bytes, Instant now);
+        // Of its body, in all. A request that waits for its caller has not got a good part of what it holds for a
+        // while: a byte now and then is no progress.
+        void noteReceived(size_t bytes, Instant now);
         size_t finishRequest(); // it is received; what it holds, until release()
         void dropRequest(); // it is refused
         void release(size_t bytes); // of requests that were received
@@ -65,6 +68,7 @@
         Instant m_receivingSince = notWaiting;
         Instant m_writingSince = notWaiting;
         size_t m_receiving = 0; // bytes
+        size_t m_progress = 0; // bytes of the body at m_receivingSince
         size_t m_received = 0;
         size_t m_responses = 0;
         bool m_isGivenUp = false; // the request that is being received
--- a/tests/caller_budget_test.cpp
+++ b/tests/caller_budget_test.cpp
@@ -64,6 +64,26 @@
     }
 }
 
+// A slow upload loses its place to callers that announce a body and send a byte of it now and then.
+TEST_CASE("a slow upload makes progress, and a byte now and then is none")
+{
+    CallerBudget budget(limits);
+    TestConnection slow(budget, at(0));
+    TestConnection dripping(budget, at(0));
+    TestConnection ordinary(budget, at(0));
+    for (TestConnection* connection : { &slow, &dripping, &ordinary })
+        connection->account.beginRequest(at(0));
+    REQUIRE(slow.account.holdRequest(800, at(0)));
+    REQUIRE(dripping.account.holdRequest(200, at(0)));
+    for (int64_t i = 1; i <= 6; ++i) {
+        slow.account.noteReceived(static_cast<size_t>(i) * 100, at(i * 900));
+        dripping.account.noteReceived(static_cast<size_t>(i), at(i * 900));
+    }
+    CHECK(ordinary.account.holdRequest(100, at(6'000)));
+    CHECK(slow.givenUp == 0);
+    CHECK(dripping.givenUp == 1);
+}
+
 // Callers that ask for large responses and don't read them have all other requests refused.
 TEST_CASE("a connection whose response isn't read is closed for others")
 {
