Input behind a refused request ends by bytes and by time, also if the caller goes on sending

What callers saw: a caller that went on sending after its request was refused kept a host reading as fast as it could. Cause: the host discards input for a second after the last response, so that the response isn't lost by a reset, and ends that by cancelling the read. With input always there, no read is pending when it is cancelled. Evidence (platform/standin/misbehaving.sh refused-endless, former code): 64 MB, all that the crowd sends at most, taken from each of eight connections, none ended. Change: the loop asks before each read whether its time is over, and reads at most as much as the largest body and head that the caller may still be sending, at least a megabyte.

--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -30,6 +30,7 @@
     constexpr Millis lingerTimeout { 1'000 }; // for the caller to read the last response and close its end
     constexpr Millis progressCheckInterval { 60'000 }; // waits end earlier, by a notification
     constexpr size_t readChunkBytes = 4'096;
+    constexpr size_t minDiscardedBytes = 1'000'000; // of input behind the last request
     constexpr double undeliveredLinesPerSecond = 20;
     constexpr size_t readAheadBytes = 65'536; // that one read of a body takes at most
     constexpr size_t copiedBodyBytes = 262'144; // a body of unknown length is copied as it grows, up to this size
@@ -166,7 +167,9 @@
     m_lingerProgress = m_context->clock.now();
     m_account.waitIdle(m_lingerProgress);
     m_readState = ReadState::Lingering;
-    m_callerGone |= co_await discardInput(m_stream);
+    // A caller inside the limits may still be sending the body of a request that was refused.
+    const size_t mostBytes = std::max(m_maxBodyBytes, minDiscardedBytes) + m_context->limits.headerBytes;
+    m_callerGone |= co_await discardInput(m_stream, mostBytes, m_lingerEnded);
     m_readState = ReadState::None;
 }
 
@@ -177,8 +180,10 @@
     if (unacknowledged < m_unacknowledged)
         m_lingerProgress = now;
     m_unacknowledged = unacknowledged;
-    if (now - m_lingerProgress >= (unacknowledged ? responseStallTimeout : lingerTimeout))
-        m_stream.cancel();
+    if (now - m_lingerProgress < (unacknowledged ? responseStallTimeout : lingerTimeout))
+        return;
+    m_lingerEnded = true;
+    m_stream.cancel();
 }
 
 void CallerSession::recordUndelivered()
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -171,6 +171,7 @@
     bool m_callerGone = false; // the caller has closed its end
     size_t m_unacknowledged = 0; // while lingering: bytes of responses that the caller hasn't acknowledged, ...
     Instant m_lingerProgress {}; // ... and when it last acknowledged some
+    bool m_lingerEnded = false;
 };
 
 }
--- a/packages/web/HttpServer.cpp
+++ b/packages/web/HttpServer.cpp
@@ -89,7 +89,8 @@
                 boost::system::error_code ignored; // the peer may have closed the connection already
                 stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
                 stream.expires_after(lingerTimeout);
-                co_await discardInput(stream);
+                constexpr bool stopped = false;
+                co_await discardInput(stream, maxControlHeaderBytes, stopped);
                 co_return;
             }
         }
--- a/packages/web/Sockets.cpp
+++ b/packages/web/Sockets.cpp
@@ -111,15 +111,18 @@
     return stream.socket().available(ignored);
 }
 
-asio::awaitable<bool> discardInput(boost::beast::tcp_stream& stream)
+asio::awaitable<bool> discardInput(boost::beast::tcp_stream& stream, size_t mostBytes, const bool& stopped)
 {
     constexpr size_t chunkBytes = 4'096;
     std::array<char, chunkBytes> chunk;
-    for (;;) {
+    size_t discarded = 0;
+    while (!stopped && discarded < mostBytes) {
         const auto [error, bytesRead] = co_await stream.async_read_some(asio::buffer(chunk), token);
         if (error)
             co_return error != asio::error::operation_aborted&& error != boost::beast::error::timeout;
+        discarded += bytesRead;
     }
+    co_return false;
 }
 
 bool isReadable(boost::beast::tcp_stream& stream) { return peek(stream) >= 0; }
--- a/packages/web/Sockets.h
+++ b/packages/web/Sockets.h
@@ -24,10 +24,11 @@
 // Bytes that were written and that the peer hasn't acknowledged; 0 if that can't be told.
 size_t unacknowledgedBytes(boost::beast::tcp_stream&);
 size_t unreadBytes(boost::beast::tcp_stream&); // that have been received
-// Discards input until the peer closes the connection, or until the operation is cancelled or times out (false).
-// Closing a socket with unread input resets the connection, which discards what the peer hasn't received of the last
-// response.
-boost::asio::awaitable<bool> discardInput(boost::beast::tcp_stream&);
+// Discards input until the peer closes the connection, until so many bytes have come or the operation is cancelled or
+// times out (false), or until `stopped` is true (false): a peer that goes on sending leaves no read pending that could
+// be cancelled. Closing a socket with unread input resets the connection, which discards what the peer hasn't received
+// of the last response.
+boost::asio::awaitable<bool> discardInput(boost::beast::tcp_stream&, size_t mostBytes, const bool& stopped);
 
 // For idle connections, on which no input is expected.
 bool isReadable(boost::beast::tcp_stream&); // the peer closed the connection or sent unexpected bytes
