Callers' connections leave descriptors for everything else; the one that waits longest makes room

What callers saw: idle connections of some callers took all descriptors of a host, and it hung for everybody: ordinary callers weren't accepted, and nothing was left for servers, the store and other hosts. Cause: `callerConnections`, 20,000, knows nothing of the process's own limit, and at the limit the newcomer was refused, whoever it was. Change: callers have at most half of the descriptors, by the process's limit or by the setting `gateway.descriptors`, and one connection for 16 kB of an eighth of the machine's memory. At the limit the connection that has waited longest for its caller, at least a second and with no request in progress, is closed for the new one. `caller-limits` is logged at the start.

--- a/apps/cumindaled/Duties.cpp
+++ b/apps/cumindaled/Duties.cpp
@@ -1,9 +1,11 @@
 #include "Duties.h"
 
+#include "base/Log.h"
 #include "web/Signal.h"
 
 #include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
+#include <sys/resource.h>
 
 namespace cumindale {
 
@@ -21,6 +23,22 @@
         return isLimited ? settings.gateway->memoryMegabytes * bytesPerMegabyte : SIZE_MAX;
     }
 
+    // That this process may have open.
+    size_t descriptorLimit(const Settings& settings)
+    {
+        rlimit own {};
+        const size_t limit = ::getrlimit(RLIMIT_NOFILE, &own) == 0 ? own.rlim_cur : SIZE_MAX;
+        const size_t announced = settings.gateway ? settings.gateway->descriptors : 0;
+        return announced ? std::min(limit, announced) : limit;
+    }
+
+    // The other descriptors and the rest of the memory are for servers, other hosts, the store and operators.
+    size_t mostConnections(const Settings& settings)
+    {
+        constexpr size_t connectionBytes = 16'384; // that a connection takes without a request
+        return std::min(descriptorLimit(settings) / 2, machineMemory(settings) / 8 / connectionBytes);
+    }
+
 }
 
 void runEventLoop(asio::io_context& context)
@@ -37,6 +55,7 @@
         limits.pipelinedRequests };
     // The rest is for what the host knows of the fleet, and for its connections.
     const size_t memory = machineMemory(settings);
+    applied.connections = std::min(applied.connections, mostConnections(settings));
     applied.bodyMemory = std::min(applied.bodyMemory, memory / 4);
     applied.responseMemory = std::min(applied.responseMemory, memory / 8);
     return applied;
@@ -56,6 +75,14 @@
     return limits;
 }
 
+void logCallerLimits(const Settings& settings)
+{
+    const CallerLimits limits = callerLimits(settings);
+    logChange(LogLevel::Info, "caller-limits",
+        { { "connections", limits.connections }, { "descriptors", descriptorLimit(settings) },
+            { "requestBytes", limits.bodyMemory }, { "responseBytes", limits.responseMemory } });
+}
+
 asio::awaitable<void> drainForwarded(CallerServer& server)
 {
     constexpr Millis idleBeforeClose { 200 };
--- a/apps/cumindaled/Duties.h
+++ b/apps/cumindaled/Duties.h
@@ -18,6 +18,7 @@
 CallerLimits callerLimits(const Settings&);
 // With room for one request at all limits of the operators' document, up to half of the machine's memory.
 CallerLimits callerLimits(const Settings&, const CallerBounds&);
+void logCallerLimits(const Settings&);
 
 struct DrainTiming {
     Millis balancerDelay { 2'000 }; // how long new connections may arrive after the health check fails
--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -243,6 +243,7 @@
         const Dialect dialect;
         GatewayHost host(settings, dialect, file);
         logChange(LogLevel::Info, "host-started", { { "version", CUMINDALE_VERSION } });
+        logCallerLimits(settings);
         return host.run();
     } catch (const boost::system::system_error& error) {
         logChange(LogLevel::Error, "host-failed", { { "why", error.what() } });
--- a/apps/cumindaled/Host.cpp
+++ b/apps/cumindaled/Host.cpp
@@ -133,6 +133,7 @@
     try {
         Host host(settings);
         logChange(LogLevel::Info, "host-started", { { "version", CUMINDALE_VERSION } });
+        logCallerLimits(settings);
         return host.run();
     } catch (const boost::system::system_error& error) {
         logChange(LogLevel::Error, "host-failed", { { "why", error.what() } });
--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -60,7 +60,7 @@
         auto socket = co_await acceptFrom(shared->acceptor);
         if (!socket)
             co_return;
-        if (shared->sessions.size() >= shared->context->limits.connections) {
+        if (!shared->context->budget.admitConnection(shared->context->clock.now())) {
             shared->refusedConnections.add();
             continue; // closes the socket: the load balancer tries another host
         }
--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -116,6 +116,8 @@
     , overlappingRequests(metrics.counter("callers_overlapping_requests"))
     , bodyBytes(metrics.counter("callers_body_bytes"))
     , slowReadersClosed(metrics.counter("callers_slow_readers_closed"))
+    , closedForOthers(metrics.counter("callers_closed_for_others"))
+    , requestsGivenUp(metrics.counter("callers_requests_given_up"))
     , closedUndelivered(metrics.counter("callers_closed_undelivered"))
     , undeliveredLines(1, undeliveredLinesPerSecond, undeliveredLinesPerSecond)
     , budget(budgetLimits(limits))
@@ -248,8 +250,21 @@
 {
     if (m_broken)
         return;
-    m_broken = true;
     m_context->slowReadersClosed.add();
+    abort();
+}
+
+void CallerSession::closeForOthers()
+{
+    (m_writing ? m_context->slowReadersClosed : m_context->closedForOthers).add();
+    abort();
+}
+
+void CallerSession::abort()
+{
+    m_broken = true;
+    m_givenUp = true;
+    m_lingerEnded = true;
     // Otherwise the kernel would keep the rest of the response in memory until the caller reads it.
     beast::error_code ignored;
     m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
@@ -319,9 +334,9 @@
 // Why no memory is held: the request was given up for another one, or there is none.
 ErrorKind CallerSession::memoryError() const { return m_givenUp ? ErrorKind::RequestTimeout : ErrorKind::MemoryBudget; }
 
-// The request takes as long as other requests take to be received.
 void CallerSession::giveUpRequest()
 {
+    m_context->requestsGivenUp.add();
     m_givenUp = true;
     m_requestDeadline = Instant::min();
     if (!m_writing)
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -39,6 +39,8 @@
     Counter& overlappingRequests;
     Counter& bodyBytes;
     Counter& slowReadersClosed;
+    Counter& closedForOthers; // connections closed to make room; see CallerBudget
+    Counter& requestsGivenUp; // unfinished requests refused to make room
     Counter& closedUndelivered; // connections that this host closed before the caller had received the last response
     LineBudget undeliveredLines; // of the log, about such connections
     CallerBudget budget;
@@ -132,7 +134,9 @@
 
     // --- CallerBudget::Owner
     void giveUpRequest() override;
-    void closeForOthers() override { closeAsSlowReader(); }
+    void closeForOthers() override;
+
+    void abort(); // closes the connection without delivering anything more
 
     // --- Running and writing
     // Returns false if the request is not to be run, because the connection has ended before its turn.
--- a/packages/decisions/CallerBudget.cpp
+++ b/packages/decisions/CallerBudget.cpp
@@ -100,7 +100,8 @@
 
 Instant CallerBudget::Account::waitingSince() const
 {
-    return std::min({ m_idleSince, m_receivingSince, m_writingSince });
+    const bool processing = m_received && m_writingSince == notWaiting;
+    return processing ? notWaiting : std::min({ m_idleSince, m_receivingSince, m_writingSince });
 }
 
 double CallerBudget::Account::costOfReceiving(Instant now) const
--- a/packages/decisions/CallerBudget.h
+++ b/packages/decisions/CallerBudget.h
@@ -58,7 +58,7 @@
     private:
         friend class CallerBudget;
 
-        Instant waitingSince() const; // for the caller; notWaiting: a request is being processed
+        Instant waitingSince() const; // for the caller; notWaiting while a request is being processed
         double costOfReceiving(Instant now) const; // byte milliseconds
         double costOfResponses(Instant now) const;
 
--- a/packages/gateway/ForwardHeaders.cpp
+++ b/packages/gateway/ForwardHeaders.cpp
@@ -36,7 +36,7 @@
     limits.headerBytes += forwardHeaderBytes;
     // Each forwarding host has as many connections as requests at a time.
     constexpr size_t maxConnections = 1'000;
-    limits.connections = std::min(limits.connections, maxConnections);
+    limits.connections = std::min(limits.connections / memoryDivisor, maxConnections);
     return limits;
 }
 
--- a/packages/resources/Settings.cpp
+++ b/packages/resources/Settings.cpp
@@ -108,6 +108,8 @@
         gateway.strength = reader.real("strength", 0, maxCores, gateway.strength);
         constexpr int64_t maxMemoryMegabytes = 1'000'000;
         gateway.memoryMegabytes = static_cast<size_t>(reader.integer("memoryMegabytes", 0, maxMemoryMegabytes, 0));
+        constexpr int64_t maxDescriptors = 100'000'000;
+        gateway.descriptors = static_cast<size_t>(reader.integer("descriptors", 0, maxDescriptors, 0));
         gateway.maxGrantHold = readSeconds(reader, "longestHoldSeconds", 1, gateway.maxGrantHold);
         gateway.leaderLease = readSeconds(reader, "leaderLeaseSeconds", 1, gateway.leaderLease);
         gateway.minStoreLease = readSeconds(reader, "shortestLeaseSeconds", 0, gateway.minStoreLease);
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -47,6 +47,7 @@
     double strength = 0.2; // CPU cores that this host may use; hosts with more are preferred as coordinator
     size_t memoryMegabytes
         = 0; // memory that this host may use; 0: not limited. Lowers the memory limits of LimitSettings
+    size_t descriptors = 0; // that this host may have open; 0: as the process's own limit says
     Millis maxGrantHold { 10'000 }; // longest duration of one grant that servers accept
     Millis leaderLease { 1'500 }; // of the coordinator; a failed coordinator is replaced after about this time
     Millis minStoreLease { 1'000 }; // shortest lease that the store accepts
