Requests at the ports for operators and the balancer share a bound in bytes and in connections

What was seen: a few requests with large bodies, or some hundred with long trailers, at the port for operators or the one for the balancer's checks took more memory than the machine has. Cause: each connection had bounds of 64 MB for a body and 327 kB for a buffer, all together none; the fields of a head or a trailer were not counted. Change: what the requests at one port hold has a bound of 8 MB, the largest is cut off beyond; trailers have 4 kB; 64 connections are open at a time, the oldest is closed for a new one.

--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -67,11 +67,14 @@
                   settings.gateway->readiness.port,
                   [this](const ServedRequest& request, boost::beast::tcp_stream&) {
                       return handleReadiness(std::string(request.target()));
-                  })
-            , m_admin(m_operatorsContext.get_executor(), settings.host.operators.address, settings.host.operators.port,
+                  },
+                  controlLimits)
+            , m_admin(
+                  m_operatorsContext.get_executor(), settings.host.operators.address, settings.host.operators.port,
                   [this](const ServedRequest& request, boost::beast::tcp_stream&) {
                       return handleOperatorRequest(request);
-                  })
+                  },
+                  controlLimits)
             , m_signals(m_routingContext, SIGTERM, SIGINT, SIGHUP)
         {
         }
--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -34,7 +34,6 @@
     constexpr double undeliveredLinesPerSecond = 20;
     constexpr size_t readAheadBytes = 65'536; // that one read of a body takes at most
     constexpr size_t copiedBodyBytes = 262'144; // a body of unknown length is copied as it grows, up to this size
-    constexpr size_t fieldBytes = 96; // of the parser, for each field of a head
     constexpr size_t requestBytes = 4'096; // that a request takes apart from its head and its body
 
     ErrorKind readErrorKind(beast::error_code error)
@@ -79,19 +78,6 @@
         return error ? std::string() : endpoint.address().to_string(); // empty: the caller has disconnected already
     }
 
-    // Memory that the fields of a head take, apart from their text.
-    size_t memoryOfFields(const CallerHeader& header)
-    {
-        return static_cast<size_t>(std::distance(header.begin(), header.end())) * fieldBytes;
-    }
-
-    // The most memory that so many bytes of fields can take. The shortest field is "a:" and a line end.
-    size_t mostMemoryOfFields(size_t bytes)
-    {
-        constexpr size_t shortestField = 4;
-        return bytes + bytes / shortestField * fieldBytes;
-    }
-
 }
 
 size_t memoryOfLargestRequest(size_t headerBytes, size_t bodyBytes)
--- a/packages/operators/AdminServer.cpp
+++ b/packages/operators/AdminServer.cpp
@@ -79,8 +79,9 @@
     , m_board(board)
     , m_metrics(metrics)
     , m_spans(spans)
-    , m_server(std::move(executor), settings.host.operators.address, settings.host.operators.port,
-          [this](const ServedRequest& request, boost::beast::tcp_stream&) { return handle(request); })
+    , m_server(
+          std::move(executor), settings.host.operators.address, settings.host.operators.port,
+          [this](const ServedRequest& request, boost::beast::tcp_stream&) { return handle(request); }, controlLimits)
 {
 }
 
--- a/packages/web/HeadReader.cpp
+++ b/packages/web/HeadReader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
+#include <iterator>
 #include <string_view>
 
 namespace cumindale {
@@ -17,6 +18,7 @@
 
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
     constexpr size_t mostBytesRead = 65'536; // at once
+    constexpr size_t fieldBytes = 96; // of the parser, for each field
 
     std::string_view textOf(const beast::flat_buffer& buffer)
     {
@@ -36,6 +38,17 @@
 
 }
 
+size_t memoryOfFields(const http::fields& fields)
+{
+    return static_cast<size_t>(std::distance(fields.begin(), fields.end())) * fieldBytes;
+}
+
+size_t mostMemoryOfFields(size_t bytes)
+{
+    constexpr std::string_view shortestField = "a:\r\n";
+    return bytes + bytes / shortestField.size() * fieldBytes;
+}
+
 bool hasContinuedLine(std::string_view text)
 {
     constexpr std::string_view lineEnd = "\r\n";
--- a/packages/web/HeadReader.h
+++ b/packages/web/HeadReader.h
@@ -5,11 +5,17 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <functional>
 #include <string_view>
 
 namespace cumindale {
 
+// Memory that the fields of a head take in the parser, apart from their text.
+size_t memoryOfFields(const boost::beast::http::fields&);
+// The most memory that so many bytes of fields take, with their text.
+size_t mostMemoryOfFields(size_t bytes);
+
 // Called before a further read with the bytes of the head so far. An error ends the reading.
 using PartialHeadCheck = std::function<boost::beast::error_code(size_t bytes)>;
 
--- a/packages/web/HttpServer.cpp
+++ b/packages/web/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "web/HttpServer.h"
 
 #include "web/HeadReader.h"
+#include "web/ResponseMemory.h"
 #include "web/Sockets.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -13,7 +14,7 @@
 #include <boost/url/params_view.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
-#include <set>
+#include <list>
 
 namespace cumindale {
 
@@ -27,6 +28,7 @@
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
     constexpr uint64_t maxControlBodyBytes = 64'000'000;
     constexpr uint32_t maxControlHeaderBytes = 64 * 1024;
+    constexpr size_t maxControlTrailerBytes = 4'096;
     constexpr Millis idleTimeout { 120'000 };
     constexpr Millis lingerTimeout { 1'000 }; // for the peer to read the last response and close its end
 
@@ -35,46 +37,79 @@
 struct HttpServer::Shared {
     tcp::acceptor acceptor;
     Handler handler;
-    std::set<beast::tcp_stream*> open {};
+    size_t maxConnections;
+    ResponseMemory memory; // of requests
+    std::list<beast::tcp_stream*> open {}; // in the order of their acceptance
 };
 
 namespace {
 
-    // Registers a connection in the set of open connections for the lifetime of this object.
+    using OpenConnections = std::list<beast::tcp_stream*>;
+    using RequestParser = http::request_parser<http::string_body>;
+
+    // Lists a connection among the open ones for the lifetime of this object.
     class OpenConnection {
     public:
-        OpenConnection(std::set<beast::tcp_stream*>& open, beast::tcp_stream& stream)
+        OpenConnection(OpenConnections& open, beast::tcp_stream& stream)
             : m_open(open)
-            , m_stream(&stream)
+            , m_place(m_open.insert(m_open.end(), &stream))
         {
-            m_open.insert(m_stream);
         }
-        ~OpenConnection() { m_open.erase(m_stream); }
+        ~OpenConnection() { m_open.erase(m_place); }
         OpenConnection(const OpenConnection&) = delete;
         OpenConnection& operator=(const OpenConnection&) = delete;
 
     private:
-        std::set<beast::tcp_stream*>& m_open;
-        beast::tcp_stream* m_stream;
+        OpenConnections& m_open;
+        OpenConnections::iterator m_place;
     };
 
+    // False: the connection has failed, or the request is malformed or takes too much memory.
+    asio::awaitable<bool> readRequest(
+        ResponseMemory::Reader& memory, beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser)
+    {
+        parser.body_limit(maxControlBodyBytes);
+        parser.header_limit(maxControlHeaderBytes);
+        const auto checkPart = [&](size_t bytes) -> beast::error_code {
+            if (memory.grow(buffer.capacity() + mostMemoryOfFields(bytes)))
+                return {};
+            return asio::error::no_memory;
+        };
+        const beast::error_code headError = co_await readHead(stream, buffer, parser, maxControlHeaderBytes, checkPart);
+        if (headError)
+            co_return false;
+        const size_t headMemory = memoryOfFields(parser.get().base());
+        // The fields of a trailer become part of the head.
+        auto checkTrailer = [&buffer](uint64_t chunkBytes, std::string_view extensions, beast::error_code& error) {
+            if (!chunkBytes && trailerAfter(extensions, buffer).size() > maxControlTrailerBytes)
+                error = http::error::header_limit;
+        };
+        parser.on_chunk_header(checkTrailer);
+        const std::string& body = parser.get().body();
+        // While the body grows, its old and its new storage exist.
+        while (memory.grow(buffer.capacity() + headMemory + 3 * body.capacity())) {
+            if (parser.is_done())
+                co_return true;
+            const auto [error, bytesRead] = co_await http::async_read_some(stream, buffer, parser, token);
+            if (error || memory.isCutOff())
+                co_return false;
+        }
+        co_return false;
+    }
+
     // `owner` keeps the referenced objects alive after the HttpServer has been destroyed.
     asio::awaitable<void> serveConnection([[maybe_unused]] std::shared_ptr<void> owner, tcp::socket socket,
-        HttpServer::Handler handler, std::set<beast::tcp_stream*>& open)
+        HttpServer::Handler handler, OpenConnections& open, ResponseMemory& memory)
     {
         beast::tcp_stream stream(std::move(socket));
         const OpenConnection openConnection(open, stream);
-        beast::flat_buffer buffer(maxControlHeaderBytes + readBufferBytes);
+        beast::flat_buffer buffer(maxControlHeaderBytes + maxControlTrailerBytes);
         for (;;) {
-            http::request_parser<http::string_body> parser;
-            parser.body_limit(maxControlBodyBytes);
-            parser.header_limit(maxControlHeaderBytes);
+            RequestParser parser;
+            ResponseMemory::Reader held(memory, [&stream] { resetConnection(stream); });
             stream.expires_after(idleTimeout);
-            const beast::error_code headError = co_await readHead(stream, buffer, parser, maxControlHeaderBytes);
-            if (headError)
-                co_return;
-            const auto [readError, got] = co_await http::async_read(stream, buffer, parser, token);
-            if (readError)
+            const bool complete = co_await readRequest(held, stream, buffer, parser);
+            if (!complete)
                 co_return;
             stream.expires_never();
             auto response = co_await handler(parser.get(), stream);
@@ -97,14 +132,16 @@
     }
 
     asio::awaitable<void> acceptConnections(std::shared_ptr<void> owner, tcp::acceptor& acceptor,
-        HttpServer::Handler& handler, std::set<beast::tcp_stream*>& open)
+        HttpServer::Handler& handler, OpenConnections& open, size_t maxConnections, ResponseMemory& memory)
     {
         for (;;) {
             auto socket = co_await acceptFrom(acceptor);
             if (!socket)
                 co_return;
-            asio::co_spawn(
-                acceptor.get_executor(), serveConnection(owner, std::move(*socket), handler, open), asio::detached);
+            if (open.size() >= maxConnections)
+                resetConnection(*open.front());
+            asio::co_spawn(acceptor.get_executor(), serveConnection(owner, std::move(*socket), handler, open, memory),
+                asio::detached);
         }
     }
 
@@ -140,12 +177,15 @@
     return target;
 }
 
-HttpServer::HttpServer(asio::any_io_executor executor, std::string address, uint16_t port, Handler handler)
-    : m_shared(std::make_shared<Shared>(
-        Shared { tcp::acceptor(executor, { asio::ip::make_address(address), port }), std::move(handler) }))
+HttpServer::HttpServer(
+    asio::any_io_executor executor, std::string address, uint16_t port, Handler handler, HttpServerLimits limits)
+    : m_shared(new Shared { tcp::acceptor(executor, { asio::ip::make_address(address), port }), std::move(handler),
+        limits.connections, ResponseMemory(limits.memory) })
 {
-    asio::co_spawn(
-        executor, acceptConnections(m_shared, m_shared->acceptor, m_shared->handler, m_shared->open), asio::detached);
+    asio::co_spawn(executor,
+        acceptConnections(m_shared, m_shared->acceptor, m_shared->handler, m_shared->open, m_shared->maxConnections,
+            m_shared->memory),
+        asio::detached);
 }
 
 HttpServer::~HttpServer() { stop(); }
--- a/packages/web/HttpServer.h
+++ b/packages/web/HttpServer.h
@@ -27,13 +27,22 @@
 };
 Target parseTarget(std::string_view target);
 
+struct HttpServerLimits {
+    size_t memory = SIZE_MAX; // bytes of the requests that are being received or handled; the largest is cut off
+    size_t connections = SIZE_MAX; // for a further one, the oldest is closed
+};
+
+// Of servers that operators and the load balancer use. The largest request is a resource.
+constexpr HttpServerLimits controlLimits { 8'000'000, 64 };
+
 class HttpServer {
 public:
     // Handles a request. Returns nullopt if the handler wrote to the stream itself; the connection is then closed.
     using Handler = std::function<boost::asio::awaitable<std::optional<ServedResponse>>(
         const ServedRequest&, boost::beast::tcp_stream&)>;
 
-    HttpServer(boost::asio::any_io_executor, std::string address, uint16_t port, Handler); // throws if it can't bind
+    // Throws if it can't bind.
+    HttpServer(boost::asio::any_io_executor, std::string address, uint16_t port, Handler, HttpServerLimits = {});
     ~HttpServer();
     uint16_t port() const;
     void stop(); // stops accepting connections
