A host stops although callers never finish their requests or take their responses

What operators saw: a planned stop beside callers that sent a byte of a body now and then, or didn't read their responses, didn't end; the platform killed the process at the end of its grace period, and without a platform it stayed for good. Cause: the drain waited for all connections without a limit, so that slow uploads could finish. Evidence (platform/standin/misbehaving.sh, former code): stop/body-declared and stop/responses-unread: the process is there 30 s after SIGTERM, with graceSeconds 6. stop/idle ended, with no descriptor left before (256 in use). Change: both drains end when the process has to: half a second before graceSeconds are over, on the other path after timing.shutdownGraceMs, ten minutes by default. The log tells how many connections were left.

--- a/apps/cumindaled/Duties.cpp
+++ b/apps/cumindaled/Duties.cpp
@@ -83,26 +83,35 @@
             { "requestBytes", limits.bodyMemory }, { "responseBytes", limits.responseMemory } });
 }
 
-asio::awaitable<void> drainForwarded(CallerServer& server)
+namespace {
+
+    asio::awaitable<void> waitForCallers(
+        CallerServer& callers, Millis idleBeforeClose, const Clock& clock, Instant until)
+    {
+        while (callers.connections() && clock.now() < until) {
+            callers.closeIdle(idleBeforeClose);
+            co_await sleepFor(drainPollInterval);
+        }
+        if (callers.connections())
+            logChange(LogLevel::Warning, "callers-cut-off", { { "connections", callers.connections() } });
+    }
+
+}
+
+asio::awaitable<void> drainForwarded(CallerServer& server, const Clock& clock, Instant until)
 {
     constexpr Millis idleBeforeClose { 200 };
     server.startDraining();
-    while (server.connections()) {
-        server.closeIdle(idleBeforeClose);
-        co_await sleepFor(drainPollInterval);
-    }
+    co_await waitForCallers(server, idleBeforeClose, clock, until);
     server.stopAccepting();
 }
 
-asio::awaitable<void> drainCallers(CallerServer& callers, DrainTiming timing)
+asio::awaitable<void> drainCallers(CallerServer& callers, DrainTiming timing, const Clock& clock, Instant until)
 {
     callers.startDraining();
     co_await sleepFor(timing.balancerDelay);
     callers.stopAccepting();
-    while (callers.connections()) {
-        callers.closeIdle(timing.idleBeforeClose);
-        co_await sleepFor(drainPollInterval);
-    }
+    co_await waitForCallers(callers, timing.idleBeforeClose, clock, until);
 }
 
 }
--- a/apps/cumindaled/Duties.h
+++ b/apps/cumindaled/Duties.h
@@ -25,10 +25,10 @@
     Millis idleBeforeClose { 1'000 }; // connections idle for this long are closed
 };
 
-// Fails the health check so that the load balancer removes the host, then waits for every accepted request. There is no
-// timeout, so that slow uploads can finish.
-boost::asio::awaitable<void> drainCallers(CallerServer&, DrainTiming);
-// Waits for every forwarded request that was accepted.
-boost::asio::awaitable<void> drainForwarded(CallerServer&);
+// Fails the health check so that the load balancer removes the host, then waits for every accepted request, until the
+// process has to end: a caller that never finishes its request or never takes its response must not keep it.
+boost::asio::awaitable<void> drainCallers(CallerServer&, DrainTiming, const Clock&, Instant until);
+// Waits for every forwarded request that was accepted, as long.
+boost::asio::awaitable<void> drainForwarded(CallerServer&, const Clock&, Instant until);
 
 }
--- a/apps/cumindaled/GatewayHost.cpp
+++ b/apps/cumindaled/GatewayHost.cpp
@@ -63,7 +63,8 @@
             , m_forwarded(makeForwardedServer())
             , m_controller(m_controlContext.get_executor(), m_clock, settings, adapter, *m_store, m_metrics,
                   [this](GatewayUpdate update) { return m_toRouting.push(std::move(update)); })
-            , m_readiness(m_operatorsContext.get_executor(), settings.gateway->readiness.address,
+            , m_readiness(
+                  m_operatorsContext.get_executor(), settings.gateway->readiness.address,
                   settings.gateway->readiness.port,
                   [this](const ServedRequest& request, boost::beast::tcp_stream&) {
                       return handleReadiness(std::string(request.target()));
@@ -203,9 +204,9 @@
                 m_controlContext, m_controller.leave(until), [this](std::exception_ptr) { m_leaveFinished = true; });
             if (m_forwarded)
                 m_forwarded->startDraining(); // other hosts forward elsewhere after the next response
-            co_await drainCallers(m_callers, gatewayDrainTiming);
+            co_await drainCallers(m_callers, gatewayDrainTiming, m_clock, until);
             if (m_forwarded)
-                co_await drainForwarded(*m_forwarded);
+                co_await drainForwarded(*m_forwarded, m_clock, until);
             constexpr Millis pollInterval { 20 };
             while (!m_leaveFinished && m_clock.now() < until)
                 co_await sleepFor(pollInterval);
--- a/apps/cumindaled/Host.cpp
+++ b/apps/cumindaled/Host.cpp
@@ -52,6 +52,7 @@
             , m_writer(m_clock, m_operatorStore, m_metrics)
             , m_admin(m_operatorsContext.get_executor(), m_clock, settings, m_writer, m_board, m_metrics, m_spans)
             , m_signals(m_routingContext, SIGTERM, SIGINT)
+            , m_shutdownGrace(settings.timing.shutdownGrace)
         {
         }
 
@@ -99,7 +100,7 @@
         asio::awaitable<void> drain()
         {
             asio::co_spawn(m_controlContext, m_controller.leave(), asio::detached);
-            co_await drainCallers(m_callers, {});
+            co_await drainCallers(m_callers, {}, m_clock, m_clock.now() + m_shutdownGrace);
             logChange(LogLevel::Info, "host-stopped");
             m_routingContext.stop();
         }
@@ -122,6 +123,7 @@
         ResourceWriter m_writer;
         AdminServer m_admin;
         asio::signal_set m_signals;
+        Millis m_shutdownGrace;
         bool m_draining = false;
     };
 
--- a/packages/resources/Settings.cpp
+++ b/packages/resources/Settings.cpp
@@ -77,6 +77,7 @@
         timing.probeInterval = readMillis(reader, "probeMs", 20, timing.probeInterval);
         timing.probeTimeout = readMillis(reader, "probeTimeoutMs", 20, timing.probeTimeout);
         timing.hostListLag = readMillis(reader, "hostListLagMs", 0, timing.hostListLag);
+        timing.shutdownGrace = readMillis(reader, "shutdownGraceMs", 1000, timing.shutdownGrace);
         if (timing.lease < 2 * timing.heartbeatInterval)
             reader.fail("leaseMs", "at least twice beatMs, so that one lost beat does not stop a host");
         reader.finish();
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -75,6 +75,7 @@
     Millis probeInterval { 200 }; // between two probes of a backend server
     Millis probeTimeout { 300 };
     Millis hostListLag { 5000 }; // documented lag of the host list; an unlisted host still counts for this long
+    Millis shutdownGrace { 600'000 }; // from the request to stop to the end of the process, for uploads in progress
 };
 
 struct LimitSettings {
