Freed storage of large bodies goes back to the system

Cause: glibc raises its threshold for blocks of their own each time a larger one is freed, up to 32 MB. Change: the threshold stays at 131,072 bytes.

--- a/apps/cumindaled/main.cpp
+++ b/apps/cumindaled/main.cpp
@@ -14,6 +14,7 @@
 #include <absl/flags/usage_config.h>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 
 ABSL_FLAG(std::string, settings, "", "settings file, JSON with comments");
@@ -23,10 +24,19 @@
 
 constexpr int badUsage = 2;
 
+// Gives large blocks back to the system as soon as they are freed. Otherwise the allocator raises its threshold by
+// itself and keeps the freed storage of large bodies, in pieces that other bodies don't fit into.
+void keepLargeBlocksApart()
+{
+    constexpr int bytes = 131'072;
+    mallopt(M_MMAP_THRESHOLD, bytes);
+}
+
 }
 
 int main(int argc, char** argv)
 {
+    keepLargeBlocksApart();
     absl::SetProgramUsageMessage("routes callers' requests to the single owner of each key.\n"
                                  "  cumindaled --settings FILE [--check]");
     absl::FlagsUsageConfig config;
