--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -230,8 +230,6 @@
     return m_context->clock.now() - m_idleSince >= responseStallTimeout || !unacknowledgedBytes(m_stream);
 }
 
-Millis CallerSession::stalledFor() const { return m_writing ? m_context->clock.now() - m_writeProgress : Millis(0); }
-
 void CallerSession::closeAsSlowReader()
 {
     if (m_broken)
@@ -302,7 +300,7 @@
     co_return !error && !ended() && !isLastRead();
 }
 
-// A client that goes on sending leaves no read pending that check() could cancel.
+// A caller that goes on sending leaves no read pending that check() could cancel.
 beast::error_code CallerSession::checkPartialHead(size_t bytes)
 {
     if (m_timedOut || m_givenUp)
@@ -320,6 +318,7 @@
 // Why no memory is held: the request was given up for another one, or there is none.
 ErrorKind CallerSession::memoryError() const { return m_givenUp ? ErrorKind::RequestTimeout : ErrorKind::MemoryBudget; }
 
+// The caller gets a 408 as at the end of its time.
 void CallerSession::giveUpRequest()
 {
     m_context->requestsGivenUp.add();
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -5,8 +5,7 @@
 // others run alone. Requests behind a response that closes the connection are not passed to the handler.
 //
 // Memory is bounded for each connection and for the host: a connection runs a limited number of requests, reads no
-// further ones while its unwritten responses exceed a limit, and loses its place if the host's responses need too much
-// memory and its caller hasn't read for the longest time.
+// further ones while its unwritten responses exceed a limit, and gives way to others as CallerBudget decides.
 #pragma once
 
 #include "base/Metrics.h"
@@ -79,9 +78,6 @@
     // To be called regularly: detects callers that have disconnected, and ends operations whose time is over.
     void check();
     void closeIfIdle(Millis idleFor);
-    // How long the caller has taken nothing of a response that is ready; zero if no response waits.
-    Millis stalledFor() const;
-    void closeAsSlowReader();
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -136,6 +132,7 @@
     void giveUpRequest() override;
     void closeForOthers() override;
 
+    void closeAsSlowReader();
     void abort(); // closes the connection without delivering anything more
 
     // --- Running and writing
