The first read of a chunked body needs no block of its own; the oldest control connection is closed once

A chunked body of up to 65,536 bytes reserved twice that, which is now a mapping of its own for each small upload. Where several connections come at once to a full server for operators, each closes another of the oldest ones.

--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -408,7 +408,8 @@
         if (!held)
             return false;
         // The largest allowed is reserved before a large body would be copied. What isn't filled takes no memory.
-        body.reserve(bytes > copiedBodyBytes ? m_maxBodyBytes + readAheadBytes : bytes * 2);
+        const size_t grown = body.empty() ? bytes : bytes * 2;
+        body.reserve(bytes > copiedBodyBytes ? m_maxBodyBytes + readAheadBytes : grown);
     }
     return holdRequest(bytes);
 }
--- a/packages/web/HttpServer.cpp
+++ b/packages/web/HttpServer.cpp
@@ -138,8 +138,10 @@
             auto socket = co_await acceptFrom(acceptor);
             if (!socket)
                 co_return;
-            if (open.size() >= maxConnections)
+            if (open.size() >= maxConnections) {
                 resetConnection(*open.front());
+                open.splice(open.end(), open, open.begin()); // it ends in its turn
+            }
             asio::co_spawn(acceptor.get_executor(), serveConnection(owner, std::move(*socket), handler, open, memory),
                 asio::detached);
         }
