review/8: an answer with an odd transfer coding, passed on

A garbled answer with Transfer-Encoding: gzip that ends with its connection is passed on as a success with a Content-Length beside it; a caller that reads by RFC 9112 takes the next answer on the connection for a part of it (MIXED).

--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -10,7 +10,7 @@
 record=$PWD/$case/record.txt
 declare -A pid
 
-for program in "$bin/cumindaled" "$standins"/standin-platform-{store,server} "$standins"/{standin-proxy,gate,slow-callers}; do
+for program in "$bin/cumindaled" "$standins"/standin-platform-{store,server} "$standins"/{standin-proxy,gate,slow-callers,spoiled}; do
     [ -x "$program" ] || { echo "missing: $program" >&2; exit 2; }
 done
 
