--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -10,7 +10,7 @@
 record=$PWD/$case/record.txt
 declare -A pid
 
-for program in "$bin/cumindaled" "$standins"/standin-platform-{store,server} "$standins"/{standin-proxy,gate,slow-callers,spoiled}; do
+for program in "$bin/cumindaled" "$standins"/standin-platform-{store,server} "$standins"/{standin-proxy,gate,slow-callers,spoiled,fetch}; do
     [ -x "$program" ] || { echo "missing: $program" >&2; exit 2; }
 done
 
@@ -33,6 +33,8 @@
     if [ -n "${KEEP:-}" ]; then echo "$work" >&2; else rm -rf "$work"; fi
 }
 trap stop_all EXIT
+trap 'exit 2' HUP INT TERM
+curl() { "$standins/fetch" "$@"; }
 
 port_is_free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
 choose_base() {
