--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -9,10 +9,10 @@
 trouble=${TROUBLE:-1}
 work=$(mktemp -d) || exit 2
 record=$here/record.txt
-hosts=4
+hosts=10 # one is a share of 0.1
 declare -A pid
 
-for program in "$bin/cumindaled" "$standins"/standin-platform-{store,server} "$standins"/{standin-proxy,gate}; do
+for program in "$bin/cumindaled" "$standins"/standin-platform-{store,server} "$standins"/{standin-proxy,gate,fetch}; do
     [ -x "$program" ] || { echo "missing: $program" >&2; exit 2; }
 done
 
@@ -35,21 +35,23 @@
     if [ -n "${KEEP:-}" ]; then echo "$work" >&2; else rm -rf "$work"; fi
 }
 trap stop_all EXIT
+trap 'exit 2' HUP INT TERM
+curl() { "$standins/fetch" "$@"; }
 
 port_is_free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
 choose_base() { # a range of free ports
     local try port
     for try in $(seq 1 50); do
-        base=$((20000 + RANDOM % 200 * 50))
-        for port in $(seq "$base" $((base + 45))); do port_is_free "$port" || continue 2; done
+        base=$((20000 + RANDOM % 120 * 80))
+        for port in $(seq "$base" $((base + 75))); do port_is_free "$port" || continue 2; done
         return 0
     done
     return 1
 }
 choose_base || exit 2
 store=$base control=$((base + 1)) beats=$((base + 2)) beats_faults=$((base + 3)) gate=$((base + 4)) # of server 1
-server_port() { echo $((base + 4 + $1)); }
-host_port() { echo $((base + 6 + 6 * $1 + $2)); } # N 1: callers, 2: peers, 3: operators, 4: readiness, 5: to the store, 6: its faults
+server_port() { echo $((base + 4 + $1)); } # up to 6
+host_port() { echo $((base + 5 + 6 * $1 + $2)); } # N 1: callers, 2: peers, 3: operators, 4: readiness, 5: to the store, 6: its faults
 
 wait_until() { # SECONDS COMMAND...
     local end=$((SECONDS + $1))
@@ -106,15 +108,22 @@
 wait_until 5 curl -sf "http://127.0.0.1:$control/item?key=none" || exit 2
 curl -sf -o /dev/null -X PUT --data-binary @- "http://127.0.0.1:$control/item?key=op/config" <<'RULES'
 {"version":1,"routes":[{"name":"lookup","host":"desk.example","path_prefix":"/lookup/","route_type":"safe","timeout_s":1,
-  "target_latency_s":0.4,"priority":2,"service":"desk","max_attempts":2}],
- "services":[{"name":"desk","health_path":"/health","max_connections":120,"sharded":true}],
+  "target_latency_s":0.4,"priority":2,"service":"desk","max_attempts":2},
+ {"name":"file","host":"desk.example","path_prefix":"/file/","route_type":"safe","timeout_s":1,"target_latency_s":0.4,
+  "priority":2,"service":"vault","max_attempts":2}],
+ "services":[{"name":"desk","health_path":"/health","max_connections":120,"sharded":true},
+  {"name":"vault","health_path":"/health","max_connections":120}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_s":3,"idle_timeout_s":15}}
 RULES
 start beats "$standins/standin-proxy" --port "$beats" --control_port "$beats_faults" --target "$control"
 start gate "$standins/gate" "$gate" "$(server_port 1)" "$work/island"
 start_server 1 "$gate" "$beats"
+for n in 3 4 5 6; do # of another service, without keys: server 1 is one upstream of five
+    start "server-$n" "$standins/standin-platform-server" --port "$(server_port "$n")" --name "i-$n" --service vault --nokeyed \
+        --data_centre dc-1 --store_control "$control" --slots 4 --work_ms 20 --record "$work/server-$n.record"
+done
 for n in $(seq 1 $hosts); do start_host "$n"; done
-for n in $(seq 1 $hosts); do wait_until 20 serves "$n" || { tail -n 3 "$work"/*.log >&2; exit 2; }; done
+for n in $(seq 1 $hosts); do wait_until $((40 - SECONDS)) serves "$n" || { tail -n 3 "$work"/*.log >&2; exit 2; }; done
 sleep 4 # until the list of hosts is in the store
 first=
 for n in $(seq 1 $hosts); do coordinates "$n" && first=$n; done
@@ -122,7 +131,6 @@
 note "host-$first coordinates"
 for n in $(seq 1 $hosts); do
     asks "$n" 1 &
-    asks "$n" 2 &
 done
 sleep 2
 thaw=0 heal=0
@@ -160,20 +168,20 @@
 for n in 1 2; do sed "s/^/server-$n /" "$work/server-$n.record" >>"$record"; done
 [ "$(grep -c ' answered .* 200$' "$record")" -ge 100 ] || { echo "too few answers" >&2; exit 2; }
 
-# Holds of the same keys at both servers that overlap, with requests that both servers began meanwhile. Grants that arrived
+# Holds of the same keys at server 1 and another that overlap, with requests that both servers began meanwhile. Grants that arrived
 # within thaw_slack_s after the thaw or the end of the cut don't count.
 awk -v thaw="$thaw" -v heal="$heal" '
     function end_holds(server, first, last, at,   i) {
         for (i = 1; i <= count; ++i)
             if (owner[i] == server && from[i] <= last && first <= to[i] && until[i] > at) until[i] = at
     }
-    $1 ~ /^server-[12]$/ && $2 == "G" {
+    $1 ~ /^server-[0-9]$/ && $2 == "G" {
         at = $6 / 1e6
         end_holds($1, $3, $4, at)
         ++count; owner[count] = $1; from[count] = $3; to[count] = $4; begin[count] = at; until[count] = at + $5 / 1000
     }
-    $1 ~ /^server-[12]$/ && $2 == "R" { end_holds($1, $3, $4, $5 / 1e6) }
-    $1 ~ /^server-[12]$/ && $2 == "B" { ++runs; ran_at[runs] = $1; key[runs] = $4; ran[runs] = $6 / 1e6 }
+    $1 ~ /^server-[0-9]$/ && $2 == "R" { end_holds($1, $3, $4, $5 / 1e6) }
+    $1 ~ /^server-[0-9]$/ && $2 == "B" { ++runs; ran_at[runs] = $1; key[runs] = $4; ran[runs] = $6 / 1e6 }
     function begins(server, first, last, since, before,   i) {
         for (i = 1; i <= runs; ++i)
             if (ran_at[i] == server && key[i] >= first && key[i] <= last && ran[i] >= since && ran[i] < before) return 1
@@ -183,14 +191,14 @@
     END {
         slack = 0.3
         for (i = 1; i <= count; ++i) for (j = 1; j <= count; ++j) {
-            if (owner[i] != "server-1" || owner[j] != "server-2") continue
+            if (owner[i] != "server-1" || owner[j] == owner[i]) continue
             first = from[i] > from[j] ? from[i] : from[j]; last = to[i] < to[j] ? to[i] : to[j]
             since = begin[i] > begin[j] ? begin[i] : begin[j]; before = until[i] < until[j] ? until[i] : until[j]
             if (first > last || since >= before) continue
             if (excused(begin[i]) || excused(begin[j])) continue
             both = begins(owner[i], first, last, since, before) && begins(owner[j], first, last, since, before)
-            printf "both hold %d to %d for %.3f s from %.3f on; grants at %.3f (server 1) and %.3f; requests on both: %s\n",
-                first, last, before - since, since, begin[i], begin[j], both ? "yes" : "no"
+            printf "both hold %d to %d for %.3f s from %.3f on; grants at %.3f (server 1) and %.3f (%s); requests on both: %s\n",
+                first, last, before - since, since, begin[i], begin[j], owner[j], both ? "yes" : "no"
             if (both) broken = 1
         }
         exit broken
