Coordinator: log what allows it to act

A coordinator that goes on after a pause can send orders because the store's confirmation counts, because the hosts' reports count, or because orders were queued before the pause. The log didn't tell these apart.

acting-basis-changed names the basis (store, reports, none) with the time since the store's confirmation and the number of recent reports.

LeadershipRules::mayAct() is as before, split into basis() and recentReports().

--- a/packages/decisions/LeadershipRules.cpp
+++ b/packages/decisions/LeadershipRules.cpp
@@ -5,6 +5,19 @@
 
 namespace cumindale {
 
+std::string_view nameOf(ActingBasis basis)
+{
+    switch (basis) {
+    case ActingBasis::None:
+        return "none";
+    case ActingBasis::Store:
+        return "store";
+    case ActingBasis::Reports:
+        return "reports";
+    }
+    return "none";
+}
+
 void LeadershipRules::setListedHosts(std::set<std::string, std::less<>> hosts)
 {
     m_listedHosts = std::move(hosts);
@@ -24,17 +37,21 @@
         m_reports.insert_or_assign(std::string(host), now);
 }
 
-bool LeadershipRules::mayAct(Instant confirmed, Instant now) const
+ActingBasis LeadershipRules::basis(Instant confirmed, Instant now) const
 {
     const Millis sinceConfirmed = now - confirmed;
     if (sinceConfirmed <= m_timing.lease)
-        return true;
-    if (sinceConfirmed > m_timing.maxWithoutStore)
-        return false;
-    const auto fresh = std::count_if(m_reports.begin(), m_reports.end(), [&](const auto& report) {
+        return ActingBasis::Store;
+    if (sinceConfirmed > m_timing.maxWithoutStore || recentReports(now) * 2 <= m_listedHosts.size())
+        return ActingBasis::None;
+    return ActingBasis::Reports;
+}
+
+size_t LeadershipRules::recentReports(Instant now) const
+{
+    return static_cast<size_t>(std::count_if(m_reports.begin(), m_reports.end(), [&](const auto& report) {
         return m_listedHosts.count(report.first) && now - report.second <= m_reportLifetime;
-    });
-    return static_cast<size_t>(fresh) * 2 > m_listedHosts.size();
+    }));
 }
 
 bool LeadershipRules::previousLostMajority() const
--- a/packages/decisions/LeadershipRules.h
+++ b/packages/decisions/LeadershipRules.h
@@ -17,6 +17,7 @@
 
 #include "decisions/FleetTiming.h"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -29,6 +30,14 @@
     Millis maxWithoutStore { 12'000 }; // longer than the store outages that hosts see
 };
 
+enum class ActingBasis : uint8_t {
+    None, // the coordinator must not act
+    Store, // the store has confirmed the leadership within its lease
+    Reports, // without the store: most of the listed hosts have reported recently
+};
+
+std::string_view nameOf(ActingBasis);
+
 class LeadershipRules {
 public:
     explicit LeadershipRules(LeadershipTiming timing)
@@ -42,7 +51,9 @@
     void onReport(std::string_view host, Instant now);
 
     // `confirmed`: when the last request was sent to which the store answered that this host is the coordinator.
-    bool mayAct(Instant confirmed, Instant now) const;
+    ActingBasis basis(Instant confirmed, Instant now) const;
+    bool mayAct(Instant confirmed, Instant now) const { return basis(confirmed, now) != ActingBasis::None; }
+    size_t recentReports(Instant now) const; // number of listed hosts that have reported recently
     // Whether so many hosts report to this one that a previous coordinator has no majority and must stop.
     bool previousLostMajority() const;
     // When a previous coordinator that has just lost its majority has stopped at the latest.
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -94,6 +94,7 @@
     m_hostListCheckedAt = m_clock.now();
     m_termBegan = m_clock.now();
     m_leadership = LeadershipRules(m_options.leadership);
+    m_actingBasis = ActingBasis::Store;
     m_leadership.setListedHosts(m_view.listedHosts());
     m_brokers.beginTerm(m_term, m_leadership.listedHosts(), m_clock.now());
     m_forwardTargets.beginTerm(m_clock.now());
@@ -135,7 +136,7 @@
     // Without confirmation by the store, another host may have been elected meanwhile. Renewals continue for a limited
     // time, since the store may be unavailable to all hosts. A new coordinator waits as long for holders that it can't
     // reach.
-    if (!m_leadership.mayAct(m_election.lastConfirmed(), now))
+    if (!mayAct(now))
         return;
     updateServerAddresses();
     createMissingPlans();
@@ -179,6 +180,20 @@
         balance();
 }
 
+bool Coordinator::mayAct(Instant now)
+{
+    const ActingBasis basis = m_leadership.basis(m_election.lastConfirmed(), now);
+    if (std::exchange(m_actingBasis, basis) != basis) {
+        const LogLevel level = basis == ActingBasis::None ? LogLevel::Warning : LogLevel::Info;
+        logChange(level, "acting-basis-changed",
+            { { "term", m_term }, { "basis", nameOf(basis) },
+                { "sinceStoreConfirmedMs", (now - m_election.lastConfirmed()).count() },
+                { "recentReports", m_leadership.recentReports(now) },
+                { "listedHosts", m_leadership.listedHosts().size() } });
+    }
+    return basis != ActingBasis::None;
+}
+
 void Coordinator::setCutOff(bool cutOff)
 {
     if (cutOff && !m_cutOff)
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -99,6 +99,7 @@
     void beginTerm();
     void endTerm();
     void step();
+    bool mayAct(Instant now); // and logs changes of what allows it
     bool mustStepDown(bool isolated, Instant now);
     void createMissingPlans();
     bool registrationsSettled(const std::string& service);
@@ -180,6 +181,7 @@
     SnapshotAnnouncer m_snapshots;
     bool m_writing = false;
     LeadershipRules m_leadership;
+    ActingBasis m_actingBasis = ActingBasis::Store; // as logged last
     std::map<std::string, std::string>
         m_previousCoordinators; // by service: the host whose orders may still arrive at servers
     Instant m_termBegan {};
