Coordinator: count a report from when it was sent

What callers saw: two servers ran requests on the same keys.

Cause: without the store, LeadershipRules takes a report for recent for 1.2 s from when it is read. The reports of the moment at which the process stopped were in its sockets, and read at once when it went on.

Evidence: acting-basis-changed goes from none (1 of 10 recent reports) to reports (10 of 10) 30 ms after the process goes on, and back 1,172 ms later.

Change: the coordinator puts its clock into each advice; a report repeats that and how long the host has had the advice. The sum is a lower bound of the sending in the coordinator's own clock, wherever the report waited meanwhile, and needs no agreement of clocks. Only reports that repeat advice of the same term count. A coordinator that hears from its hosts sees ages of one round trip, so lifetimes and the successor's wait stay as they are. While the store confirms the leadership, none of this is asked.

Rejected: discarding reports after a gap between two passes of the event loop. It misses a pause between the check and the reading, takes lack of processor time for a pause, and doesn't help against reports that a cut link held up.

The model now leaves reports of a paused coordinator unread until it goes on.

--- a/packages/decisions/FleetTiming.h
+++ b/packages/decisions/FleetTiming.h
@@ -15,11 +15,12 @@
 constexpr Millis minReportInterval { 250 }; // slot shares follow a burst within about half a second
 // A host detects the loss of the coordinator by its next report, and changes must be in force within four seconds.
 constexpr Millis maxReportInterval { 2'000 };
-constexpr Millis reportTimeout { 400 }; // a report arrives within this time or never
+constexpr Millis reportTimeout { 400 }; // of a host that waits for the advice
 
 struct FleetTiming {
     Millis reportInterval { minReportInterval }; // between two reports of one host
-    // A coordinator without the store counts a host as its own for so long after a report. One report may be lost.
+    // A coordinator without the store counts a host as its own for so long after the host sent a report. One report may
+    // be lost.
     Millis reportLifetime { 1'200 };
     Millis hostTimeout { 3'000 }; // a host is removed this long after its last report; two may be lost
     // A host that asks the store itself for the first time after its coordinator has fallen silent has last heard of
--- a/packages/decisions/LeadershipRules.cpp
+++ b/packages/decisions/LeadershipRules.cpp
@@ -5,6 +5,13 @@
 
 namespace cumindale {
 
+Instant reportSentAfter(const AdviceEcho& echo, int64_t term, Instant now)
+{
+    if (!echo.term || echo.term != term)
+        return {};
+    return std::min(now, echo.answeredAt + std::max(Millis(0), echo.age));
+}
+
 std::string_view nameOf(ActingBasis basis)
 {
     switch (basis) {
@@ -31,10 +38,12 @@
     m_reportLifetime = std::min(m_reportLifetime, fleetTiming(hosts).reportLifetime);
 }
 
-void LeadershipRules::onReport(std::string_view host, Instant now)
+void LeadershipRules::onReport(std::string_view host, Instant sentAfter)
 {
-    if (m_listedHosts.count(host))
-        m_reports.insert_or_assign(std::string(host), now);
+    if (!m_listedHosts.count(host))
+        return;
+    Instant& last = m_reports.try_emplace(std::string(host)).first->second;
+    last = std::max(last, sentAfter);
 }
 
 ActingBasis LeadershipRules::basis(Instant confirmed, Instant now) const
--- a/packages/gateway/CoordinatorReports.cpp
+++ b/packages/gateway/CoordinatorReports.cpp
@@ -9,6 +9,15 @@
 
 namespace cumindale {
 
+namespace {
+
+    AdviceEcho echoIn(const wire::HostReport& report)
+    {
+        return { report.adviceTerm, instantFromMillis(report.adviceAnsweredAt), Millis(report.adviceAgeMillis) };
+    }
+
+}
+
 wire::HostAdvice Coordinator::onReport(const wire::HostReport& report, bool mayBeLarge)
 {
     wire::HostAdvice advice;
@@ -20,8 +29,9 @@
     if (!m_term)
         return advice;
     const Instant now = m_clock.now();
+    advice.answeredAt = toMillis(now);
     m_hosts.onReport(report, now);
-    m_leadership.onReport(report.sender, now);
+    m_leadership.onReport(report.sender, reportSentAfter(echoIn(report), m_term, now));
     checkPreviousCoordinators(report.sender);
     if (report.sender != m_options.host)
         m_announcer.updateHost(report);
--- a/packages/gateway/GatewayControl.cpp
+++ b/packages/gateway/GatewayControl.cpp
@@ -28,6 +28,8 @@
 
     std::string textOf(const Endpoint& endpoint) { return endpoint.address + ":" + std::to_string(endpoint.port); }
 
+    int32_t toMillis32(Millis time) { return static_cast<int32_t>(std::min<int64_t>(time.count(), INT32_MAX)); }
+
     int32_t toCenti(double value) { return static_cast<int32_t>(std::lround(value * centi)); }
 
     Millis leaseOf(const GatewaySettings& gateway) { return std::max(gateway.leaderLease, gateway.minStoreLease); }
@@ -406,8 +408,11 @@
         rate.server = knownRate.server;
         rate.limited = knownRate.limit.has_value();
         rate.perSecond = knownRate.limit.value_or(0);
-        rate.ageMillis = static_cast<int32_t>((m_clock.now() - knownRate.at).count());
+        rate.ageMillis = toMillis32(m_clock.now() - knownRate.at);
     }
+    report.adviceTerm = m_lastAdviceTerm;
+    report.adviceAnsweredAt = m_lastAdviceAnsweredAt;
+    report.adviceAgeMillis = toMillis32(m_clock.now() - m_lastAdvice);
     m_pendingReport = {};
     return report;
 }
@@ -598,8 +603,11 @@
     const bool answers = advice && advice->coordinates;
     if (!answers)
         m_answeringTerm = 0; // the next coordinator to answer is sent the contents of this report again
-    if (answers)
+    if (answers) {
         m_lastAdvice = m_clock.now();
+        m_lastAdviceTerm = advice->term;
+        m_lastAdviceAnsweredAt = advice->answeredAt;
+    }
     // One unanswered report before the interval has passed doesn't change the coordinator's state: the next report
     // decides.
     if (!answers && m_clock.now() - m_lastAdvice < m_reportInterval)
--- a/packages/gateway/GatewayControl.h
+++ b/packages/gateway/GatewayControl.h
@@ -128,6 +128,8 @@
     int64_t m_answeringTerm = 0; // term of the coordinator that answered the last report; 0: none did
     Instant m_lastReport {};
     Instant m_lastAdvice {};
+    int64_t m_lastAdviceTerm = 0; // 0: none received yet
+    int64_t m_lastAdviceAnsweredAt = 0; // on the coordinator's clock, see HostAdvice
     Instant m_lastStandbyAnswer {}; // from which this host has had all recent changes
     Instant m_awaitingAskedAt {}; // when a host that awaits a coordinator asked this one last
 };
--- a/packages/peers/coordination.thrift
+++ b/packages/peers/coordination.thrift
@@ -63,6 +63,9 @@
     24: bool answersAwaiting // the host answers reports of hosts that await a coordinator
     25: bool awaitsCoordinator // asks for missed changes alone, also a host that doesn't coordinate
     26: bool needsSnapshot // the host awaits all items, since the store doesn't carry the reads of all hosts
+    27: i64 adviceTerm // of the newest advice that the host has received; 0: none
+    28: i64 adviceAnsweredAt // as in that advice
+    29: i32 adviceAgeMillis // since the host received that advice
 }
 
 struct ServerShare {
@@ -161,6 +164,7 @@
     26: list<string> standbys // "IP:port" of hosts that are asked while no coordinator answers; all of them, unless the host knows this checksum
     28: list<string> answeringHosts // "IP:port" of hosts that are asked when no standby answers; with `standbys`
     29: bool sendsSnapshots // the coordinator sends snapshots to hosts that need one
+    30: i64 answeredAt // milliseconds on the coordinator's monotonic clock when it read the report
     27: bool watchesStore // in answers to awaitsCoordinator: the host that was asked watches the store, which answers it
     10: News missed // what follows the change and the tables that the host knows; empty: nothing, or too much
 }
--- a/packages/peers/gen/coordination_types.cpp
+++ b/packages/peers/gen/coordination_types.cpp
@@ -893,6 +893,18 @@
 void HostReport::__set_needsSnapshot(const bool val) {
   this->needsSnapshot = val;
 }
+
+void HostReport::__set_adviceTerm(const int64_t val) {
+  this->adviceTerm = val;
+}
+
+void HostReport::__set_adviceAnsweredAt(const int64_t val) {
+  this->adviceAnsweredAt = val;
+}
+
+void HostReport::__set_adviceAgeMillis(const int32_t val) {
+  this->adviceAgeMillis = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostReport& obj)
 {
   obj.printTo(out);
@@ -1197,6 +1209,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->adviceTerm);
+          this->__isset.adviceTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->adviceAnsweredAt);
+          this->__isset.adviceAnsweredAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->adviceAgeMillis);
+          this->__isset.adviceAgeMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1366,6 +1402,18 @@
   xfer += oprot->writeBool(this->needsSnapshot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("adviceTerm", ::apache::thrift::protocol::T_I64, 27);
+  xfer += oprot->writeI64(this->adviceTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adviceAnsweredAt", ::apache::thrift::protocol::T_I64, 28);
+  xfer += oprot->writeI64(this->adviceAnsweredAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adviceAgeMillis", ::apache::thrift::protocol::T_I32, 29);
+  xfer += oprot->writeI32(this->adviceAgeMillis);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1397,6 +1445,9 @@
   swap(a.answersAwaiting, b.answersAwaiting);
   swap(a.awaitsCoordinator, b.awaitsCoordinator);
   swap(a.needsSnapshot, b.needsSnapshot);
+  swap(a.adviceTerm, b.adviceTerm);
+  swap(a.adviceAnsweredAt, b.adviceAnsweredAt);
+  swap(a.adviceAgeMillis, b.adviceAgeMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -1425,6 +1476,9 @@
   answersAwaiting = other64.answersAwaiting;
   awaitsCoordinator = other64.awaitsCoordinator;
   needsSnapshot = other64.needsSnapshot;
+  adviceTerm = other64.adviceTerm;
+  adviceAnsweredAt = other64.adviceAnsweredAt;
+  adviceAgeMillis = other64.adviceAgeMillis;
   __isset = other64.__isset;
 }
 HostReport& HostReport::operator=(const HostReport& other65) {
@@ -1452,6 +1506,9 @@
   answersAwaiting = other65.answersAwaiting;
   awaitsCoordinator = other65.awaitsCoordinator;
   needsSnapshot = other65.needsSnapshot;
+  adviceTerm = other65.adviceTerm;
+  adviceAnsweredAt = other65.adviceAnsweredAt;
+  adviceAgeMillis = other65.adviceAgeMillis;
   __isset = other65.__isset;
   return *this;
 }
@@ -1482,6 +1539,9 @@
   out << ", " << "answersAwaiting=" << to_string(answersAwaiting);
   out << ", " << "awaitsCoordinator=" << to_string(awaitsCoordinator);
   out << ", " << "needsSnapshot=" << to_string(needsSnapshot);
+  out << ", " << "adviceTerm=" << to_string(adviceTerm);
+  out << ", " << "adviceAnsweredAt=" << to_string(adviceAnsweredAt);
+  out << ", " << "adviceAgeMillis=" << to_string(adviceAgeMillis);
   out << ")";
 }
 
@@ -3114,6 +3174,10 @@
   this->sendsSnapshots = val;
 }
 
+void HostAdvice::__set_answeredAt(const int64_t val) {
+  this->answeredAt = val;
+}
+
 void HostAdvice::__set_watchesStore(const bool val) {
   this->watchesStore = val;
 }
@@ -3485,6 +3549,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answeredAt);
+          this->__isset.answeredAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 27:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->watchesStore);
@@ -3714,6 +3786,10 @@
   xfer += oprot->writeBool(this->sendsSnapshots);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("answeredAt", ::apache::thrift::protocol::T_I64, 30);
+  xfer += oprot->writeI64(this->answeredAt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3748,6 +3824,7 @@
   swap(a.standbys, b.standbys);
   swap(a.answeringHosts, b.answeringHosts);
   swap(a.sendsSnapshots, b.sendsSnapshots);
+  swap(a.answeredAt, b.answeredAt);
   swap(a.watchesStore, b.watchesStore);
   swap(a.missed, b.missed);
   swap(a.__isset, b.__isset);
@@ -3781,6 +3858,7 @@
   standbys = other196.standbys;
   answeringHosts = other196.answeringHosts;
   sendsSnapshots = other196.sendsSnapshots;
+  answeredAt = other196.answeredAt;
   watchesStore = other196.watchesStore;
   missed = other196.missed;
   __isset = other196.__isset;
@@ -3813,6 +3891,7 @@
   standbys = other197.standbys;
   answeringHosts = other197.answeringHosts;
   sendsSnapshots = other197.sendsSnapshots;
+  answeredAt = other197.answeredAt;
   watchesStore = other197.watchesStore;
   missed = other197.missed;
   __isset = other197.__isset;
@@ -3848,6 +3927,7 @@
   out << ", " << "standbys=" << to_string(standbys);
   out << ", " << "answeringHosts=" << to_string(answeringHosts);
   out << ", " << "sendsSnapshots=" << to_string(sendsSnapshots);
+  out << ", " << "answeredAt=" << to_string(answeredAt);
   out << ", " << "watchesStore=" << to_string(watchesStore);
   out << ", " << "missed=" << to_string(missed);
   out << ")";
--- a/packages/peers/gen/coordination_types.h
+++ b/packages/peers/gen/coordination_types.h
@@ -363,7 +363,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerRate& obj);
 
 typedef struct _HostReport__isset {
-  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false), forwardPort(false), forwardTargetsKnown(false), rulesKnown(false), standbysKnown(false), answersAwaiting(false), awaitsCoordinator(false), needsSnapshot(false) {}
+  _HostReport__isset() : sender(false), address(false), services(false), servers(false), lastChange(false), strengthCenti(false), dataCentre(false), crashes(false), answered(false), released(false), leaving(false), rates(false), ratesKnown(false), readsPacked(false), brokersKnown(false), brokersSlots(false), cutOff(false), forwardPort(false), forwardTargetsKnown(false), rulesKnown(false), standbysKnown(false), answersAwaiting(false), awaitsCoordinator(false), needsSnapshot(false), adviceTerm(false), adviceAnsweredAt(false), adviceAgeMillis(false) {}
   bool sender :1;
   bool address :1;
   bool services :1;
@@ -388,6 +388,9 @@
   bool answersAwaiting :1;
   bool awaitsCoordinator :1;
   bool needsSnapshot :1;
+  bool adviceTerm :1;
+  bool adviceAnsweredAt :1;
+  bool adviceAgeMillis :1;
 } _HostReport__isset;
 
 class HostReport : public virtual ::apache::thrift::TBase {
@@ -412,7 +415,10 @@
                standbysKnown(0),
                answersAwaiting(0),
                awaitsCoordinator(0),
-               needsSnapshot(0) {
+               needsSnapshot(0),
+               adviceTerm(0),
+               adviceAnsweredAt(0),
+               adviceAgeMillis(0) {
   }
 
   virtual ~HostReport() noexcept;
@@ -440,6 +446,9 @@
   bool answersAwaiting;
   bool awaitsCoordinator;
   bool needsSnapshot;
+  int64_t adviceTerm;
+  int64_t adviceAnsweredAt;
+  int32_t adviceAgeMillis;
 
   _HostReport__isset __isset;
 
@@ -491,6 +500,12 @@
 
   void __set_needsSnapshot(const bool val);
 
+  void __set_adviceTerm(const int64_t val);
+
+  void __set_adviceAnsweredAt(const int64_t val);
+
+  void __set_adviceAgeMillis(const int32_t val);
+
   bool operator == (const HostReport & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -541,6 +556,12 @@
       return false;
     if (!(needsSnapshot == rhs.needsSnapshot))
       return false;
+    if (!(adviceTerm == rhs.adviceTerm))
+      return false;
+    if (!(adviceAnsweredAt == rhs.adviceAnsweredAt))
+      return false;
+    if (!(adviceAgeMillis == rhs.adviceAgeMillis))
+      return false;
     return true;
   }
   bool operator != (const HostReport &rhs) const {
@@ -1105,7 +1126,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardTarget& obj);
 
 typedef struct _HostAdvice__isset {
-  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), brokersEdition(false), brokers(false), forwardTargetsChecksum(false), forwardTargets(false), rulesRevision(false), rulesAgeMillis(false), standbysChecksum(false), standbys(false), answeringHosts(false), sendsSnapshots(false), watchesStore(false), missed(false) {}
+  _HostAdvice__isset() : coordinates(false), term(false), hosts(false), shares(false), tables(false), storeSilentMillis(false), lastChange(false), standsBy(false), reportMillis(false), storeRevision(false), crashesEdition(false), suspects(false), quarantined(false), ratesEdition(false), rates(false), packedTables(false), missedLater(false), brokersEdition(false), brokers(false), forwardTargetsChecksum(false), forwardTargets(false), rulesRevision(false), rulesAgeMillis(false), standbysChecksum(false), standbys(false), answeringHosts(false), sendsSnapshots(false), answeredAt(false), watchesStore(false), missed(false) {}
   bool coordinates :1;
   bool term :1;
   bool hosts :1;
@@ -1133,6 +1154,7 @@
   bool standbys :1;
   bool answeringHosts :1;
   bool sendsSnapshots :1;
+  bool answeredAt :1;
   bool watchesStore :1;
   bool missed :1;
 } _HostAdvice__isset;
@@ -1160,6 +1182,7 @@
                rulesAgeMillis(0),
                standbysChecksum(0),
                sendsSnapshots(0),
+               answeredAt(0),
                watchesStore(0) {
   }
 
@@ -1191,6 +1214,7 @@
   std::vector<std::string>  standbys;
   std::vector<std::string>  answeringHosts;
   bool sendsSnapshots;
+  int64_t answeredAt;
   bool watchesStore;
   News missed;
 
@@ -1250,6 +1274,8 @@
 
   void __set_sendsSnapshots(const bool val);
 
+  void __set_answeredAt(const int64_t val);
+
   void __set_watchesStore(const bool val);
 
   void __set_missed(const News& val);
@@ -1310,6 +1336,8 @@
       return false;
     if (!(sendsSnapshots == rhs.sendsSnapshots))
       return false;
+    if (!(answeredAt == rhs.answeredAt))
+      return false;
     if (!(watchesStore == rhs.watchesStore))
       return false;
     if (!(missed == rhs.missed))
--- a/tests/grant_model.cpp
+++ b/tests/grant_model.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <utility>
 
 using namespace cumindale;
 
@@ -79,6 +80,12 @@
         int64_t answeredBy = 0;
     };
 
+    struct Report {
+        size_t sender = 0;
+        int64_t term = 0; // of the coordinator that it is for
+        AdviceEcho echo;
+    };
+
     struct Host {
         std::string name;
         bool up = true;
@@ -88,6 +95,9 @@
         bool storeUnreachable = false;
         int64_t knownTerm = 0; // of the newest coordinator that the host knows of
         int knownHost = -1;
+        AdviceEcho advice; // the newest that the host has received; its age counts from adviceReceivedAt
+        Instant adviceReceivedAt {};
+        std::vector<Report> unread; // reports of other hosts, that arrived while this one was paused
         // State as coordinator
         int64_t term = 0;
         Instant lastConfirmed {};
@@ -99,6 +109,8 @@
         std::string previousCoordinator;
         int64_t tableRevision = 0;
         std::array<int64_t, serverCount> connectedTo {}; // incarnation of each server; 0: no connection
+
+        AdviceEcho echo(Instant now) const { return { advice.term, advice.answeredAt, now - adviceReceivedAt }; }
     };
 
     class Simulation {
@@ -420,6 +432,8 @@
                 host.up = true;
             if (!host.up || m_now < host.pausedUntil)
                 return;
+            for (const auto& late : std::exchange(host.unread, {}))
+                readReport(host, late);
             if (reachesStore(host) && m_store.leadership.term > host.knownTerm) {
                 host.knownTerm = m_store.leadership.term;
                 host.knownHost = m_store.leadership.host;
@@ -502,13 +516,31 @@
             host.nextReport = m_now + Millis(250);
             Host& leader = m_hosts[static_cast<size_t>(host.knownHost)];
             const bool lost = m_lossyNetwork && chance() < 0.2;
-            if (!leader.up || m_now < leader.pausedUntil || leader.term != host.knownTerm || lost)
+            if (!leader.up || lost)
                 return;
-            leader.rules->onReport(host.name, m_now);
-            if (!leader.previousCoordinator.empty() && leader.previousCoordinator == host.name)
+            const Report sent { index, host.knownTerm, host.echo(m_now) };
+            if (m_now < leader.pausedUntil) {
+                leader.unread.push_back(sent);
+            } else if (readReport(leader, sent)) {
+                host.advice = { leader.term, m_now };
+                host.adviceReceivedAt = m_now;
+            }
+        }
+
+        // Returns whether the sender receives advice, unless it has given the report up meanwhile.
+        bool readReport(Host& leader, const Report& report)
+        {
+            if (!leader.term || leader.term != report.term)
+                return false;
+            const Host& sender = m_hosts[report.sender];
+            const Instant sentAfter
+                = m_guards.countReportsFromSending ? reportSentAfter(report.echo, leader.term, m_now) : m_now;
+            leader.rules->onReport(sender.name, sentAfter);
+            if (!leader.previousCoordinator.empty() && leader.previousCoordinator == sender.name)
                 onPreviousStopped(leader, m_now);
             else if (!leader.previousCoordinator.empty() && leader.rules->previousLostMajority())
                 onPreviousStopped(leader, leader.rules->previousStoppedBy(m_now));
+            return true;
         }
 
         void coordinate(size_t index)
--- a/tests/grant_model.h
+++ b/tests/grant_model.h
@@ -1,7 +1,7 @@
 // Simulates GrantPlan and LeadershipRules with hosts that may become coordinator, a store, and servers that enforce
 // grants.
 //
-// A seed determines random faults. Hosts pause, crash and lose their connections to the store, to each other and to
+// A seed determines random faults. Hosts pause with reports of others unread, crash and lose their connections to the store, to each other and to
 // servers. Servers crash, become unreachable and restart under their names, at once or later, noticed by hosts or not.
 // The store goes down, with leases that expire or pause meanwhile, and its answers are lost. Orders are lost, answered
 // late or never, or carried out seconds after their arrival.
@@ -23,6 +23,7 @@
     // For servers out of its reach, a new coordinator waits as long as the previous one may go on renewing.
     bool waitForPreviousCoordinator = true;
     bool waitForUnanswered = true; // an order without an answer counts as one that may be carried out late
+    bool countReportsFromSending = true; // not from when a coordinator reads them, which may have been paused
     bool newFenceOnNewConnection = true; // a new connection may lead to another incarnation of the server
 };
 
--- a/tests/grant_plan_test.cpp
+++ b/tests/grant_plan_test.cpp
@@ -262,6 +262,7 @@
         { "require a majority while the store is unavailable",
             [](Guards& guards) { guards.requireMajorityWithoutStore = false; } },
         { "wait for the previous coordinator", [](Guards& guards) { guards.waitForPreviousCoordinator = false; } },
+        { "count reports from when they were sent", [](Guards& guards) { guards.countReportsFromSending = false; } },
         { "wait for unanswered orders", [](Guards& guards) { guards.waitForUnanswered = false; } },
     };
     for (const auto& one : cases) {
