Coordinator: withhold queued orders once it may not act

Not seen in use; found by looking for the same cause on related paths.

Cause: step() asks whether the coordinator may act and then plans orders. Grants for one server are sent in turn, each after the answer to the one before it. Those that were queued when the process stopped were sent when it went on.

Change: sending asks again, right before the order is written. It uses step()'s answer if that is no older than the time between two steps, so that a large fleet's reports aren't counted for each order. Such an order ends as Withheld, which is no missed answer of the server. It also covers the moment between the news of a newer coordinator and the end of the term.

--- a/packages/decisions/GrantPlan.cpp
+++ b/packages/decisions/GrantPlan.cpp
@@ -23,6 +23,8 @@
         return "unanswered";
     case OrderResult::NotSent:
         return "not-sent";
+    case OrderResult::Withheld:
+        return "withheld";
     }
     return "unanswered";
 }
@@ -165,6 +167,8 @@
     if (!state || state->outstanding != answer.number)
         return; // the order was abandoned, and its possible effects were recorded then
     state->outstanding = 0;
+    if (answer.result == OrderResult::Withheld)
+        return;
     recordAnswer(state->outstandingServer, answer.result, answer.endedAt);
     if (answer.result == OrderResult::HigherFence) {
         m_deposed = true;
--- a/packages/decisions/GrantPlan.h
+++ b/packages/decisions/GrantPlan.h
@@ -98,6 +98,7 @@
     Rejected, // refused for another reason
     Unanswered, // the order may have arrived
     NotSent, // the order certainly did not arrive
+    Withheld, // not sent, since the coordinator may no longer act; tells nothing about the server
 };
 
 std::string_view nameOf(OrderResult);
--- a/packages/gateway/Coordinator.cpp
+++ b/packages/gateway/Coordinator.cpp
@@ -183,6 +183,7 @@
 bool Coordinator::mayAct(Instant now)
 {
     const ActingBasis basis = m_leadership.basis(m_election.lastConfirmed(), now);
+    m_basisCheckedAt = now;
     if (std::exchange(m_actingBasis, basis) != basis) {
         const LogLevel level = basis == ActingBasis::None ? LogLevel::Warning : LogLevel::Info;
         logChange(level, "acting-basis-changed",
--- a/packages/gateway/Coordinator.h
+++ b/packages/gateway/Coordinator.h
@@ -116,7 +116,9 @@
     boost::asio::awaitable<void> startSenders();
     void addSendersToStalledServers();
     boost::asio::awaitable<void> sendGrants(std::string server, int64_t term);
+    bool maySend(int64_t term); // an order of this term, at this moment
     std::optional<uint64_t> fenceToSend(const GrantOrder&, const std::string& service, bool newConnection);
+    void recordReach(const std::string& server, const OrderAnswer&);
     boost::asio::awaitable<void> executeOrder(GrantOrder, int64_t term, std::string service);
     // The registered servers. Those that have announced in responses to hosts that they are leaving are marked as
     // leaving.
@@ -181,7 +183,8 @@
     SnapshotAnnouncer m_snapshots;
     bool m_writing = false;
     LeadershipRules m_leadership;
-    ActingBasis m_actingBasis = ActingBasis::Store; // as logged last
+    ActingBasis m_actingBasis = ActingBasis::Store; // by the last check
+    Instant m_basisCheckedAt {};
     std::map<std::string, std::string>
         m_previousCoordinators; // by service: the host whose orders may still arrive at servers
     Instant m_termBegan {};
--- a/packages/gateway/CoordinatorOrders.cpp
+++ b/packages/gateway/CoordinatorOrders.cpp
@@ -125,6 +125,18 @@
     }
 }
 
+// An order may have waited for earlier ones and for its connection since step() planned it, also while the process
+// stood still.
+bool Coordinator::maySend(int64_t term)
+{
+    if (term != m_term || !isLeader())
+        return false;
+    // The reports of a large fleet are not counted for each order.
+    const Instant now = m_clock.now();
+    const bool checkedRecently = now - m_basisCheckedAt <= m_options.stepInterval;
+    return checkedRecently ? m_actingBasis != ActingBasis::None : mayAct(now);
+}
+
 std::optional<uint64_t> Coordinator::fenceToSend(
     const GrantOrder& order, const std::string& service, bool newConnection)
 {
@@ -132,6 +144,19 @@
     return plan == m_plans.end() ? std::nullopt : plan->second->fenceToSend(order, newConnection);
 }
 
+void Coordinator::recordReach(const std::string& server, const OrderAnswer& answer)
+{
+    switch (answer.result) {
+    case OrderResult::Withheld:
+        return;
+    case OrderResult::Unanswered:
+    case OrderResult::NotSent:
+        return m_orderReach.connectFailed(server, answer.endedAt);
+    default:
+        return m_orderReach.connected(server, m_servers.size());
+    }
+}
+
 asio::awaitable<void> Coordinator::executeOrder(GrantOrder order, int64_t term, std::string service)
 {
     m_orders.add();
@@ -141,8 +166,10 @@
     if (client) {
         const bool release = order.kind == GrantOrder::Kind::Release;
         const Millis timeout = release ? m_options.releaseTimeout : m_options.grants.orderTimeout;
+        bool withheld = false;
         HttpClient::CallFactory make = [&](bool newConnection) -> std::optional<HttpCall> {
-            const auto fence = term == m_term ? fenceToSend(order, service, newConnection) : std::nullopt;
+            withheld = !maySend(term);
+            const auto fence = withheld ? std::nullopt : fenceToSend(order, service, newConnection);
             if (!fence)
                 return std::nullopt;
             order.fence = *fence;
@@ -158,6 +185,8 @@
         if (reply.hasResponse()) {
             answer.result = m_adapter.resultOf(order, reply);
             answer.handover = m_adapter.handoverIn(reply);
+        } else if (withheld) {
+            answer.result = OrderResult::Withheld;
         } else {
             answer.result = reply.mayHaveArrived ? OrderResult::Unanswered : OrderResult::NotSent;
         }
@@ -165,11 +194,8 @@
     if (term != m_term)
         co_return; // the term has ended meanwhile
     answer.endedAt = m_clock.now();
-    if (answer.result == OrderResult::Unanswered || answer.result == OrderResult::NotSent)
-        m_orderReach.connectFailed(order.server, answer.endedAt);
-    else
-        m_orderReach.connected(order.server, m_servers.size());
-    if (answer.result != OrderResult::Done) {
+    recordReach(order.server, answer);
+    if (answer.result != OrderResult::Done && answer.result != OrderResult::Withheld) {
         m_ordersFailed.add();
         logChange(LogLevel::Warning, "grant-order-failed",
             { { "service", service }, { "server", order.server }, { "first", order.first }, { "last", order.last },
