Callers: close gently whenever input is left unread

Cause: a draining host reads no request behind one that is being answered. A connection is closed gently (end of output, input discarded until the caller has everything) only if the last response said that it closes. A response whose head was written before the SIGTERM doesn't say so. The socket was closed with a request unread in it, which resets the connection.

Evidence: response-undelivered with unacknowledged 221539, unread 99, draining true, on each connection. The new test in `callers` gets no response on the former code, 3 of 3 runs.

Change: a connection is also closed gently if input is left unread, in the buffer or in the socket.

Requests behind the response are still not run, and the connection doesn't outlast its caller, so the host can stop.

--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -136,13 +136,17 @@
     m_readState = ReadState::None;
     while (!m_exchanges.empty() || m_writing)
         co_await m_progress.wait(progressCheckInterval);
-    if (m_closing && !m_broken)
+    if (!m_broken && (m_closing || leavesInputUnread()))
         co_await linger();
     recordUndelivered();
     beast::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+// While a host drains, the last response may have been begun before and not say that it closes the connection, so that
+// the caller sends further requests.
+bool CallerSession::leavesInputUnread() { return m_buffer.size() || unreadBytes(m_stream); }
+
 // A caller may send something behind its last request at any time. Unread, it would reset the connection on closing,
 // and the reset would discard what the caller hasn't received of the last response.
 asio::awaitable<void> CallerSession::linger()
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -119,6 +119,7 @@
     boost::beast::error_code checkChunk(uint64_t chunkBytes, std::string_view extensions);
     ErrorKind memoryError() const;
     void shrinkBuffer(); // of an idle connection
+    bool leavesInputUnread();
     boost::asio::awaitable<void> linger();
     void checkLinger(Instant now);
     bool mayReadOn() const;
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -422,6 +422,32 @@
     }
 }
 
+// Guards against a response that is cut off by a reset when its host is stopped: its head was written before, so it
+// doesn't close the connection, and the caller has sent further requests since, which are not read.
+TEST_CASE("a response that was begun before its host was stopped arrives whole, whatever follows its request")
+{
+    constexpr int receiveBuffer = 65'536;
+    constexpr size_t responseBytes = 7'000'000; // more than the buffers of a connection hold
+    CallerFixture fixture;
+    TestCaller caller(fixture.port, receiveBuffer);
+    caller.send(get("/begun", 10, responseBytes));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    fixture.onServer([&] { fixture.server->startDraining(); });
+    for (const auto* path : { "/behind-1", "/behind-2" }) {
+        caller.send(get(path));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    const auto response = caller.receive();
+    REQUIRE(response);
+    CHECK(response->body.size() == responseBytes + std::string("/begun").size());
+    CHECK(response->keepAlive);
+    CHECK_FALSE(caller.receive()); // the connection has ended
+    CHECK(fixture.onServer([&] { return fixture.handler.started.size(); }) == 1);
+    caller.close();
+    CHECK(fixture.waitFor([&] { return !fixture.server->connections(); })); // nothing keeps the host from stopping
+    CHECK(fixture.metric("callers_closed_undelivered") == 0);
+}
+
 // Guards against a response that is cut off although its caller goes on reading it, because it takes a second for it.
 TEST_CASE("a caller that reads its last response slowly receives all of it")
 {
