Callers: a health check only where it is asked for

Cause: CallerSession compared the path with the health check's before looking for a route, for every method and Host, also on a platform whose load balancer asks at another port, and on the port for forwarded requests.

Change: CallerServer has a health check only if it is given a path. With a gateway section none is. Elsewhere host.healthPath is a setting with the former path as its default, and only GET and HEAD are checks.

--- a/apps/cumindaled/Host.cpp
+++ b/apps/cumindaled/Host.cpp
@@ -45,7 +45,7 @@
             , m_router(m_routingContext.get_executor(), m_clock, routerOptions(settings), m_metrics, m_spans,
                   [this](RoutingReport report) { m_toControl.push(std::move(report)); })
             , m_callers(m_routingContext.get_executor(), m_clock, settings.host.callers.address,
-                  settings.host.callers.port, callerLimits(settings), m_router, m_metrics)
+                  settings.host.callers.port, callerLimits(settings), m_router, m_metrics, settings.host.healthPath)
             , m_controller(m_controlContext.get_executor(), m_clock, settings, m_store, m_hostList, m_metrics, m_board,
                   [this](RoutingUpdate update) { return m_toRouting.push(std::move(update)); })
             , m_operatorStore(m_operatorsContext.get_executor(), settings.host.store.address, settings.host.store.port)
--- a/packages/callers/CallerServer.cpp
+++ b/packages/callers/CallerServer.cpp
@@ -72,9 +72,9 @@
 }
 
 CallerServer::CallerServer(asio::any_io_executor executor, const Clock& clock, std::string address, uint16_t port,
-    CallerLimits limits, RequestHandler& handler, Metrics& metrics)
+    CallerLimits limits, RequestHandler& handler, Metrics& metrics, std::string healthPath)
     : m_shared(new Shared { tcp::acceptor(executor, { asio::ip::make_address(address), port }),
-        std::make_shared<CallerContext>(clock, limits, handler, metrics),
+        std::make_shared<CallerContext>(clock, limits, handler, metrics, std::move(healthPath)),
         metrics.counter("callers_refused_connections"), {} })
 {
     spawnLoop(executor, "accept-callers", Shared::acceptCallers(m_shared));
--- a/packages/callers/CallerServer.h
+++ b/packages/callers/CallerServer.h
@@ -68,8 +68,10 @@
 
 class CallerServer {
 public:
+    // `healthPath`: where the load balancer checks this host, by GET or HEAD. No other request is answered without the
+    // handler. Empty: not on this port, so that every path can be a route.
     CallerServer(boost::asio::any_io_executor, const Clock&, std::string address, uint16_t port, CallerLimits,
-        RequestHandler&, Metrics&);
+        RequestHandler&, Metrics&, std::string healthPath = {});
     ~CallerServer();
 
     void setLimits(const CallerLimits&); // apply to connections and requests from now on
--- a/packages/callers/CallerSession.cpp
+++ b/packages/callers/CallerSession.cpp
@@ -25,7 +25,6 @@
 namespace {
 
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
-    constexpr std::string_view healthPath = "/cumindale/health";
     constexpr Millis responseStallTimeout { 60'000 }; // without the caller taking any part of its response
     constexpr Millis lingerTimeout { 1'000 }; // for the caller to read the last response and close its end
     constexpr Millis progressCheckInterval { 60'000 }; // waits end earlier, by a notification
@@ -93,11 +92,12 @@
     return { limits.connections, limits.bodyMemory, limits.responseMemory };
 }
 
-CallerContext::CallerContext(
-    const Clock& clockToUse, CallerLimits limitsToKeep, RequestHandler& requestHandler, Metrics& metrics)
+CallerContext::CallerContext(const Clock& clockToUse, CallerLimits limitsToKeep, RequestHandler& requestHandler,
+    Metrics& metrics, std::string healthPathToUse)
     : clock(clockToUse)
     , limits(limitsToKeep)
     , handler(requestHandler)
+    , healthPath(std::move(healthPathToUse))
     , requests(metrics.counter("callers_requests"))
     , overlappingRequests(metrics.counter("callers_overlapping_requests"))
     , bodyBytes(metrics.counter("callers_body_bytes"))
@@ -110,6 +110,12 @@
 {
 }
 
+bool CallerContext::isHealthCheck(const CallerHeader& header) const
+{
+    const bool reads = header.method() == http::verb::get || header.method() == http::verb::head;
+    return reads && !healthPath.empty() && header.target() == healthPath;
+}
+
 // --- Connection
 
 CallerSession::CallerSession(std::shared_ptr<CallerContext> context, beast::tcp_stream stream)
@@ -473,7 +479,7 @@
     Parser parser;
     auto exchange = std::make_unique<Exchange>();
     ErrorKind requestError = co_await readHeader(parser);
-    const bool healthCheck = requestError == ErrorKind::None && parser.get().target() == healthPath;
+    const bool healthCheck = requestError == ErrorKind::None && m_context->isHealthCheck(parser.get().base());
     if (!healthCheck && requestError == ErrorKind::None)
         requestError = admit(parser, *exchange);
     const bool expectsContinue = beast::iequals(parser.get()[http::field::expect], "100-continue");
--- a/packages/callers/CallerSession.h
+++ b/packages/callers/CallerSession.h
@@ -29,11 +29,13 @@
 
 // What all connections of a server share.
 struct CallerContext {
-    CallerContext(const Clock&, CallerLimits, RequestHandler&, Metrics&);
+    CallerContext(const Clock&, CallerLimits, RequestHandler&, Metrics&, std::string healthPath);
+    bool isHealthCheck(const CallerHeader&) const;
 
     const Clock& clock;
     CallerLimits limits;
     RequestHandler& handler;
+    std::string healthPath; // empty: this port has none
     Counter& requests;
     Counter& overlappingRequests;
     Counter& bodyBytes;
--- a/packages/resources/Settings.cpp
+++ b/packages/resources/Settings.cpp
@@ -45,6 +45,14 @@
         return endpoint;
     }
 
+    std::string readHealthPath(FieldReader& reader)
+    {
+        std::string path = reader.text("healthPath", false, "/cumindale/health");
+        if (!path.starts_with('/') || path.find_first_of("?# ") != std::string::npos)
+            reader.fail("healthPath", "a path that begins with a slash, without a query");
+        return path;
+    }
+
     HostSettings readHost(const json::object& object, FieldError& fieldError, bool gateway)
     {
         FieldReader reader(object, "host", fieldError);
@@ -61,6 +69,8 @@
             reader.fail("operatorToken", "a string of at least 8 characters");
         host.store = readEndpoint(reader, "store", fieldError);
         host.hostList = readEndpoint(reader, "hostList", fieldError, !gateway);
+        if (!gateway)
+            host.healthPath = readHealthPath(reader);
         reader.finish();
         return host;
     }
--- a/packages/resources/Settings.h
+++ b/packages/resources/Settings.h
@@ -30,6 +30,7 @@
     std::string operatorToken; // bearer token for writes
     Endpoint store; // the platform's key-value store
     Endpoint hostList; // the platform's host list service
+    std::string healthPath; // of the load balancer's checks on the callers' port; empty with a gateway: `readiness`
 };
 
 // Whether the slots of backend servers are granted by the hosts that the coordinator picks as brokers.
--- a/tests/callers_test.cpp
+++ b/tests/callers_test.cpp
@@ -110,6 +110,19 @@
     }
 }
 
+// Guards against a submission that the host answers as done without running it: its path is that of the health check.
+TEST_CASE("the health check hides no other request")
+{
+    RoutingFixture fixture;
+    CHECK(fixture.send("GET /health HTTP/1.1\r\nHost: h\r\n\r\n").body == "ok\n");
+    for (const char* method : { "POST", "PUT", "DELETE", "OPTIONS", "TRACE" })
+        expectRefused(fixture, std::string(method) + " /health HTTP/1.1\r\nHost: h\r\nCase-Key: k\r\n\r\n", 404,
+            "unknown-service");
+    for (const char* path : { "/health/", "/health?x", "/cumindale/health", "*", "http://h/health" })
+        expectRefused(fixture, std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\nCase-Key: k\r\n\r\n", 404,
+            "unknown-service");
+}
+
 TEST_CASE("internal headers sent by a caller are ignored")
 {
     RoutingFixture fixture;
--- a/tests/routing_fixture.cpp
+++ b/tests/routing_fixture.cpp
@@ -65,7 +65,7 @@
     m_router = std::make_unique<Router>(
         m_context.get_executor(), *m_clock, RouterOptions { "host", 64 }, m_metrics, m_spans, [](RoutingReport) {});
     m_callers = std::make_unique<CallerServer>(
-        m_context.get_executor(), *m_clock, "127.0.0.1", uint16_t(0), limits, *m_router, m_metrics);
+        m_context.get_executor(), *m_clock, "127.0.0.1", uint16_t(0), limits, *m_router, m_metrics, "/health");
     m_port = m_callers->port();
     RoutingUpdate update;
     update.resources = resourcesFor(m_fakeServer->port(), largestBody);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -53,6 +53,23 @@
     CHECK(settingsError(settingsWith(R"(,"timing":{"beatMs":"fast"})"))->field == "timing.beatMs");
 }
 
+TEST_CASE("the path of the health check can be chosen, and a gateway has none")
+{
+    Settings settings;
+    CHECK_FALSE(settingsError(settingsWith(""), &settings).has_value());
+    CHECK(settings.host.healthPath == "/cumindale/health");
+    const auto withPath = [](std::string text, const std::string& path) {
+        return text.insert(text.find("\"name\""), R"("healthPath": ")" + path + "\", ");
+    };
+    CHECK_FALSE(settingsError(withPath(settingsWith(""), "/up"), &settings).has_value());
+    CHECK(settings.host.healthPath == "/up");
+    for (const char* path : { "", "up", "/up?x" })
+        CHECK(settingsError(withPath(settingsWith(""), path))->field == "host.healthPath");
+    CHECK(settingsError(withPath(gatewaySettingsWith(""), "/up"))->field == "host.healthPath");
+    CHECK_FALSE(settingsError(gatewaySettingsWith(""), &settings).has_value());
+    CHECK(settings.host.healthPath.empty());
+}
+
 TEST_CASE("gateway settings accept endpoints as IP:port strings, and null counts as absent")
 {
     Settings settings;
