--- a/packages/decisions/FleetTiming.h
+++ b/packages/decisions/FleetTiming.h
@@ -15,7 +15,7 @@
 constexpr Millis minReportInterval { 250 }; // slot shares follow a burst within about half a second
 // A host detects the loss of the coordinator by its next report, and changes must be in force within four seconds.
 constexpr Millis maxReportInterval { 2'000 };
-constexpr Millis reportTimeout { 400 }; // of a host that waits for the advice
+constexpr Millis reportTimeout { 400 }; // how long a host waits for the advice that answers its report
 
 struct FleetTiming {
     Millis reportInterval { minReportInterval }; // between two reports of one host
--- a/tests/grant_model.cpp
+++ b/tests/grant_model.cpp
@@ -527,7 +527,7 @@
             }
         }
 
-        // Returns whether the sender receives advice, unless it has given the report up meanwhile.
+        // Returns whether there is advice for the sender.
         bool readReport(Host& leader, const Report& report)
         {
             if (!leader.term || leader.term != report.term)
--- a/tests/grant_model.h
+++ b/tests/grant_model.h
@@ -1,10 +1,10 @@
 // Simulates GrantPlan and LeadershipRules with hosts that may become coordinator, a store, and servers that enforce
 // grants.
 //
-// A seed determines random faults. Hosts pause with reports of others unread, crash and lose their connections to the store, to each other and to
-// servers. Servers crash, become unreachable and restart under their names, at once or later, noticed by hosts or not.
-// The store goes down, with leases that expire or pause meanwhile, and its answers are lost. Orders are lost, answered
-// late or never, or carried out seconds after their arrival.
+// A seed determines random faults. Hosts pause with reports of others unread, crash and lose their connections to the
+// store, to each other and to servers. Servers crash, become unreachable and restart under their names, at once or
+// later, noticed by hosts or not. The store goes down, with leases that expire or pause meanwhile, and its answers are
+// lost. Orders are lost, answered late or never, or carried out seconds after their arrival.
 #pragma once
 
 #include "decisions/GrantPlan.h"
--- a/tests/load_decisions_test.cpp
+++ b/tests/load_decisions_test.cpp
@@ -580,6 +580,28 @@
     CHECK(chooseServer(candidates, 5).has_value());
 }
 
+// Guards against a coordinator that acts by reports which waited in its sockets while its process stood still.
+TEST_CASE("a report that is read late counts from when it was sent")
+{
+    constexpr int64_t term = 7;
+    const Instant answered = begin + Millis(1'000); // the advice that the host has when it reports
+    const AdviceEcho echo { term, answered, Millis(250) };
+    const Instant sent = answered + echo.age;
+    CHECK(reportSentAfter(echo, term, sent + Millis(5'000)) == sent);
+    CHECK(reportSentAfter(echo, term, answered) == answered); // not in the future, however the host's clock runs
+    CHECK(reportSentAfter(echo, term + 1, sent) == Instant {}); // advice of an earlier term doesn't tell
+    CHECK(reportSentAfter({}, term, sent) == Instant {});
+    LeadershipRules rules({});
+    rules.setListedHosts({ "a", "b", "c" });
+    for (const auto* host : { "a", "b", "c" })
+        rules.onReport(host, reportSentAfter(echo, term, sent + Millis(5'000)));
+    CHECK(rules.mayAct(begin, begin + Millis(1'400)));
+    CHECK(rules.basis(begin, sent + Millis(1'200)) == ActingBasis::Reports);
+    CHECK(rules.basis(begin, sent + Millis(5'000)) == ActingBasis::None);
+    rules.onReport("a", {}); // a host that has restarted takes nothing back
+    CHECK(rules.recentReports(sent) == 3);
+}
+
 TEST_CASE("without the store, half of the hosts decide which coordinator continues")
 {
     LeadershipRules former({});
